--- /dev/null
+++ b/libs/masticpost-bench/src/masticpost_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Process harness, load tool, demo and measurements."""
--- /dev/null
+++ b/libs/masticpost-cli/src/masticpost_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The masticpost operators' tool."""
--- /dev/null
+++ b/libs/masticpost-common/src/masticpost_common/__init__.py
@@ -0,0 +1,1 @@
+"""Types, errors, codec, registries and the retry policy that every library shares."""
--- /dev/null
+++ b/libs/masticpost-common/src/masticpost_common/codec.py
@@ -0,0 +1,34 @@
+"""Encoding of attrs classes as JSON (stored, shown) and MessagePack (on the wire)."""
+
+import typing
+
+import msgspec
+
+T = typing.TypeVar("T")
+
+DecodeError = msgspec.MsgspecError
+
+
+def to_json(value: object) -> bytes:
+    """Encode as compact JSON."""
+    return msgspec.json.encode(value)
+
+
+def from_json(data: bytes | str, kind: type[T]) -> T:
+    """Decode JSON into `kind`; raises `DecodeError`."""
+    return msgspec.json.decode(data, type=kind)
+
+
+def to_wire(value: object) -> bytes:
+    """Encode as MessagePack."""
+    return msgspec.msgpack.encode(value)
+
+
+def from_wire(data: bytes, kind: type[T]) -> T:
+    """Decode MessagePack into `kind`; raises `DecodeError`."""
+    return msgspec.msgpack.decode(data, type=kind)
+
+
+def to_plain(value: object) -> object:
+    """Turn attrs classes into the dicts, lists and scalars of JSON."""
+    return msgspec.to_builtins(value)
--- /dev/null
+++ b/libs/masticpost-common/src/masticpost_common/rendezvous.py
@@ -0,0 +1,34 @@
+"""Rendezvous hashing and the mapping of keys to shards.
+
+Source: Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit Rates",
+IEEE/ACM Transactions on Networking 6(1), 1998.
+"""
+
+import collections.abc
+
+import xxhash
+
+
+def weight(member: str, key: str) -> int:
+    """Return the 64-bit weight of `member` for `key`."""
+    return xxhash.xxh3_64_intdigest(f"{member}\0{key}")
+
+
+def ranked(members: collections.abc.Iterable[str], key: str) -> list[str]:
+    """Return the members from the highest weight for `key` to the lowest."""
+    return sorted(members, key=lambda member: weight(member, key), reverse=True)
+
+
+def owner(members: collections.abc.Iterable[str], key: str) -> str | None:
+    """Return the member with the highest weight, None without members."""
+    return max(members, key=lambda member: weight(member, key), default=None)
+
+
+def shard_of(key: str, shard_count: int) -> int:
+    """Return the shard of `key`, from 0 to ``shard_count - 1``."""
+    return xxhash.xxh3_64_intdigest(key) % shard_count
+
+
+def unit(key: str) -> float:
+    """Map `key` evenly onto [0, 1)."""
+    return xxhash.xxh3_64_intdigest(key) / 2**64
--- /dev/null
+++ b/libs/masticpost-confsync/src/masticpost_confsync/__init__.py
@@ -0,0 +1,1 @@
+"""Spreading the operators' text to every instance."""
--- /dev/null
+++ b/libs/masticpost-confsync/src/masticpost_confsync/head.py
@@ -0,0 +1,159 @@
+"""The stored text: the head object and the history, and how an edit is applied.
+
+The head is replaced by a conditional update from the generation the operator saw.
+Before that, the generation it replaces is kept as a history object, so that the
+history is whole up to the head whenever the head changes.
+"""
+
+import uuid
+
+import attrs
+import result
+from masticpost_common import codec
+from masticpost_store import client, objects
+
+HEAD_NAME = "masticpost-text"
+HISTORY_LABELS = {"masticpost-kind": "text-history"}
+HEAD_LABELS = {"masticpost-kind": "text"}
+
+
+@attrs.frozen(kw_only=True)
+class Stored:
+    """A generation of the text as it is stored."""
+
+    generation: int
+    raw: str
+    nonce: str
+    at: int
+    author: str = ""
+    note: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class Head:
+    """The generation in force and the object's resource version."""
+
+    stored: Stored
+    version: str
+
+
+@attrs.frozen(kw_only=True)
+class Conflict:
+    """Somebody else applied an edit first; `current` is what is stored now."""
+
+    current: Stored | None
+
+
+ApplyFault = Conflict | objects.Fault
+
+
+def decode(value: bytes) -> Stored:
+    """Read a stored generation; raises `codec.DecodeError`."""
+    return codec.from_json(value, Stored)
+
+
+async def read(store: client.Client) -> result.Result[Head | None, objects.Fault]:
+    """Read the head; None when no text was ever applied."""
+    found = await store.get(HEAD_NAME)
+    if found.is_err():
+        fault = found.unwrap_err()
+        if fault.kind is objects.FaultKind.MISSING:
+            return result.Ok(None)
+        return result.Err(fault)
+    obj = found.unwrap()
+    try:
+        return result.Ok(Head(stored=decode(obj.value), version=obj.version))
+    except codec.DecodeError as exc:
+        kind = objects.FaultKind.REJECTED
+        return result.Err(objects.Fault(kind=kind, message=f"head: {exc}"))
+
+
+async def apply(
+    store: client.Client,
+    *,
+    raw: str,
+    seen_generation: int,
+    author: str,
+    note: str,
+    at: int,
+) -> result.Result[Stored, ApplyFault]:
+    """Make `raw` the next generation if the head still is `seen_generation`.
+
+    A write whose answer was lost is settled by reading the head back and comparing
+    its nonce.
+    """
+    found = await read(store)
+    if found.is_err():
+        return result.Err(found.unwrap_err())
+    head = found.unwrap()
+    if (head.stored.generation if head else 0) != seen_generation:
+        return result.Err(Conflict(current=head.stored if head else None))
+    stored = Stored(
+        generation=seen_generation + 1,
+        raw=raw,
+        nonce=uuid.uuid4().hex,
+        at=at,
+        author=author,
+        note=note,
+    )
+    kept = await _keep(store, head)
+    if kept.is_err():
+        return result.Err(kept.unwrap_err())
+    return await _replace(store, head, stored)
+
+
+async def _keep(
+    store: client.Client, head: Head | None
+) -> result.Result[None, objects.Fault]:
+    if head is None:
+        return result.Ok(None)
+    name = f"{HEAD_NAME}-{head.stored.generation:08d}"
+    made = await store.create(name, codec.to_json(head.stored), HISTORY_LABELS)
+    if made.is_err() and made.unwrap_err().kind is not objects.FaultKind.CONFLICT:
+        return result.Err(made.unwrap_err())
+    return result.Ok(None)
+
+
+async def _replace(
+    store: client.Client, head: Head | None, stored: Stored
+) -> result.Result[Stored, ApplyFault]:
+    value = codec.to_json(stored)
+    if head is None:
+        written = await store.create(HEAD_NAME, value, HEAD_LABELS)
+    else:
+        written = await store.update(HEAD_NAME, value, head.version, HEAD_LABELS)
+    if written.is_ok():
+        return result.Ok(stored)
+    fault = written.unwrap_err()
+    if fault.kind is objects.FaultKind.NEVER_JUDGED:
+        return result.Err(fault)
+    found = await read(store)
+    if found.is_err():
+        return result.Err(fault)
+    current = found.unwrap()
+    if current is not None and current.stored.nonce == stored.nonce:
+        return result.Ok(stored)
+    if fault.kind is objects.FaultKind.CONFLICT:
+        return result.Err(Conflict(current=current.stored if current else None))
+    return result.Err(fault)
+
+
+async def history(
+    store: client.Client,
+) -> result.Result[list[Stored], objects.Fault]:
+    """Return every generation, the oldest first and the head last."""
+    listed = await store.list(HISTORY_LABELS)
+    if listed.is_err():
+        return result.Err(listed.unwrap_err())
+    found = await read(store)
+    if found.is_err():
+        return result.Err(found.unwrap_err())
+    rows = {s.generation: s for s in map(_of_object, listed.unwrap().objects)}
+    head = found.unwrap()
+    if head is not None:
+        rows[head.stored.generation] = head.stored
+    return result.Ok([rows[generation] for generation in sorted(rows)])
+
+
+def _of_object(obj: objects.Obj) -> Stored:
+    return decode(obj.value)
--- /dev/null
+++ b/libs/masticpost-confsync/src/masticpost_confsync/keeper.py
@@ -0,0 +1,251 @@
+"""The text in force on this instance, and how it gets here.
+
+A few relays per failure domain watch the head object. A relay pushes a new
+generation to the members of its failure domain; everyone else hears of it through
+the membership's probes as well and asks a peer that has it. Only a higher generation
+is ever taken, from whatever source.
+"""
+
+import asyncio
+import collections.abc
+import random
+import time
+
+import aiohttp
+import attrs
+import mode
+from loguru import logger
+from masticpost_common import codec, findings, rendezvous
+from masticpost_peers import hub, membership, messages
+from masticpost_store import client
+from masticpost_text import model, parse
+
+from masticpost_confsync import head
+
+RELAYS_PER_DOMAIN = 2
+WATCH_PAUSE_S = 0.5
+POLL_S = 20.0
+RELAY_POLL_S = 2.0
+COMPARE_PEERS = 3
+ASK_TIMEOUT_S = 0.5
+START_PAUSE_S = 0.1
+FRESH_BOUND_S = 10.0
+REACHABLE_SHARE = 0.5
+
+
+@messages.message("text-ask")
+@attrs.frozen(kw_only=True)
+class TextAsk:
+    """Asks a peer for its text if it has a generation above `above`."""
+
+    above: int
+
+
+@messages.message("text-news")
+@attrs.frozen(kw_only=True)
+class TextNews:
+    """A generation of the text; None when there is nothing newer."""
+
+    generation: int
+    stored: head.Stored | None = None
+
+
+@attrs.frozen(kw_only=True)
+class InForce:
+    """A generation and its parsed text."""
+
+    stored: head.Stored
+    text: model.Text
+
+    @property
+    def generation(self) -> int:
+        """The generation's number."""
+        return self.stored.generation
+
+
+Listener = collections.abc.Callable[[InForce], None]
+
+
+class Keeper(mode.Service):
+    """Keeps the highest generation seen in force.
+
+    Parameters
+    ----------
+    store : client.Client
+        The object API.
+    peers : hub.Hub
+        Messages between instances.
+    members : membership.Membership
+        Who relays, and which generation each has.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: client.Client,
+        peers: hub.Hub,
+        members: membership.Membership,
+    ) -> None:
+        super().__init__()
+        self.store = store
+        self.peers = peers
+        self.members = members
+        self.in_force: InForce | None = None
+        self.is_compared = False
+        self.rejected_generation = 0
+        self._listeners: list[Listener] = []
+        self._last_proof = time.monotonic()
+        self._asking = False
+        self._random = random.Random(peers.name)
+        peers.handle(TextAsk, self._on_ask)
+        peers.handle(TextNews, self._on_news)
+        members.listen(self._on_member)
+
+    def listen(self, listener: Listener) -> None:
+        """Call `listener` with each text that comes in force."""
+        self._listeners.append(listener)
+
+    @property
+    def generation(self) -> int:
+        """The generation in force, 0 without one."""
+        return self.in_force.generation if self.in_force else 0
+
+    def is_current(self) -> bool:
+        """Tell whether this instance may rely on its text being in force.
+
+        It may while it reached the object API within the bound, or while it hears
+        from at least half of the members: then the object API itself is out and no
+        edit can have been accepted. A minority that cannot reach the object API may
+        have been cut off from edits, and takes no new work.
+        """
+        if not self.is_compared or self.in_force is None:
+            return False
+        if time.monotonic() - self._last_proof < FRESH_BOUND_S:
+            return True
+        if time.monotonic() - self.store.last_success < FRESH_BOUND_S:
+            return True
+        return self.members.reachable_share(FRESH_BOUND_S) >= REACHABLE_SHARE
+
+    def offer(self, stored: head.Stored) -> bool:
+        """Put a text in force if its generation is higher; False otherwise."""
+        if stored.generation <= max(self.generation, self.rejected_generation):
+            return False
+        try:
+            parsed = parse.parse(stored.raw, source=f"generation {stored.generation}")
+        except findings.FindingsError as exc:
+            logger.error("generation {} is not valid: {}", stored.generation, exc)
+            self.rejected_generation = stored.generation
+            return False
+        self.in_force = InForce(stored=stored, text=parsed.text)
+        logger.info("generation {} in force", stored.generation)
+        self.members.set_generation(stored.generation)
+        for listener in self._listeners:
+            listener(self.in_force)
+        if self._is_relay():
+            self.add_future(self._push(stored))
+        return True
+
+    def _is_relay(self) -> bool:
+        me = self.members.me
+        names = [m.name for m in self.members.alive() if m.domain == me.domain]
+        return me.name in rendezvous.ranked(names, "text")[:RELAYS_PER_DOMAIN]
+
+    async def _push(self, stored: head.Stored) -> None:
+        me = self.members.me
+        news = TextNews(generation=stored.generation, stored=stored)
+        for member in self.members.alive():
+            if member.domain == me.domain and member.name != me.name:
+                await self.peers.send(member.address, news)
+
+    @mode.Service.task
+    async def start_up(self) -> None:
+        """Get a text and compare it with the object API or with several peers."""
+        while not self.should_stop and not self.is_compared:
+            if await self._read_head() or await self._compare_with_peers():
+                self.is_compared = self.in_force is not None
+            await asyncio.sleep(START_PAUSE_S)
+
+    async def _compare_with_peers(self) -> bool:
+        others = [m for m in self.members.alive() if m.name != self.peers.name]
+        chosen = self._random.sample(others, min(COMPARE_PEERS, len(others)))
+        replies = await asyncio.gather(*(self._ask_peer(m) for m in chosen))
+        needed = min(COMPARE_PEERS, max(2, len(others)))
+        return sum(replies) >= needed
+
+    @mode.Service.task
+    async def follow_head(self) -> None:
+        """Watch the head as a relay, or read it now and then otherwise."""
+        while not self.should_stop:
+            if self._is_relay():
+                await self._watch_once()
+                await asyncio.sleep(WATCH_PAUSE_S * self._random.uniform(0.5, 1.0))
+            else:
+                await asyncio.sleep(RELAY_POLL_S)
+
+    async def _watch_once(self) -> None:
+        found = await head.read(self.store)
+        if found.is_err():
+            return
+        self._note_proof()
+        current = found.unwrap()
+        version = current.version if current else "0"
+        if current is not None:
+            self.offer(current.stored)
+        try:
+            async for obj in self.store.watch(head.HEAD_NAME, version):
+                self._note_proof()
+                self.offer(head.decode(obj.value))
+        except (aiohttp.ClientError, TimeoutError, OSError, codec.DecodeError):
+            return
+
+    @mode.Service.task
+    async def poll_head(self) -> None:
+        """Read the head now and then, whatever else brings news."""
+        while not self.should_stop:
+            relay = self._is_relay()
+            await asyncio.sleep(RELAY_POLL_S if relay else POLL_S)
+            await self._read_head()
+
+    async def _read_head(self) -> bool:
+        found = await head.read(self.store)
+        if found.is_err():
+            return False
+        self._note_proof()
+        current = found.unwrap()
+        if current is not None:
+            self.offer(current.stored)
+        return True
+
+    def _note_proof(self) -> None:
+        self._last_proof = time.monotonic()
+
+    def _on_member(self, member: membership.Member) -> None:
+        if member.generation > self.generation and not self._asking:
+            self._asking = True
+            self.add_future(self._ask_and_clear(member))
+
+    async def _ask_and_clear(self, member: membership.Member) -> None:
+        try:
+            await self._ask_peer(member)
+        finally:
+            self._asking = False
+
+    async def _ask_peer(self, member: membership.Member) -> bool:
+        """Take a newer text from a peer; False when it has none or no answer."""
+        ask = TextAsk(above=self.generation)
+        try:
+            news = await self.peers.call(member.address, ask, ASK_TIMEOUT_S)
+        except hub.PeerUnreachableError:
+            return False
+        if news.stored is not None:
+            self.offer(news.stored)
+        return news.generation > 0
+
+    async def _on_ask(self, envelope: messages.Envelope, ask: TextAsk) -> TextNews:
+        if self.in_force is None or self.generation <= ask.above:
+            return TextNews(generation=self.generation)
+        return TextNews(generation=self.generation, stored=self.in_force.stored)
+
+    async def _on_news(self, envelope: messages.Envelope, news: TextNews) -> None:
+        if news.stored is not None:
+            self.offer(news.stored)
--- /dev/null
+++ b/libs/masticpost-daemon/src/masticpost_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The masticpostd program."""
--- /dev/null
+++ b/libs/masticpost-daemon/src/masticpost_daemon/instance.py
@@ -0,0 +1,195 @@
+"""One entry instance: builds its parts, starts them, stops them gracefully."""
+
+import asyncio
+import ssl
+import time
+
+import mode
+from aiohttp import web
+from loguru import logger
+from masticpost_confsync import keeper
+from masticpost_entry import app, runtime
+from masticpost_peers import hub, keys, membership
+from masticpost_shards import (
+    bills,
+    claims,
+    directory,
+    permits,
+    sessions,
+    views,
+)
+from masticpost_store import client, instances
+from masticpost_upstream import engine, plain
+
+from masticpost_daemon import listing, settings
+
+FLUSH_LIMIT_S = 10.0
+POLL_S = 0.05
+KEEPALIVE_S = 75.0
+BACKLOG = 1024
+
+
+class Instance(mode.Service):
+    """The service tree of `masticpostd`.
+
+    Parameters
+    ----------
+    cfg : settings.Settings
+        Checked settings.
+    """
+
+    def __init__(self, *, cfg: settings.Settings) -> None:
+        super().__init__()
+        self.cfg = cfg
+        self.rt = _build(cfg)
+        self.listing = listing.Listing(
+            rt=self.rt,
+            source=instances.InstanceList(
+                url=cfg.instances_url, namespace=cfg.namespace
+            ),
+            seeds=[str(seed) for seed in cfg.seeds],
+        )
+        self._runner: web.AppRunner | None = None
+
+    async def on_start(self) -> None:
+        """Start the parts in the order of their dependence, then listen."""
+        for part in self._parts():
+            await part.start()
+        self._runner = web.AppRunner(
+            app.make_app(self.rt),
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=KEEPALIVE_S,
+            max_line_size=app.MAX_HEADER_BYTES,
+            max_field_size=app.MAX_HEADER_BYTES,
+            shutdown_timeout=0,
+        )
+        await self._runner.setup()
+        site = web.TCPSite(
+            self._runner,
+            self.cfg.listen.host,
+            self.cfg.listen.port,
+            backlog=BACKLOG,
+            ssl_context=_server_tls(self.cfg),
+        )
+        await site.start()
+        logger.info("listening on {}", self.cfg.listen)
+
+    def _parts(self) -> list[mode.Service]:
+        agreed = self.rt.agreed
+        return [
+            agreed.peers,
+            agreed.members,
+            agreed.keeper,
+            agreed.shards,
+            agreed.claims,
+            agreed.bills,
+            agreed.sessions,
+            agreed.permits,
+            agreed.views,
+            self.listing,
+        ]
+
+    async def drain(self) -> None:
+        """Stop gracefully: no new work, requests at work end, all is handed over."""
+        logger.info("stopping")
+        agreed = self.rt.agreed
+        self.rt.is_draining = True
+        await agreed.members.leave()
+        hand_over = asyncio.create_task(agreed.shards.hand_over())
+        await asyncio.sleep(self.cfg.drain_grace_s)
+        self.rt.is_stopping = True
+        await self._wait_idle()
+        await hand_over
+        await agreed.claims.flush(FLUSH_LIMIT_S)
+        await agreed.bills.flush(FLUSH_LIMIT_S)
+        logger.bind(bills_waiting=agreed.bills.waiting).info("drained")
+
+    async def _wait_idle(self) -> None:
+        until = time.monotonic() + self.cfg.drain_limit_s
+        while self.rt.in_flight and time.monotonic() < until:
+            await asyncio.sleep(POLL_S)
+
+    async def on_stop(self) -> None:
+        """Stop listening and stop the parts, the last one first."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+        await self.rt.clients.close()
+        for part in reversed(self._parts()):
+            await part.stop()
+        await self.rt.agreed.store.close()
+
+
+def _build(cfg: settings.Settings) -> runtime.Runtime:
+    store = client.Client(
+        url=cfg.store_url, namespace=cfg.namespace, token=cfg.store_token
+    )
+    peers = hub.Hub(
+        name=cfg.name,
+        incarnation=time.time_ns() // 1_000_000,
+        address=str(cfg.peer_listen),
+        ring=keys.KeyRing(secrets=list(cfg.peer_keys)),
+    )
+    members = membership.Membership(
+        peers=peers,
+        domain=cfg.domain,
+        advertise=str(cfg.peer_advertise),
+        seed=peers.incarnation,
+    )
+    shards = directory.Directory(
+        store=store, peers=peers, members=members, shard_count=cfg.shards
+    )
+    agreed = _build_agreed(store, peers, members, shards)
+    rt = runtime.Runtime(
+        domain=cfg.domain,
+        agreed=agreed,
+        admin_key_hash=cfg.admin_key_hash,
+        clients=_clients(cfg),
+    )
+    agreed.keeper.listen(rt.take_text)
+    return rt
+
+
+def _build_agreed(
+    store: client.Client,
+    peers: hub.Hub,
+    members: membership.Membership,
+    shards: directory.Directory,
+) -> runtime.Agreed:
+    desk = permits.Desk(shards=shards)
+    view = views.Views(shards=shards)
+
+    def became_warm(resource: str) -> None:
+        upstream = resource.partition(":")[2]
+        view.add_future(view.tell_warm(upstream))
+
+    desk.listen(became_warm)
+    return runtime.Agreed(
+        store=store,
+        peers=peers,
+        members=members,
+        keeper=keeper.Keeper(store=store, peers=peers, members=members),
+        shards=shards,
+        claims=claims.Claims(shards=shards),
+        bills=bills.BillWriter(shards=shards),
+        sessions=sessions.Sessions(shards=shards),
+        permits=permits.Permits(shards=shards, desk=desk),
+        views=view,
+    )
+
+
+def _clients(cfg: settings.Settings) -> runtime.Clients:
+    tls = None
+    if cfg.upstream_ca:
+        tls = ssl.create_default_context(cafile=cfg.upstream_ca)
+    return runtime.Clients(
+        engines=engine.EngineClient(tls=tls), services=plain.PlainClient(tls=tls)
+    )
+
+
+def _server_tls(cfg: settings.Settings) -> ssl.SSLContext | None:
+    if not cfg.tls_cert:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(cfg.tls_cert, cfg.tls_key)
+    return context
--- /dev/null
+++ b/libs/masticpost-daemon/src/masticpost_daemon/main.py
@@ -0,0 +1,48 @@
+"""Entry point of `masticpostd`."""
+
+import asyncio
+import signal
+import sys
+
+import docopt
+import uvloop
+from loguru import logger
+from masticpost_common import findings
+from masticpost_telemetry import logs
+
+from masticpost_daemon import instance, settings
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_SETTINGS = 2
+
+
+def main() -> None:
+    """Run an instance until SIGTERM or SIGINT."""
+    try:
+        cfg = settings.load(sys.argv[1:])
+    except findings.FindingsError as exc:
+        print(exc, file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    except docopt.DocoptExit as exc:
+        print(exc, file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    logs.configure(instance=cfg.name, level=cfg.log_level)
+    sys.exit(uvloop.run(_run(cfg)))
+
+
+async def _run(cfg: settings.Settings) -> int:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    node = instance.Instance(cfg=cfg)
+    try:
+        await node.start()
+    except OSError as exc:
+        logger.error("cannot start: {}", exc)
+        return EXIT_FAILED
+    await stop.wait()
+    await node.drain()
+    await node.stop()
+    return EXIT_OK
--- /dev/null
+++ b/libs/masticpost-daemon/src/masticpost_daemon/settings.py
@@ -0,0 +1,250 @@
+"""Process settings: flags and environment variables, checked together."""
+
+import collections.abc
+import hashlib
+import os
+import pathlib
+import re
+
+import attrs
+import docopt
+from masticpost_common import findings
+
+ENV_PREFIX = "MASTICPOST_"
+MAX_PORT = 65_535
+LEVELS = ("debug", "info", "warning", "error")
+NAME_PATTERN = re.compile(r"[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?")
+
+USAGE = """masticpostd: an entry instance of masticpost.
+
+Usage:
+  masticpostd [options]
+  masticpostd --help
+
+Every option can be given as an environment variable too, as MASTICPOST_ and the
+option's name in capitals with _ for -; the option goes first.
+
+Options:
+  --name NAME            Name of this instance, unique in the deployment.
+  --domain NAME          Failure domain of this instance.
+  --listen ADDR          Callers' HTTP, as HOST:PORT.
+  --peer-listen ADDR     Other instances, as HOST:PORT.
+  --peer-advertise ADDR  Where other instances reach this one (default: as
+                         --peer-listen).
+  --store-url URL        The platform's object API.
+  --instances-url URL    The platform's list of instances (default: as --store-url).
+  --namespace NAME       Namespace of the deployment's objects [default: masticpost].
+  --store-token-file F   File with the object API's bearer token.
+  --peer-keys KEYS       Shared keys between instances, comma separated; the first
+                         signs, all verify. Better given by the environment.
+  --admin-key KEY        Key of the operators' endpoints. Better given by the
+                         environment.
+  --seeds ADDRS          Peers to ask first, comma separated HOST:PORT.
+  --shards N             Number of shards, the same everywhere [default: 8].
+  --tls-cert FILE        Certificate chain towards callers.
+  --tls-key FILE         Private key towards callers.
+  --upstream-ca FILE     Certificate authority of https upstreams.
+  --drain-grace-s S      Seconds between leaving and refusing new work [default: 2].
+  --drain-limit-s S      Most seconds to wait for requests at work [default: 60].
+  --log-level LEVEL      debug, info, warning or error [default: info].
+  --help                 Show this.
+
+Exit codes: 0 stopped as asked, 1 failed, 2 settings not valid.
+"""
+
+REQUIRED = (
+    "name",
+    "domain",
+    "listen",
+    "peer-listen",
+    "store-url",
+    "peer-keys",
+)
+FLAG_PATTERN = re.compile(r"^  --([a-z-]+) [A-Z]", re.MULTILINE)
+
+
+@attrs.frozen(kw_only=True)
+class Address:
+    """A host and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@attrs.frozen(kw_only=True)
+class Settings:
+    """Checked settings of one process; times in seconds."""
+
+    name: str
+    domain: str
+    listen: Address
+    peer_listen: Address
+    peer_advertise: Address
+    store_url: str
+    instances_url: str
+    namespace: str
+    store_token: str = attrs.field(repr=False)
+    peer_keys: tuple[str, ...] = attrs.field(repr=False)
+    admin_key_hash: str = attrs.field(repr=False)
+    seeds: tuple[Address, ...]
+    shards: int
+    tls_cert: str
+    tls_key: str
+    upstream_ca: str
+    drain_grace_s: float
+    drain_limit_s: float
+    log_level: str
+
+
+class _Reader:
+    """Reads values and collects findings."""
+
+    def __init__(self, values: dict[str, str]) -> None:
+        self.values = values
+        self.findings: list[findings.Finding] = []
+
+    def report(self, name: str, message: str, remedy: str) -> None:
+        place = findings.Place(source=f"--{name}")
+        self.findings.append(
+            findings.Finding(place=place, message=message, remedy=remedy)
+        )
+
+    def text(self, name: str) -> str:
+        value = self.values.get(name, "")
+        if not value and name in REQUIRED:
+            env = ENV_PREFIX + name.upper().replace("-", "_")
+            self.report(name, "is missing", f"give --{name} or set {env}")
+        return value
+
+    def name(self, name: str) -> str:
+        value = self.text(name)
+        if value and not NAME_PATTERN.fullmatch(value):
+            self.report(name, f"{value!r} is not a name", "use a-z, 0-9, - and .")
+        return value
+
+    def address(self, name: str, value: str | None = None) -> Address:
+        raw = self.text(name) if value is None else value
+        host, _, port = raw.rpartition(":")
+        if raw and not (host and port.isdigit() and 0 < int(port) <= MAX_PORT):
+            self.report(name, f"{raw!r} is not HOST:PORT", "write 10.0.0.1:8080")
+        return Address(host=host, port=int(port) if port.isdigit() else 0)
+
+    def number(self, name: str, low: float, high: float) -> float:
+        raw = self.text(name)
+        try:
+            value = float(raw)
+        except ValueError:
+            value = low - 1
+        if not low <= value <= high:
+            self.report(name, f"{raw!r} is out of range", f"use {low:g} to {high:g}")
+        return value
+
+    def url(self, name: str) -> str:
+        value = self.text(name)
+        if value and not value.startswith(("http://", "https://")):
+            self.report(name, f"{value!r} is not a URL", "write http://HOST:PORT")
+        return value
+
+    def file(self, name: str) -> str:
+        value = self.text(name)
+        if value and not pathlib.Path(value).is_file():
+            self.report(name, f"no file {value!r}", "give the path of a file")
+        return value
+
+
+def load(
+    argv: list[str], environ: collections.abc.Mapping[str, str] = os.environ
+) -> Settings:
+    """Return the settings.
+
+    Raises
+    ------
+    findings.FindingsError
+        With every problem at once.
+    docopt.DocoptExit
+        When the command line cannot be read.
+    """
+    return _build(_Reader(_merge(argv, environ)))
+
+
+def _merge(
+    argv: list[str], environ: collections.abc.Mapping[str, str]
+) -> dict[str, str]:
+    """Return the values: flags first, then the environment, then defaults."""
+    given = docopt.docopt(USAGE, argv)
+    values: dict[str, str] = {}
+    for name in FLAG_PATTERN.findall(USAGE):
+        flag = f"--{name}"
+        is_flag_given = any(arg.split("=")[0] == flag for arg in argv)
+        env = environ.get(ENV_PREFIX + name.upper().replace("-", "_"), "")
+        values[name] = env if env and not is_flag_given else given[flag] or ""
+    return values
+
+
+def _build(reader: _Reader) -> Settings:
+    peer_listen = reader.address("peer-listen")
+    advertise = reader.values["peer-advertise"]
+    store_url = reader.url("store-url")
+    settings = Settings(
+        name=reader.name("name"),
+        domain=reader.text("domain"),
+        listen=reader.address("listen"),
+        peer_listen=peer_listen,
+        peer_advertise=(reader.address("peer-advertise") if advertise else peer_listen),
+        store_url=store_url,
+        instances_url=reader.url("instances-url") or store_url,
+        namespace=reader.name("namespace"),
+        store_token=_read_token(reader),
+        peer_keys=_peer_keys(reader),
+        admin_key_hash=_hash(reader.text("admin-key")),
+        seeds=tuple(
+            reader.address("seeds", part) for part in _parts(reader.text("seeds"))
+        ),
+        shards=int(reader.number("shards", 1, 1024)),
+        tls_cert=reader.file("tls-cert"),
+        tls_key=reader.file("tls-key"),
+        upstream_ca=reader.file("upstream-ca"),
+        drain_grace_s=reader.number("drain-grace-s", 0, 600),
+        drain_limit_s=reader.number("drain-limit-s", 0, 3600),
+        log_level=reader.text("log-level"),
+    )
+    _check_pairs(reader, settings)
+    if reader.findings:
+        raise findings.FindingsError(findings=reader.findings)
+    return settings
+
+
+def _check_pairs(reader: _Reader, settings: Settings) -> None:
+    if settings.log_level not in LEVELS:
+        reader.report(
+            "log-level",
+            f"{settings.log_level!r} is not a level",
+            f"use one of: {', '.join(LEVELS)}",
+        )
+    if bool(settings.tls_cert) != bool(settings.tls_key):
+        reader.report("tls-cert", "goes with --tls-key", "give both or none")
+
+
+def _parts(value: str) -> list[str]:
+    return [part.strip() for part in value.split(",") if part.strip()]
+
+
+def _peer_keys(reader: _Reader) -> tuple[str, ...]:
+    parts = tuple(_parts(reader.text("peer-keys")))
+    if any(len(part) < 16 for part in parts):
+        reader.report("peer-keys", "a key is too short", "use 16 or more characters")
+    return parts
+
+
+def _read_token(reader: _Reader) -> str:
+    path = reader.file("store-token-file")
+    if not path or not pathlib.Path(path).is_file():
+        return ""
+    return pathlib.Path(path).read_text().strip()
+
+
+def _hash(key: str) -> str:
+    return hashlib.sha256(key.encode()).hexdigest() if key else ""
--- /dev/null
+++ b/libs/masticpost-decide/src/masticpost_decide/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: upstream choice, cascade, version share, admission."""
--- /dev/null
+++ b/libs/masticpost-entry/src/masticpost_entry/__init__.py
@@ -0,0 +1,1 @@
+"""Caller-side HTTP: chat completions and plain services."""
--- /dev/null
+++ b/libs/masticpost-entry/src/masticpost_entry/chat.py
@@ -0,0 +1,223 @@
+"""POST /v1/chat/completions and GET /v1/models."""
+
+import asyncio
+import time
+
+import attrs
+from aiohttp import web
+from masticpost_common import codec, errors
+from masticpost_shards import claims, records
+from masticpost_upstream import engine, openai
+
+from masticpost_entry import (
+    attempts,
+    intake,
+    levels,
+    meter,
+    reply,
+    runtime,
+    streams,
+    suspects,
+)
+
+PREFIX_CHARS = 1024
+MAX_MESSAGES = 2048
+MAX_TOKENS_BOUND = 131_072
+HINT_HEADER = "X-Request-Class"
+ONE_CHOICE = (None, 1)
+
+
+@attrs.define(kw_only=True)
+class ModelCard:
+    """A service as OpenAI clients list it."""
+
+    id: str
+    object: str = "model"
+    created: int = 0
+    owned_by: str = "masticpost"
+
+
+@attrs.define(kw_only=True)
+class ModelList:
+    """Services of a customer."""
+
+    data: list[ModelCard]
+    object: str = "list"
+
+
+async def list_models(rt: runtime.Runtime, req: web.Request) -> web.Response:
+    """Return the model services that the customer may use."""
+    intake.check_ready(rt)
+    cust = intake.authenticate(rt, req)
+    services = rt.text.services
+    names = [n for n in cust.services if services[n].kind == "model"]
+    return reply.json_response(ModelList(data=[ModelCard(id=n) for n in names]))
+
+
+async def chat(
+    rt: runtime.Runtime, req: web.Request, request_id: str
+) -> web.StreamResponse:
+    """Answer a chat completion, whole or as a stream."""
+    intake.check_ready(rt)
+    intake.authenticate(rt, req)
+    body = await intake.read_body(req)
+    parsed = parse(body)
+    call = intake.make_call(rt, req, parsed.model, "model", request_id)
+    hint = intake.check_id(req, HINT_HEADER)
+    job = _make_job(rt, call, parsed)
+    suspects.check(rt, job.fingerprint)
+    call.check_deadline()
+    instances = len(rt.agreed.members.alive())
+    with rt.gate.admit(rt.text, call.customer, instances):
+        return await _serve(rt, req, job, hint)
+
+
+def parse(body: bytes) -> openai.ChatRequest:
+    """Read and check a body; raises `errors.RefusalError`."""
+    try:
+        parsed = codec.from_json(body, openai.ChatRequest)
+    except (codec.DecodeError, RecursionError) as exc:
+        raise errors.refuse(
+            400, "bad_request", f"The body is not a chat request: {exc}"
+        ) from exc
+    if not parsed.messages or len(parsed.messages) > MAX_MESSAGES:
+        raise errors.refuse(400, "bad_request", f"Send 1 to {MAX_MESSAGES} messages.")
+    if parsed.n not in ONE_CHOICE:
+        raise errors.refuse(400, "bad_request", "Only n = 1 is served.")
+    bound = parsed.max_completion_tokens or parsed.max_tokens
+    if bound is not None and not 1 <= bound <= MAX_TOKENS_BOUND:
+        raise errors.refuse(
+            400, "bad_request", f"max_tokens must be 1 to {MAX_TOKENS_BOUND}."
+        )
+    return parsed
+
+
+def _make_job(
+    rt: runtime.Runtime, call: intake.Call, parsed: openai.ChatRequest
+) -> attempts.Job:
+    prompt = codec.to_json(parsed.messages)
+    mark = claims.fingerprint(
+        call.customer.name.encode(), call.service.name.encode(), prompt
+    )
+    if call.idempotency_key:
+        unique = f"{call.idempotency_key}\0{mark}"
+    else:
+        unique = f"{call.request_id}\0{time.time_ns()}"
+    return attempts.Job(
+        call=call,
+        chat=parsed,
+        meter=meter.new_meter(rt, call, unique),
+        fingerprint=mark,
+        prefix=claims.fingerprint(prompt[:PREFIX_CHARS]),
+        prompt_tokens=max(1, len(prompt) // attempts.CHARS_PER_TOKEN),
+    )
+
+
+async def _serve(
+    rt: runtime.Runtime, req: web.Request, job: attempts.Job, hint: str
+) -> web.StreamResponse:
+    try:
+        plan = levels.make_plan(rt, job, hint)
+        if job.chat.stream:
+            return await _serve_stream(rt, req, job, plan)
+        return await _serve_whole(rt, job, plan)
+    except errors.RefusalError as exc:
+        job.meter.close(records.FAILED)
+        raise _with_ran(exc, job.ran) from exc
+    except asyncio.CancelledError:
+        job.meter.close(records.PARTIAL)
+        raise
+    finally:
+        job.meter.close(records.FAILED)
+
+
+def _with_ran(exc: errors.RefusalError, ran: str) -> errors.RefusalError:
+    """Keep a later refusal from saying "not run" of a request that may have run."""
+    if exc.refusal.ran != errors.RAN_NO or ran == errors.RAN_NO:
+        return exc
+    return errors.RefusalError(attrs.evolve(exc.refusal, ran=ran))
+
+
+async def _serve_whole(
+    rt: runtime.Runtime, job: attempts.Job, plan: levels.Plan
+) -> web.Response:
+    if job.call.session:
+        completion = await _answer_in_session(rt, job, plan)
+    else:
+        completion = await levels.answer(rt, job, plan)
+    job.meter.close(records.ANSWERED)
+    completion.id = engine.ID_PREFIX + job.call.request_id
+    completion.model = job.meter.version
+    _observe(rt, job, time.monotonic() - job.call.started)
+    headers = {
+        "X-Request-Id": job.call.request_id,
+        "X-Model-Version": job.meter.version,
+        "X-Request-Cost": f"{job.meter.cost:.9f}",
+    }
+    return reply.json_response(completion, headers)
+
+
+async def _answer_in_session(
+    rt: runtime.Runtime, job: attempts.Job, plan: levels.Plan
+) -> openai.Completion:
+    pinned = await levels.pin_session(rt, job, plan)
+    job.pinned = pinned.version.name
+    completion = await attempts.complete(rt, job, pinned.version)
+    if pinned.durable is None:
+        return completion
+    durable = await pinned.durable
+    if durable == pinned.version.name:
+        return completion
+    job.pinned = durable
+    return await attempts.complete(rt, job, rt.text.versions[durable])
+
+
+async def _serve_stream(
+    rt: runtime.Runtime, req: web.Request, job: attempts.Job, plan: levels.Plan
+) -> web.StreamResponse:
+    run = await _start_stream(rt, job, plan)
+    try:
+        await streams.relay(rt, run, req)
+    except errors.RefusalError as exc:
+        streams.bill_usage(run)
+        if not run.resp.prepared:
+            raise
+        job.meter.close(records.PARTIAL)
+        refusal = _with_ran(exc, job.ran).refusal
+        rt.meters.refusals.labels(refusal.code, refusal.ran).inc()
+        await streams.end_with_error(run, refusal, job.call)
+        return run.resp
+    except (asyncio.CancelledError, ConnectionError, TimeoutError):
+        streams.bill_usage(run)
+        job.meter.close(records.PARTIAL)
+        raise
+    streams.bill_usage(run)
+    job.meter.close(records.ANSWERED)
+    _observe(rt, job, run.first_token_s or 0.0)
+    return run.resp
+
+
+async def _start_stream(
+    rt: runtime.Runtime, job: attempts.Job, plan: levels.Plan
+) -> streams.Relay:
+    """Choose the version; a stream does not escalate once it has begun."""
+    durable = None
+    if job.call.session:
+        pinned = await levels.pin_session(rt, job, plan)
+        job.pinned = pinned.version.name
+        version = pinned.version
+        durable = pinned.durable
+    else:
+        version = plan.versions[plan.cascade.start(plan.ask)]
+    options = job.chat.stream_options
+    return streams.Relay(
+        job=job,
+        version=version,
+        resp=web.StreamResponse(),
+        wants_usage=options is not None and options.include_usage,
+        durable=durable,
+    )
+
+
+def _observe(rt: runtime.Runtime, job: attempts.Job, first_token_s: float) -> None:
+    rt.meters.first_token.labels(job.call.service.name).observe(first_token_s)
--- /dev/null
+++ b/libs/masticpost-entry/src/masticpost_entry/intake.py
@@ -0,0 +1,176 @@
+"""From an HTTP request to a checked call: who, what, and until when."""
+
+import asyncio
+import hashlib
+import re
+import time
+import uuid
+
+import attrs
+from aiohttp import web
+from masticpost_common import errors
+from masticpost_text import model
+
+from masticpost_entry import runtime
+
+ID_PATTERN = re.compile(r"[A-Za-z0-9._:@/+=-]{1,128}")
+BEARER = "Bearer "
+CALL_KEY = "masticpost-call"
+MAX_KEY_CHARS = 256
+BODY_TIMEOUT_S = 10.0
+DEADLINE_HEADER = "X-Request-Timeout-Ms"
+MIN_DEADLINE_MS = 1
+STALE_RETRY_S = 2.0
+STOPPING_RETRY_S = 1.0
+
+
+@attrs.define(kw_only=True)
+class Call:
+    """A caller's request after the checks that all requests share.
+
+    `deadline` is monotonic seconds.
+    """
+
+    request_id: str
+    customer: model.Customer
+    service: model.Service
+    deadline: float
+    started: float
+    session: str = ""
+    idempotency_key: str = ""
+
+    def left_s(self) -> float:
+        """Return the seconds left until the deadline."""
+        return self.deadline - time.monotonic()
+
+    def check_deadline(self, *, ran: str = errors.RAN_NO) -> None:
+        """Refuse a call that is past its deadline."""
+        if self.left_s() <= 0:
+            raise errors.refuse(
+                504, "deadline_exceeded", "The deadline has passed.", ran=ran
+            )
+
+
+def check_id(req: web.Request, header: str) -> str:
+    """Return an id header, empty when absent; raises `errors.RefusalError`."""
+    value = req.headers.get(header, "")
+    if value and not ID_PATTERN.fullmatch(value):
+        raise errors.refuse(
+            400,
+            "bad_header",
+            f"{header} must be 1 to 128 letters, digits or ._:@/+=- characters.",
+        )
+    return value
+
+
+def request_id_of(req: web.Request) -> str:
+    """Return the caller's request id, or a new one."""
+    value = req.headers.get("X-Request-Id", "")
+    return value if ID_PATTERN.fullmatch(value) else uuid.uuid4().hex
+
+
+def check_ready(rt: runtime.Runtime) -> None:
+    """Refuse when this instance may not take new work."""
+    if rt.is_stopping:
+        raise errors.refuse(
+            503,
+            "stopping",
+            "This instance is stopping. The request was not run.",
+            retry_after_s=STOPPING_RETRY_S,
+        )
+    if not rt.agreed.keeper.is_current():
+        raise errors.refuse(
+            503,
+            "not_current",
+            "This instance cannot tell that its configuration is current. "
+            "The request was not run.",
+            retry_after_s=STALE_RETRY_S,
+        )
+
+
+def authenticate(rt: runtime.Runtime, req: web.Request) -> model.Customer:
+    """Return the customer of the bearer key; raises `errors.RefusalError`.
+
+    Keys are compared as SHA-256 digests, so that the time of the comparison tells
+    nothing of a key.
+    """
+    header = req.headers.get("Authorization", "")
+    key = header.removeprefix(BEARER)
+    if not header.startswith(BEARER) or not 0 < len(key) <= MAX_KEY_CHARS:
+        raise errors.refuse(401, "unauthenticated", "Send `Authorization: Bearer KEY`.")
+    digest = hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
+    cust = rt.keys.get(digest)
+    if cust is None:
+        raise errors.refuse(401, "unauthenticated", "The key is not known.")
+    return cust
+
+
+def find_service(
+    rt: runtime.Runtime, cust: model.Customer, name: str, kind: str
+) -> model.Service:
+    """Return a service the customer may use; raises `errors.RefusalError`."""
+    svc = rt.text.services.get(name)
+    if svc is None or svc.kind != kind:
+        raise errors.refuse(
+            404, "unknown_service", "There is no service of that name and kind."
+        )
+    if name not in cust.services:
+        raise errors.refuse(
+            403, "not_allowed", "This customer may not use the service."
+        )
+    return svc
+
+
+def deadline_of(req: web.Request, svc: model.Service, started: float) -> float:
+    """Return the deadline: the service's, or an earlier one of the caller."""
+    header = req.headers.get(DEADLINE_HEADER)
+    if header is None:
+        return started + svc.deadline_s
+    if not header.isascii() or not header.isdigit() or len(header) > 9:
+        raise errors.refuse(
+            400, "bad_header", f"{DEADLINE_HEADER} must be whole milliseconds."
+        )
+    left_ms = int(header)
+    if left_ms < MIN_DEADLINE_MS:
+        raise errors.refuse(504, "deadline_exceeded", "The deadline has passed.")
+    return started + min(left_ms / 1000, svc.deadline_s)
+
+
+async def read_body(req: web.Request) -> bytes:
+    """Return the body; raises `errors.RefusalError` when it is too large or slow."""
+    too_large = errors.refuse(
+        413, "too_large", f"The body is over {runtime.MAX_BODY_BYTES} bytes."
+    )
+    if (req.content_length or 0) > runtime.MAX_BODY_BYTES:
+        raise too_large
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT_S):
+            return await req.read()
+    except web.HTTPRequestEntityTooLarge as exc:
+        raise too_large from exc
+    except TimeoutError as exc:
+        raise errors.refuse(
+            408, "slow_body", "The body did not arrive in time."
+        ) from exc
+
+
+def make_call(
+    rt: runtime.Runtime, req: web.Request, name: str, kind: str, request_id: str
+) -> Call:
+    """Run the checks that every call shares; raises `errors.RefusalError`."""
+    started = time.monotonic()
+    check_ready(rt)
+    cust = authenticate(rt, req)
+    svc = find_service(rt, cust, name, kind)
+    rt.agreed.bills.check_room()
+    call = Call(
+        request_id=request_id,
+        customer=cust,
+        service=svc,
+        deadline=deadline_of(req, svc, started),
+        started=started,
+        session=check_id(req, "X-Session-Id"),
+        idempotency_key=check_id(req, "Idempotency-Key"),
+    )
+    req[CALL_KEY] = call
+    return call
--- /dev/null
+++ b/libs/masticpost-entry/src/masticpost_entry/meter.py
@@ -0,0 +1,88 @@
+"""Adds up the usage of one request and bills it once."""
+
+import attrs
+from masticpost_shards import bills, owner, records
+from masticpost_text import model
+
+from masticpost_entry import intake, runtime
+
+TOKENS_PER_PRICE = 1e6
+
+
+@attrs.define(kw_only=True)
+class Meter:
+    """Usage of one request over all its attempts and levels.
+
+    Attributes
+    ----------
+    key : str
+        Key of the bill.
+    version : str
+        Version that answered last.
+    """
+
+    rt: runtime.Runtime
+    call: intake.Call
+    key: str
+    version: str = ""
+    input_tokens: int = 0
+    output_tokens: int = 0
+    cost: float = 0.0
+    is_open: bool = False
+    is_closed: bool = False
+
+    def open(self, version: model.Version | None, input_tokens: int) -> None:
+        """Tell of the first dispatch; later dispatches change nothing."""
+        if self.is_open:
+            return
+        self.is_open = True
+        self.version = version.name if version else ""
+        self.rt.agreed.bills.open(
+            records.BillOpen(
+                key=self.key,
+                customer=self.call.customer.name,
+                service=self.call.service.name,
+                version=self.version,
+                run=self.rt.agreed.shards.run,
+                at=owner.wall_ms(),
+                input_tokens=input_tokens,
+                input_price=version.input_price if version else 0.0,
+            )
+        )
+
+    def add(self, version: model.Version, inputs: int, outputs: int) -> None:
+        """Add the tokens of an answer, or of a part of one."""
+        self.version = version.name
+        self.input_tokens += inputs
+        self.output_tokens += outputs
+        self.cost += inputs * version.input_price / TOKENS_PER_PRICE
+        self.cost += outputs * version.output_price / TOKENS_PER_PRICE
+
+    def add_price(self, price: float) -> None:
+        """Add the price of an operation of a plain service."""
+        self.cost += price
+
+    def close(self, state: str) -> None:
+        """Bill the request, if it was dispatched and is not billed yet."""
+        if not self.is_open or self.is_closed:
+            return
+        self.is_closed = True
+        self.rt.agreed.bills.close(
+            records.BillClose(
+                key=self.key,
+                customer=self.call.customer.name,
+                service=self.call.service.name,
+                version=self.version,
+                state=state,
+                at=owner.wall_ms(),
+                input_tokens=self.input_tokens,
+                output_tokens=self.output_tokens,
+                cost=self.cost,
+            )
+        )
+
+
+def new_meter(rt: runtime.Runtime, call: intake.Call, unique: str) -> Meter:
+    """Return the meter of a request whose bill is known by `unique`."""
+    key = bills.bill_key(call.customer.name, unique)
+    return Meter(rt=rt, call=call, key=key)
--- /dev/null
+++ b/libs/masticpost-entry/src/masticpost_entry/plain.py
@@ -0,0 +1,284 @@
+"""ANY /v1/services/{service}/{path}: plain services, passed through.
+
+An idempotent call is tried again like a model request. A non-idempotent call is
+claimed, dispatched once, and its outcome recorded before the caller has it.
+"""
+
+import asyncio
+import time
+import uuid
+
+import attrs
+from aiohttp import web
+from masticpost_common import errors, retry
+from masticpost_shards import claims, records
+from masticpost_text import model
+from masticpost_upstream import engine, faults, plain
+
+from masticpost_entry import intake, meter, routing, runtime
+
+METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE")
+POLICY = retry.RetryPolicy(attempts=4, first_pause_s=0.02, max_pause_s=0.4)
+RETRY_AFTER_S = 1.0
+
+
+@attrs.define(kw_only=True)
+class PlainJob:
+    """A call of a plain service on its way."""
+
+    call: intake.Call
+    operation: model.Operation
+    req: plain.PlainRequest
+    meter: meter.Meter
+    ran: str = errors.RAN_NO
+
+
+async def serve(rt: runtime.Runtime, req: web.Request, request_id: str) -> web.Response:
+    """Answer a call of a plain service."""
+    intake.check_ready(rt)
+    intake.authenticate(rt, req)
+    body = await intake.read_body(req)
+    call = intake.make_call(rt, req, req.match_info["service"], "plain", request_id)
+    job = _make_job(rt, req, call, body)
+    call.check_deadline()
+    _check_dependencies(rt, call.service)
+    instances = len(rt.agreed.members.alive())
+    with rt.gate.admit(rt.text, call.customer, instances):
+        answer = await _run(rt, job)
+    headers = {"X-Request-Id": request_id}
+    return web.Response(
+        status=answer.status,
+        body=answer.body,
+        headers={**headers, "Content-Type": answer.content_type},
+    )
+
+
+def _make_job(
+    rt: runtime.Runtime, req: web.Request, call: intake.Call, body: bytes
+) -> PlainJob:
+    if req.method not in METHODS:
+        raise errors.refuse(405, "bad_method", f"Use one of: {', '.join(METHODS)}.")
+    path = "/" + req.match_info["path"]
+    operation = find_operation(call.service, path)
+    if not operation.idempotent and not call.idempotency_key:
+        raise errors.refuse(
+            400,
+            "idempotency_key_needed",
+            "This call may run only once: send an Idempotency-Key.",
+        )
+    raw_path = req.rel_url.raw_path.split("/services/", 1)[1]
+    plain_req = plain.PlainRequest(
+        method=req.method,
+        path="/" + raw_path.partition("/")[2],
+        query=req.rel_url.raw_query_string,
+        headers=req.headers,
+        body=body,
+        idempotency_key=call.idempotency_key,
+    )
+    unique = call.idempotency_key or f"{call.request_id}\0{time.time_ns()}"
+    return PlainJob(
+        call=call,
+        operation=operation,
+        req=plain_req,
+        meter=meter.new_meter(rt, call, unique),
+    )
+
+
+def find_operation(svc: model.Service, path: str) -> model.Operation:
+    """Return the operation with the longest matching path prefix."""
+    if any(part in ("..", ".") for part in path.split("/")):
+        raise errors.refuse(400, "bad_path", "The path must not have dot segments.")
+    matching = [op for op in svc.operations if _matches(op.path, path)]
+    if not matching:
+        raise errors.refuse(
+            404, "unknown_operation", "The service has no such operation."
+        )
+    return max(matching, key=lambda op: len(op.path))
+
+
+def _matches(prefix: str, path: str) -> bool:
+    if prefix.endswith("/"):
+        return path.startswith(prefix)
+    return path == prefix or path.startswith(prefix + "/")
+
+
+def _check_dependencies(rt: runtime.Runtime, svc: model.Service) -> None:
+    """Refuse a call whose service needs another that nothing can serve."""
+    for name in svc.depends_on:
+        needed = rt.text.services[name]
+        if needed.kind == "plain" and not routing.usable_upstreams(rt, name):
+            raise errors.refuse(
+                503,
+                "dependency_unavailable",
+                f"Service {name!r}, which this one needs, has no upstream. "
+                "The request was not run.",
+                retry_after_s=RETRY_AFTER_S,
+            )
+
+
+async def _run(rt: runtime.Runtime, job: PlainJob) -> plain.PlainAnswer:
+    if job.operation.idempotent:
+        return await _run_idempotent(rt, job)
+    return await asyncio.shield(_start_once(rt, job))
+
+
+def _start_once(rt: runtime.Runtime, job: PlainJob) -> asyncio.Task:
+    """Run a non-idempotent call to its end, also when the caller goes away."""
+    rt.in_flight += 1
+    task = asyncio.create_task(_run_once(rt, job))
+
+    def ended(done: asyncio.Task) -> None:
+        rt.in_flight -= 1
+        if not done.cancelled():
+            done.exception()
+
+    task.add_done_callback(ended)
+    return task
+
+
+async def _run_idempotent(rt: runtime.Runtime, job: PlainJob) -> plain.PlainAnswer:
+    need = routing.Need(target=job.call.service.name, policy=job.call.service.choice)
+    tries = retry.Attempts(
+        policy=POLICY,
+        budget=rt.budgets[job.call.customer.name],
+        idempotent=True,
+        deadline=job.call.deadline,
+    )
+    try:
+        while True:
+            job.call.check_deadline(ran=job.ran)
+            place = await _find_place(rt, job, need)
+            try:
+                answer = await _dispatch(rt, job, place, need)
+            except faults.UpstreamError as exc:
+                await _pause(job, tries, exc)
+                continue
+            job.meter.close(records.ANSWERED)
+            return answer
+    finally:
+        job.meter.close(records.FAILED)
+
+
+async def _find_place(
+    rt: runtime.Runtime, job: PlainJob, need: routing.Need
+) -> routing.Place:
+    try:
+        return await routing.find_place(rt, job.call, need)
+    except errors.RefusalError as exc:
+        if job.ran == errors.RAN_NO:
+            raise
+        raise errors.RefusalError(attrs.evolve(exc.refusal, ran=job.ran)) from exc
+
+
+async def _pause(
+    job: PlainJob, tries: retry.Attempts, exc: faults.UpstreamError
+) -> None:
+    if exc.verdict is not retry.Verdict.NEVER_JUDGED:
+        job.ran = errors.RAN_MAYBE
+    pause = tries.pause_after(exc.verdict)
+    if pause is None:
+        raise _failed(exc, job.ran) from exc
+    await asyncio.sleep(pause)
+
+
+def _failed(exc: faults.UpstreamError, ran: str) -> errors.RefusalError:
+    return errors.refuse(
+        502,
+        "upstream_failed",
+        f"The upstream failed: {exc.kind.value}.",
+        ran=ran,
+        retry_after_s=RETRY_AFTER_S if ran == errors.RAN_NO else None,
+    )
+
+
+async def _run_once(rt: runtime.Runtime, job: PlainJob) -> plain.PlainAnswer:
+    """Claim, dispatch once, record the outcome.
+
+    An upstream that provably got nothing is replaced by another one under the same
+    claim. Every other failure leaves the call in doubt for good.
+    """
+    key = claims.call_key(job.call.customer.name, job.call.idempotency_key)
+    mark = claims.fingerprint(
+        job.call.service.name.encode(),
+        job.req.method.encode(),
+        job.req.path.encode(),
+        job.req.query.encode(),
+        job.req.body,
+    )
+    granted = await rt.agreed.claims.claim(key, mark, job.call.deadline)
+    if isinstance(granted, records.Answer):
+        return plain.PlainAnswer(
+            status=granted.status,
+            content_type=granted.content_type,
+            body=granted.body,
+        )
+    try:
+        answer = await _dispatch_once(rt, job)
+    except errors.RefusalError as exc:
+        if exc.refusal.ran == errors.RAN_NO:
+            rt.agreed.claims.release(granted)
+            job.meter.close(records.NOT_RUN)
+        else:
+            job.meter.close(records.FAILED)
+        raise
+    job.meter.add_price(job.operation.price)
+    job.meter.close(records.ANSWERED)
+    recorded = records.Answer(
+        status=answer.status, content_type=answer.content_type, body=answer.body
+    )
+    await rt.agreed.claims.finish(granted, recorded)
+    return answer
+
+
+async def _dispatch_once(rt: runtime.Runtime, job: PlainJob) -> plain.PlainAnswer:
+    need = routing.Need(target=job.call.service.name, policy=job.call.service.choice)
+    tries = retry.Attempts(
+        policy=POLICY,
+        budget=rt.budgets[job.call.customer.name],
+        idempotent=False,
+        deadline=job.call.deadline,
+    )
+    while True:
+        job.call.check_deadline()
+        place = await routing.find_place(rt, job.call, need)
+        try:
+            return await _dispatch(rt, job, place, need)
+        except faults.UpstreamError as exc:
+            if exc.verdict is not retry.Verdict.NEVER_JUDGED:
+                raise _in_doubt(exc) from exc
+            await _pause(job, tries, exc)
+
+
+def _in_doubt(exc: faults.UpstreamError) -> errors.RefusalError:
+    return errors.refuse(
+        502,
+        "in_doubt",
+        f"The upstream failed ({exc.kind.value}) after the call was sent. The call "
+        "may have run; it will not be run again. Ask the service.",
+        ran=errors.RAN_MAYBE,
+    )
+
+
+async def _dispatch(
+    rt: runtime.Runtime, job: PlainJob, place: routing.Place, need: routing.Need
+) -> plain.PlainAnswer:
+    target = engine.Target(
+        upstream=place.upstream.name,
+        url=place.upstream.url.rstrip("/"),
+        attempt_id=uuid.uuid4().hex,
+        deadline_s=max(0.001, job.call.left_s()),
+    )
+    started = time.monotonic()
+    routing.begin(rt, place, need)
+    job.meter.open(None, 0)
+    try:
+        routing.check_permit(place)
+        answer = await rt.clients.services.call(target, job.req)
+    except faults.UpstreamError as exc:
+        routing.fail(rt, place, need, exc)
+        raise
+    except BaseException:
+        routing.cancel(rt, place)
+        raise
+    routing.succeed(rt, place, time.monotonic() - started)
+    return answer
--- /dev/null
+++ b/libs/masticpost-entry/src/masticpost_entry/reply.py
@@ -0,0 +1,61 @@
+"""Answers to callers: the one error shape, and JSON bodies."""
+
+import math
+
+import attrs
+from aiohttp import web
+from masticpost_common import codec, errors
+
+JSON = "application/json"
+
+
+@attrs.frozen(kw_only=True)
+class ErrorBody:
+    """An error as callers see it; `type` is there for OpenAI clients."""
+
+    code: str
+    message: str
+    type: str
+    ran: str
+    retry_after_s: float | None = None
+    request_id: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class ErrorEnvelope:
+    """The body of every error answer."""
+
+    error: ErrorBody
+
+
+def error_body(refusal: errors.Refusal, request_id: str) -> ErrorEnvelope:
+    """Return the body of a refusal."""
+    kind = "invalid_request_error" if refusal.status < 500 else "server_error"
+    return ErrorEnvelope(
+        error=ErrorBody(
+            code=refusal.code,
+            message=refusal.message,
+            type=kind,
+            ran=refusal.ran,
+            retry_after_s=refusal.retry_after_s,
+            request_id=request_id,
+        )
+    )
+
+
+def error_response(refusal: errors.Refusal, request_id: str) -> web.Response:
+    """Return the HTTP answer of a refusal."""
+    headers = {"X-Request-Id": request_id, "X-Request-Ran": refusal.ran}
+    if refusal.retry_after_s is not None:
+        headers["Retry-After"] = str(max(1, math.ceil(refusal.retry_after_s)))
+    return web.Response(
+        status=refusal.status,
+        body=codec.to_json(error_body(refusal, request_id)),
+        content_type=JSON,
+        headers=headers,
+    )
+
+
+def json_response(value: object, headers: dict[str, str] | None = None) -> web.Response:
+    """Return a value as JSON."""
+    return web.Response(body=codec.to_json(value), content_type=JSON, headers=headers)
--- /dev/null
+++ b/libs/masticpost-entry/src/masticpost_entry/suspects.py
@@ -0,0 +1,73 @@
+"""Requests that may crash upstreams: quarantine, and trials one at a time.
+
+A request that was at work when an upstream's connection was cut is a suspect. A
+suspect runs again only alone among suspects on an upstream, and never twice at a
+time, so that a second crash tells which request it was. After the second one the
+request is refused everywhere.
+"""
+
+import asyncio
+import collections.abc
+import contextlib
+
+from masticpost_common import errors
+from masticpost_upstream import faults
+
+from masticpost_entry import intake, routing, runtime
+
+TRIAL_POLL_S = 0.1
+RETRY_AFTER_S = 2.0
+
+
+def check(rt: runtime.Runtime, fingerprint: str) -> None:
+    """Refuse a request that crashed too many upstreams."""
+    if rt.agreed.views.is_quarantined(fingerprint):
+        raise errors.refuse(
+            422,
+            "quarantined",
+            "This request crashed the upstreams that ran it and is not run again.",
+        )
+
+
+@contextlib.asynccontextmanager
+async def trial(
+    rt: runtime.Runtime, call: intake.Call, fingerprint: str, place: routing.Place
+) -> collections.abc.AsyncIterator[None]:
+    """Hold the trial permits of a suspect while it runs; others just run."""
+    if rt.agreed.views.crash_count(fingerprint) == 0:
+        yield
+        return
+    pool = rt.agreed.permits
+    names = (f"suspect:{fingerprint}", f"trial:{place.upstream.name}")
+    async with contextlib.AsyncExitStack() as stack:
+        for name in names:
+            permit = None
+            while permit is None:
+                check(rt, fingerprint)
+                _check_time(call)
+                permit = await pool.acquire(name, 1)
+                if permit is None:
+                    await asyncio.sleep(TRIAL_POLL_S)
+            stack.callback(pool.release, permit)
+        check(rt, fingerprint)
+        yield
+
+
+def _check_time(call: intake.Call) -> None:
+    if call.left_s() <= TRIAL_POLL_S:
+        raise errors.refuse(
+            503,
+            "suspect_waits",
+            "This request may have crashed an upstream and waits for a trial.",
+            retry_after_s=RETRY_AFTER_S,
+        )
+
+
+async def report(
+    rt: runtime.Runtime, fingerprint: str, exc: faults.UpstreamError
+) -> None:
+    """Count a possible crash and refuse the request when it was the second."""
+    if not exc.may_be_crash:
+        return
+    await rt.agreed.views.tell_crash(fingerprint, exc.upstream)
+    check(rt, fingerprint)
--- /dev/null
+++ b/libs/masticpost-peers/src/masticpost_peers/__init__.py
@@ -0,0 +1,1 @@
+"""Authenticated messages between instances and their membership."""
--- /dev/null
+++ b/libs/masticpost-peers/src/masticpost_peers/keys.py
@@ -0,0 +1,62 @@
+"""Message authentication between instances by shared keys.
+
+The first key signs; every key verifies. To rotate: add the new key last on every
+instance, then move it first, then remove the old one.
+"""
+
+import hashlib
+import hmac
+
+import attrs
+
+MAC_BYTES = 16
+KEY_ID_BYTES = 4
+MIN_KEY_CHARS = 16
+
+
+@attrs.frozen(kw_only=True)
+class Key:
+    """A shared secret and the short id that messages name it by."""
+
+    key_id: bytes
+    secret: bytes = attrs.field(repr=False)
+
+
+class KeyRing:
+    """The keys of one deployment.
+
+    Parameters
+    ----------
+    secrets : list of str
+        At least one, each of `MIN_KEY_CHARS` or more characters.
+    """
+
+    def __init__(self, *, secrets: list[str]) -> None:
+        if not secrets or any(len(s) < MIN_KEY_CHARS for s in secrets):
+            raise ValueError(f"a peer key needs {MIN_KEY_CHARS} or more characters")
+        self._keys = [_derive(secret) for secret in secrets]
+
+    def sign(self, data: bytes) -> bytes:
+        """Return key id and authentication code of `data`."""
+        key = self._keys[0]
+        return key.key_id + _code(key, data)
+
+    def verify(self, data: bytes, signature: bytes) -> bool:
+        """Tell in constant time whether one of the keys signed `data`."""
+        key_id = signature[:KEY_ID_BYTES]
+        code = signature[KEY_ID_BYTES:]
+        valid = False
+        for key in self._keys:
+            same_id = hmac.compare_digest(key.key_id, key_id)
+            same_code = hmac.compare_digest(_code(key, data), code)
+            valid = valid or (same_id and same_code)
+        return valid
+
+
+def _derive(secret: str) -> Key:
+    digest = hashlib.blake2b(secret.encode(), person=b"mp-peer-key").digest()
+    return Key(key_id=digest[:KEY_ID_BYTES], secret=digest[KEY_ID_BYTES:])
+
+
+def _code(key: Key, data: bytes) -> bytes:
+    return hashlib.blake2b(data, key=key.secret, digest_size=MAC_BYTES).digest()
--- /dev/null
+++ b/libs/masticpost-peers/src/masticpost_peers/membership.py
@@ -0,0 +1,389 @@
+"""Which instances are alive: the platform's list plus probes between instances.
+
+Source: Das, Gupta and Motivala, "SWIM: Scalable Weakly-consistent Infection-style
+Process Group Membership Protocol", DSN 2002. Each instance probes one other per
+period, directly and then through others; news travels on the probes. The cost of an
+instance does not depend on the number of instances.
+"""
+
+import asyncio
+import collections.abc
+import math
+import random
+import time
+
+import attrs
+import mode
+from loguru import logger
+
+from masticpost_peers import hub, messages
+
+ALIVE = "alive"
+SUSPECT = "suspect"
+LEAVING = "leaving"
+DEAD = "dead"
+RANK = {ALIVE: 0, SUSPECT: 1, LEAVING: 2, DEAD: 3}
+
+PROBE_PERIOD_S = 0.5
+PROBE_TIMEOUT_S = 0.25
+INDIRECT_TIMEOUT_S = 0.4
+INDIRECT_PROBES = 2
+SUSPECT_TIMEOUT_S = 1.0
+DEAD_KEPT_S = 60.0
+NEWS_PER_MESSAGE = 8
+NEWS_REPEATS = 3
+PAUSED_AFTER_S = 2.0
+
+
+@attrs.frozen(kw_only=True)
+class Member:
+    """What is known of an instance.
+
+    Attributes
+    ----------
+    incarnation : int
+        Start of its process in milliseconds, raised by one to refute a suspicion.
+    started : int
+        Start of its process in milliseconds; with the name, the identity of one
+        run of the program.
+    generation : int
+        Configuration that it has in force.
+    """
+
+    name: str
+    address: str
+    domain: str
+    incarnation: int
+    started: int
+    state: str = ALIVE
+    generation: int = 0
+
+    def supersedes(self, other: "Member") -> bool:
+        """Tell whether this news replaces `other` about the same instance."""
+        if self.incarnation != other.incarnation:
+            return self.incarnation > other.incarnation
+        if RANK[self.state] != RANK[other.state]:
+            return RANK[self.state] > RANK[other.state]
+        return self.generation > other.generation
+
+
+@messages.message("probe")
+@attrs.frozen(kw_only=True)
+class Probe:
+    """Asks whether the receiver is alive; carries news."""
+
+    news: list[Member] = attrs.field(factory=list)
+
+
+@messages.message("probe-through")
+@attrs.frozen(kw_only=True)
+class ProbeThrough:
+    """Asks the receiver to probe `target`."""
+
+    target: Member
+    news: list[Member] = attrs.field(factory=list)
+
+
+@messages.message("probe-ack")
+@attrs.frozen(kw_only=True)
+class ProbeAck:
+    """Reply to a probe; `reached` is False when a probe through a peer failed."""
+
+    reached: bool = True
+    news: list[Member] = attrs.field(factory=list)
+
+
+@messages.message("members-ask")
+@attrs.frozen(kw_only=True)
+class MembersAsk:
+    """Asks a peer for all members it knows."""
+
+    news: list[Member] = attrs.field(factory=list)
+
+
+@messages.message("members")
+@attrs.frozen(kw_only=True)
+class Members:
+    """All members that a peer knows."""
+
+    news: list[Member]
+
+
+@attrs.define(kw_only=True)
+class News:
+    """A member's news and how often it was passed on."""
+
+    member: Member
+    sent: int = 0
+
+
+Listener = collections.abc.Callable[[Member], None]
+
+
+class Membership(mode.Service):
+    """The members as this instance sees them.
+
+    Parameters
+    ----------
+    peers : hub.Hub
+        Sends the messages.
+    domain : str
+        Failure domain of this instance.
+    advertise : str
+        ``host:port`` at which peers reach this instance.
+    seed : int
+        Seed of the probe order.
+    """
+
+    def __init__(
+        self, *, peers: hub.Hub, domain: str, advertise: str, seed: int
+    ) -> None:
+        super().__init__()
+        self.peers = peers
+        self.random = random.Random(seed)
+        self.me = Member(
+            name=peers.name,
+            address=advertise,
+            domain=domain,
+            incarnation=peers.incarnation,
+            started=peers.incarnation,
+        )
+        self._members: dict[str, Member] = {self.me.name: self.me}
+        self._news: dict[str, News] = {}
+        self._changed_at: dict[str, float] = {}
+        self._reached_at: dict[str, float] = {}
+        self._order: list[str] = []
+        self._listeners: list[Listener] = []
+        self._last_tick = time.monotonic()
+        peers.handle(Probe, self._on_probe)
+        peers.handle(ProbeThrough, self._on_probe_through)
+        peers.handle(MembersAsk, self._on_members_ask)
+
+    def listen(self, listener: Listener) -> None:
+        """Call `listener` with each member whose news changed."""
+        self._listeners.append(listener)
+
+    def alive(self) -> list[Member]:
+        """Return the members that may own work: alive or suspect, this one too."""
+        return [m for m in self._members.values() if RANK[m.state] < RANK[LEAVING]]
+
+    def members(self) -> list[Member]:
+        """Return every member known, the dead included."""
+        return sorted(self._members.values(), key=lambda m: m.name)
+
+    def get(self, name: str) -> Member | None:
+        """Return what is known of `name`."""
+        return self._members.get(name)
+
+    def is_running(self, name: str, started: int) -> bool:
+        """Tell whether that run of that instance is not known to have ended."""
+        member = self._members.get(name)
+        if member is None or member.started != started:
+            return False
+        return member.state != DEAD
+
+    def reachable_share(self, within_s: float) -> float:
+        """Return the share of members, this one too, heard from lately."""
+        members = [m for m in self._members.values() if m.state != LEAVING]
+        since = time.monotonic() - within_s
+        heard = sum(
+            1
+            for m in members
+            if m.name == self.me.name or self._reached_at.get(m.name, -math.inf) > since
+        )
+        return heard / max(1, len(members))
+
+    def set_generation(self, generation: int) -> None:
+        """Tell the others which configuration is in force here."""
+        self._update_me(attrs.evolve(self.me, generation=generation))
+
+    async def leave(self) -> None:
+        """Tell the others that this instance leaves."""
+        self._update_me(attrs.evolve(self.me, state=LEAVING))
+        news = self._take_news()
+        for member in self.alive():
+            await self.peers.send(member.address, Probe(news=[self.me, *news]))
+
+    def add_listed(self, name: str, address: str, domain: str) -> None:
+        """Add an instance from the platform's list, unless it is known already."""
+        if name in self._members or name == self.me.name:
+            return
+        member = Member(
+            name=name, address=address, domain=domain, incarnation=0, started=0
+        )
+        self._accept(member)
+
+    async def join(self, address: str) -> bool:
+        """Ask a peer for its members; False when it does not answer."""
+        ask = MembersAsk(news=[self.me])
+        try:
+            reply = await self.peers.call(address, ask, PROBE_TIMEOUT_S * 2)
+        except hub.PeerUnreachableError:
+            return False
+        self._learn(reply.news)
+        return True
+
+    @mode.Service.task
+    async def probe_loop(self) -> None:
+        """Probe one member each period."""
+        while not self.should_stop:
+            started = time.monotonic()
+            self._note_pause(started)
+            self._expire(started)
+            target = self._next_target()
+            if target is not None:
+                self.add_future(self._probe(target))
+            await asyncio.sleep(PROBE_PERIOD_S * self.random.uniform(0.9, 1.1))
+
+    def _note_pause(self, now: float) -> None:
+        """After a pause of this process, do not blame others for its length."""
+        if now - self._last_tick > PAUSED_AFTER_S:
+            for name in self._changed_at:
+                self._changed_at[name] = now
+        self._last_tick = now
+
+    def _next_target(self) -> Member | None:
+        while self._order:
+            member = self._members.get(self._order.pop())
+            if member is not None and member.state in (ALIVE, SUSPECT):
+                return member
+        self._order = [
+            m.name
+            for m in self._members.values()
+            if m.name != self.me.name and m.state in (ALIVE, SUSPECT)
+        ]
+        self.random.shuffle(self._order)
+        if not self._order:
+            return None
+        return self._members[self._order.pop()]
+
+    async def _probe(self, target: Member) -> None:
+        if await self._probe_once(target) or await self._probe_indirectly(target):
+            self._reached_at[target.name] = time.monotonic()
+            return
+        current = self._members.get(target.name)
+        if current is None or current.state != ALIVE:
+            return
+        if current.incarnation != target.incarnation:
+            return
+        self._accept(attrs.evolve(current, state=SUSPECT))
+
+    async def _probe_once(self, target: Member) -> bool:
+        news = self._take_news()
+        known = self._members.get(target.name)
+        if known is not None and known.state == SUSPECT:
+            news.append(known)
+        try:
+            ack = await self.peers.call(
+                target.address, Probe(news=news), PROBE_TIMEOUT_S
+            )
+        except hub.PeerUnreachableError:
+            return False
+        self._learn(ack.news)
+        return True
+
+    async def _probe_indirectly(self, target: Member) -> bool:
+        helpers = [
+            m
+            for m in self._members.values()
+            if m.state == ALIVE and m.name not in (self.me.name, target.name)
+        ]
+        chosen = self.random.sample(helpers, min(INDIRECT_PROBES, len(helpers)))
+        tries = [self._probe_through(helper, target) for helper in chosen]
+        return any(await asyncio.gather(*tries))
+
+    async def _probe_through(self, helper: Member, target: Member) -> bool:
+        ask = ProbeThrough(target=target)
+        try:
+            ack = await self.peers.call(helper.address, ask, INDIRECT_TIMEOUT_S)
+        except hub.PeerUnreachableError:
+            return False
+        return ack.reached
+
+    async def _on_probe(self, envelope: messages.Envelope, body: Probe) -> ProbeAck:
+        self._reached_at[envelope.sender] = time.monotonic()
+        self._learn(body.news)
+        news = self._take_news()
+        if self.me not in news:
+            news.append(self.me)
+        known = self._members.get(envelope.sender)
+        if known is not None and known.state in (SUSPECT, DEAD):
+            news.append(known)
+        return ProbeAck(news=news)
+
+    async def _on_probe_through(
+        self, envelope: messages.Envelope, body: ProbeThrough
+    ) -> ProbeAck:
+        return ProbeAck(reached=await self._probe_once(body.target))
+
+    async def _on_members_ask(
+        self, envelope: messages.Envelope, body: MembersAsk
+    ) -> Members:
+        self._learn(body.news)
+        return Members(news=self.members())
+
+    def _learn(self, news: list[Member]) -> None:
+        for member in news:
+            if member.name == self.me.name:
+                self._refute(member)
+            else:
+                self._accept(member)
+
+    def _refute(self, claim: Member) -> None:
+        """Answer wrong news about this instance with a higher incarnation."""
+        if claim.started > self.me.started:
+            logger.error("another process runs as instance {}", self.me.name)
+            return
+        if claim.incarnation < self.me.incarnation or claim.state == self.me.state:
+            return
+        incarnation = max(claim.incarnation, self.me.incarnation) + 1
+        self._update_me(attrs.evolve(self.me, incarnation=incarnation))
+
+    def _update_me(self, me: Member) -> None:
+        self.me = me
+        self._members[me.name] = me
+        self._news[me.name] = News(member=me)
+        self._notify(me)
+
+    def _accept(self, member: Member) -> None:
+        known = self._members.get(member.name)
+        if known is not None and not member.supersedes(known):
+            return
+        self._members[member.name] = member
+        self._changed_at[member.name] = time.monotonic()
+        self._news[member.name] = News(member=member)
+        if known is None or known.state != member.state:
+            logger.info(
+                "instance {} at {} is {}", member.name, member.address, member.state
+            )
+        self._notify(member)
+
+    def _notify(self, member: Member) -> None:
+        for listener in self._listeners:
+            listener(member)
+
+    def _expire(self, now: float) -> None:
+        for member in list(self._members.values()):
+            age = now - self._changed_at.get(member.name, now)
+            if member.state == SUSPECT and age > SUSPECT_TIMEOUT_S:
+                self._accept(attrs.evolve(member, state=DEAD))
+            if member.name == self.me.name or RANK[member.state] < RANK[LEAVING]:
+                continue
+            if age > DEAD_KEPT_S:
+                self._drop(member)
+
+    def _drop(self, member: Member) -> None:
+        del self._members[member.name]
+        self._news.pop(member.name, None)
+        self.add_future(self.peers.forget(member.address))
+
+    def _take_news(self) -> list[Member]:
+        """Return the least repeated news; each is passed on O(log n) times."""
+        limit = NEWS_REPEATS * math.ceil(math.log2(len(self._members) + 1))
+        chosen = sorted(self._news.values(), key=lambda item: item.sent)
+        chosen = chosen[:NEWS_PER_MESSAGE]
+        for item in chosen:
+            item.sent += 1
+            if item.sent >= limit:
+                del self._news[item.member.name]
+        return [item.member for item in chosen]
--- /dev/null
+++ b/libs/masticpost-shards/src/masticpost_shards/__init__.py
@@ -0,0 +1,1 @@
+"""Keyed shards: claims, bills, session pins, permits and quarantine."""
--- /dev/null
+++ b/libs/masticpost-shards/src/masticpost_shards/claims.py
@@ -0,0 +1,182 @@
+"""At-most-once calls, as the entry sees them: claim, dispatch, outcome."""
+
+import asyncio
+import hashlib
+import time
+import uuid
+
+import attrs
+import mode
+from masticpost_common import errors
+
+from masticpost_shards import directory, ops, owner, records
+
+CLAIM_TIMEOUT_S = 1.0
+OUTCOME_WAIT_S = 0.5
+TELL_TIMEOUT_S = 2.0
+TELL_PAUSE_S = 0.5
+PENDING_POLL_S = 0.1
+RETRY_AFTER_S = 2.0
+
+
+@attrs.frozen(kw_only=True)
+class Granted:
+    """The call may be dispatched once, by this attempt."""
+
+    key: str
+    nonce: str
+
+
+def call_key(customer: str, idempotency_key: str) -> str:
+    """Return the key of a non-idempotent call."""
+    digest = hashlib.blake2b(digest_size=16)
+    digest.update(f"{customer}\0{idempotency_key}".encode())
+    return digest.hexdigest()
+
+
+def fingerprint(*parts: bytes) -> str:
+    """Return a digest that tells requests with different content apart."""
+    digest = hashlib.blake2b(digest_size=16)
+    for part in parts:
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()
+
+
+class Claims(mode.Service):
+    """Claims calls and tells how they ended.
+
+    Parameters
+    ----------
+    shards : directory.Directory
+        Routes to the owners.
+    """
+
+    def __init__(self, *, shards: directory.Directory) -> None:
+        super().__init__()
+        self.shards = shards
+        self._tells: set[asyncio.Task] = set()
+
+    async def claim(
+        self, key: str, fingerprint: str, deadline: float
+    ) -> Granted | records.Answer:
+        """Return the right to dispatch, or the recorded answer of the call.
+
+        Raises
+        ------
+        errors.RefusalError
+            ``idempotency_mismatch``, ``in_doubt``, ``in_progress`` or
+            ``claims_unavailable``; each says whether the call ran.
+        """
+        claim = records.Claim(
+            key=key,
+            fingerprint=fingerprint,
+            nonce=uuid.uuid4().hex,
+            run=self.shards.run,
+            at=owner.wall_ms(),
+        )
+        while True:
+            reply = await self._ask(claim)
+            if reply.verdict == ops.GRANTED:
+                return Granted(key=key, nonce=claim.nonce)
+            if reply.verdict == ops.RECORDED and reply.answer is not None:
+                return reply.answer
+            if reply.verdict != ops.PENDING:
+                raise _refusal(reply.verdict)
+            if time.monotonic() + PENDING_POLL_S >= deadline:
+                raise _refusal(ops.PENDING)
+            await asyncio.sleep(PENDING_POLL_S)
+
+    async def _ask(self, claim: records.Claim) -> ops.ClaimReply:
+        ask = ops.ClaimAsk(shard=self.shards.shard_of(claim.key), claim=claim)
+        try:
+            return await self.shards.call(ask, timeout_s=CLAIM_TIMEOUT_S)
+        except directory.StoreUnavailableError as exc:
+            raise _unavailable() from exc
+        except directory.ShardUnavailableError as exc:
+            self.release(Granted(key=claim.key, nonce=claim.nonce))
+            raise _unavailable() from exc
+        except asyncio.CancelledError:
+            self.release(Granted(key=claim.key, nonce=claim.nonce))
+            raise
+
+    async def finish(self, granted: Granted, answer: records.Answer) -> None:
+        """Record the answer; waits a little for the commit, then goes on telling."""
+        if len(answer.body) > ops.MAX_ANSWER_BYTES:
+            answer = attrs.evolve(answer, status=200, body=b"")
+        task = self._tell(granted, records.DONE, answer)
+        await asyncio.wait([task], timeout=OUTCOME_WAIT_S)
+
+    def release(self, granted: Granted) -> None:
+        """Tell that the call was not and will not be dispatched by this attempt."""
+        self._tell(granted, records.RELEASED, None)
+
+    def _tell(
+        self, granted: Granted, kind: str, answer: records.Answer | None
+    ) -> asyncio.Task:
+        outcome = records.Outcome(
+            key=granted.key,
+            nonce=granted.nonce,
+            kind=kind,
+            at=owner.wall_ms(),
+            answer=answer,
+        )
+        tell = ops.OutcomeTell(shard=self.shards.shard_of(granted.key), outcome=outcome)
+        task = asyncio.create_task(self._tell_until_done(tell))
+        self._tells.add(task)
+        task.add_done_callback(self._tells.discard)
+        return task
+
+    async def _tell_until_done(self, tell: ops.OutcomeTell) -> None:
+        while True:
+            try:
+                await self.shards.call(tell, timeout_s=TELL_TIMEOUT_S)
+            except (
+                directory.ShardUnavailableError,
+                directory.StoreUnavailableError,
+            ):
+                await asyncio.sleep(TELL_PAUSE_S)
+            else:
+                return
+
+    async def flush(self, timeout_s: float) -> None:
+        """Wait until every outcome is told, for at most `timeout_s`."""
+        if self._tells:
+            await asyncio.wait(list(self._tells), timeout=timeout_s)
+
+    async def on_stop(self) -> None:
+        """Give up on what is not told."""
+        for task in list(self._tells):
+            task.cancel()
+
+
+def _unavailable() -> errors.RefusalError:
+    return errors.refuse(
+        503,
+        "claims_unavailable",
+        "Calls that may run only once cannot be accepted now. It was not run.",
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
+def _refusal(verdict: str) -> errors.RefusalError:
+    if verdict == ops.MISMATCH:
+        return errors.refuse(
+            422,
+            "idempotency_mismatch",
+            "This Idempotency-Key was used for a different request. It was not run.",
+        )
+    if verdict == ops.IN_DOUBT:
+        return errors.refuse(
+            409,
+            "in_doubt",
+            "This call may have run; it will not be run again. Ask the service.",
+            ran=errors.RAN_MAYBE,
+        )
+    return errors.refuse(
+        409,
+        "in_progress",
+        "A call with this Idempotency-Key is at work.",
+        ran=errors.RAN_MAYBE,
+        retry_after_s=RETRY_AFTER_S,
+    )
--- /dev/null
+++ b/libs/masticpost-shards/src/masticpost_shards/directory.py
@@ -0,0 +1,202 @@
+"""Which instance owns which shard, and the owners that run here."""
+
+import asyncio
+import time
+import typing
+
+import attrs
+import mode
+from loguru import logger
+from masticpost_common import rendezvous
+from masticpost_peers import hub, membership, messages
+from masticpost_store import client
+
+from masticpost_shards import ops, owner, records
+
+CALL_TIMEOUT_S = 1.5
+RETRY_PAUSE_S = 0.03
+HAND_OVER_S = 2.0
+OWNER_CHECK_S = 0.25
+
+
+class ShardUnavailableError(Exception):
+    """No owner answered in time; the operation may or may not be committed."""
+
+
+class StoreUnavailableError(Exception):
+    """The owner can commit nothing now; nothing of the operation was kept."""
+
+
+class Directory(mode.Service):
+    """Routes operations to the owners of their shards.
+
+    Parameters
+    ----------
+    store : client.Client
+        The object API.
+    peers : hub.Hub
+        Messages to other owners.
+    members : membership.Membership
+        Instances that may own shards.
+    shard_count : int
+        Number of shards of the deployment.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: client.Client,
+        peers: hub.Hub,
+        members: membership.Membership,
+        shard_count: int,
+    ) -> None:
+        super().__init__()
+        self.store = store
+        self.peers = peers
+        self.members = members
+        self.shard_count = shard_count
+        self.run = records.Run(instance=peers.name, started=peers.incarnation)
+        self.owners: dict[int, owner.ShardOwner] = {}
+        self._leaving = False
+        self._changed = asyncio.Event()
+        members.listen(lambda member: self._changed.set())
+        for kind in ops.DECIDERS.names():
+            peers.handle(messages.KINDS.get(kind), self._on_op)
+
+    def shard_of(self, key: str) -> int:
+        """Return the shard of a key."""
+        return rendezvous.shard_of(key, self.shard_count)
+
+    def owner_of(self, shard: int) -> membership.Member | None:
+        """Return the member that owns the shard, as far as is known here."""
+        candidates = {m.name: m for m in self.members.alive()}
+        if self._leaving:
+            candidates.pop(self.peers.name, None)
+        name = rendezvous.owner(candidates, f"shard-{shard}")
+        return candidates.get(name)
+
+    async def call(self, op: typing.Any, *, timeout_s: float) -> typing.Any:
+        """Have the owner of ``op.shard`` decide `op`; tries until `timeout_s`.
+
+        Raises
+        ------
+        ShardUnavailableError
+            No owner answered in time.
+        StoreUnavailableError
+            The owner refused because the object API is down.
+        """
+        until = time.monotonic() + timeout_s
+        while True:
+            left = until - time.monotonic()
+            reply = await self._call_once(op, min(left, CALL_TIMEOUT_S))
+            if isinstance(reply, ops.StoreDown):
+                raise StoreUnavailableError
+            if reply is not None and not isinstance(reply, ops.NotOwner):
+                return reply
+            if time.monotonic() + RETRY_PAUSE_S >= until:
+                raise ShardUnavailableError(f"shard {op.shard}")
+            await asyncio.sleep(RETRY_PAUSE_S)
+
+    async def _call_once(self, op: typing.Any, timeout_s: float) -> typing.Any:
+        member = self.owner_of(op.shard)
+        if member is None:
+            return None
+        try:
+            if member.name == self.peers.name:
+                async with asyncio.timeout(timeout_s):
+                    return await self._decide_here(op)
+            return await self.peers.call(member.address, op, timeout_s)
+        except (hub.PeerUnreachableError, TimeoutError):
+            return None
+
+    async def _on_op(self, envelope: messages.Envelope, op: typing.Any) -> object:
+        return await self._decide_here(op)
+
+    async def _decide_here(self, op: typing.Any) -> object:
+        shard_owner = self.owners.get(op.shard)
+        if shard_owner is None:
+            return ops.NotOwner()
+        try:
+            return await shard_owner.submit(op)
+        except owner.NotOwnerError:
+            return ops.NotOwner()
+        except owner.StoreDownError:
+            return ops.StoreDown()
+
+    def is_running(self, run: records.Run) -> bool:
+        """Tell whether a run of an instance may still be at work."""
+        return self.members.is_running(run.instance, run.started)
+
+    @mode.Service.task
+    async def follow_members(self) -> None:
+        """Start and stop owners as the members change."""
+        while not self.should_stop:
+            self._changed.clear()
+            await self._adjust()
+            try:
+                async with asyncio.timeout(OWNER_CHECK_S):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    async def _adjust(self) -> None:
+        for shard in range(self.shard_count):
+            member = self.owner_of(shard)
+            is_mine = member is not None and member.name == self.peers.name
+            if is_mine and shard not in self.owners:
+                await self._start_owner(shard)
+            elif not is_mine and shard in self.owners:
+                self.add_future(self._stop_owner(shard))
+
+    async def _start_owner(self, shard: int) -> None:
+        started = owner.ShardOwner(
+            store=self.store,
+            shard=shard,
+            run=self.run,
+            is_running=self.is_running,
+        )
+        self.owners[shard] = started
+        await started.start()
+
+    async def _stop_owner(self, shard: int) -> None:
+        stopped = self.owners.pop(shard, None)
+        if stopped is None:
+            return
+        await stopped.hand_over(HAND_OVER_S)
+        await stopped.stop()
+
+    async def hand_over(self) -> None:
+        """Give every shard to the others; nothing is owned here afterwards."""
+        self._leaving = True
+        stops = [self._stop_owner(shard) for shard in list(self.owners)]
+        await asyncio.gather(*stops)
+        logger.info("shards handed over")
+
+    async def on_stop(self) -> None:
+        """Stop the owners that are left."""
+        for shard in list(self.owners):
+            stopped = self.owners.pop(shard)
+            await stopped.stop()
+
+
+@attrs.frozen(kw_only=True)
+class ShardStatus:
+    """A shard that is owned here."""
+
+    shard: int
+    epoch: int
+    seq: int
+    is_serving: bool
+
+
+def statuses(directory: Directory) -> list[ShardStatus]:
+    """Return the shards owned by this instance."""
+    return [
+        ShardStatus(
+            shard=shard,
+            epoch=own.epoch,
+            seq=own.log.loaded.state.seq if own.log.loaded else -1,
+            is_serving=own.is_serving,
+        )
+        for shard, own in sorted(directory.owners.items())
+    ]
--- /dev/null
+++ b/libs/masticpost-shards/src/masticpost_shards/owner.py
@@ -0,0 +1,360 @@
+"""The owner of one shard: takes it over, decides operations and commits them.
+
+Correctness rests on the log's fence, not on clocks: an owner that was paused finds
+its position taken, drops what was not committed and says that it is not the owner.
+"""
+
+import asyncio
+import collections
+import copy
+import time
+
+import attrs
+import mode
+import result
+from loguru import logger
+from masticpost_store import client
+
+from masticpost_shards import log, ops, records, state
+
+COMMIT_INTERVAL_S = 0.05
+RETRY_PAUSE_S = 0.1
+RETRY_MAX_PAUSE_S = 1.0
+LEASE_S = 4.0
+RENEW_AFTER_S = 1.5
+SETTLE_CHECK_S = 5.0
+SETTLE_AFTER_S = 30.0
+BATCH_MAX_BYTES = 600_000
+RECORD_OVERHEAD_BYTES = 200
+PENDING_MAX_RECORDS = 400_000
+
+LIST_OF_RECORD: dict[type, str] = {
+    records.Claim: "claims",
+    records.Outcome: "outcomes",
+    records.BillOpen: "opens",
+    records.BillClose: "closes",
+    records.Pin: "pins",
+    records.Crash: "crashes",
+    records.Warmth: "warmth",
+}
+
+
+class NotOwnerError(Exception):
+    """This instance does not own the shard, or lost it before the commit."""
+
+
+class StoreDownError(Exception):
+    """Nothing can be committed now."""
+
+
+@attrs.define(kw_only=True)
+class Pending:
+    """Records that wait for a commit, and who waits for them."""
+
+    writes: list[object]
+    fut: asyncio.Future
+
+
+def wall_ms() -> int:
+    """Return wall-clock milliseconds."""
+    return time.time_ns() // 1_000_000
+
+
+class ShardOwner(mode.Service):
+    """Serves one shard while this instance is its owner.
+
+    Parameters
+    ----------
+    store : client.Client
+        The object API.
+    shard : int
+        Number of the shard.
+    run : records.Run
+        This process.
+    is_running : callable
+        Tells whether a run of an instance may still be at work.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: client.Client,
+        shard: int,
+        run: records.Run,
+        is_running: ops.IsRunning,
+    ) -> None:
+        super().__init__()
+        self.store = store
+        self.shard = shard
+        self.run = run
+        self.is_running = is_running
+        self.log = log.Log(store=store, shard=shard, run=run)
+        self.working: state.State | None = None
+        self.epoch = -1
+        self.owned_since = 0.0
+        self.lease_until = 0.0
+        self.needs_lease = False
+        self._pending: collections.deque[Pending] = collections.deque()
+        self._pending_records = 0
+        self._wake = asyncio.Event()
+        self._gone_since: dict[str, float] = {}
+        self._handing_over = False
+
+    @property
+    def is_serving(self) -> bool:
+        """Whether the shard was taken over and is not known to be lost."""
+        return self.working is not None and not self._handing_over
+
+    @property
+    def holds_lease(self) -> bool:
+        """Whether no other owner can have begun to count on this one's silence."""
+        return self.is_serving and time.monotonic() < self.lease_until
+
+    async def submit(self, op: object) -> object:
+        """Decide an operation and return its reply.
+
+        Raises
+        ------
+        NotOwnerError
+            Not the owner; uncommitted records of the operation may or may not be
+            in the log, and operations can be repeated.
+        StoreDownError
+            The object API is down and the operation needs a commit first.
+        """
+        if not self.is_serving:
+            raise NotOwnerError
+        if self.store.is_down and isinstance(op, ops.ClaimAsk):
+            return self._decide_without_store(op)
+        if self._pending_records >= PENDING_MAX_RECORDS:
+            raise StoreDownError
+        decision = ops.decide(self.working, op, self.is_running)
+        if not decision.writes and not (decision.waits and self._pending):
+            return decision.reply
+        fut = asyncio.get_running_loop().create_future()
+        self._enqueue(Pending(writes=decision.writes, fut=fut))
+        if not decision.waits:
+            fut.add_done_callback(_ignore_result)
+            return decision.reply
+        await fut
+        return decision.reply
+
+    def _decide_without_store(self, op: ops.ClaimAsk) -> object:
+        """Answer a claim from what is known; a new claim cannot be committed."""
+        known = self.working.calls.get(op.claim.key)
+        if known is None or state.is_released(known):
+            raise StoreDownError
+        if known.claim.nonce == op.claim.nonce and known.outcome is None:
+            raise StoreDownError
+        return ops.decide(self.working, op, self.is_running).reply
+
+    def _enqueue(self, item: Pending) -> None:
+        self._pending.append(item)
+        self._pending_records += len(item.writes)
+        self._wake.set()
+
+    async def hand_over(self, timeout_s: float) -> None:
+        """Stop deciding and commit what waits, for at most `timeout_s`."""
+        self._handing_over = True
+        until = time.monotonic() + timeout_s
+        while self._pending and time.monotonic() < until:
+            await asyncio.sleep(COMMIT_INTERVAL_S / 2)
+
+    async def on_stop(self) -> None:
+        """Fail what was not committed."""
+        self._drop()
+
+    def _drop(self) -> None:
+        self.working = None
+        self.lease_until = 0.0
+        while self._pending:
+            fut = self._pending.popleft().fut
+            if not fut.done():
+                fut.set_exception(NotOwnerError())
+        self._pending_records = 0
+
+    @mode.Service.task
+    async def serve(self) -> None:
+        """Take the shard over and commit, again after each loss."""
+        while not self.should_stop:
+            if not await self._take_over():
+                await asyncio.sleep(RETRY_PAUSE_S)
+                continue
+            await self._commit_until_lost()
+            self._drop()
+
+    async def _take_over(self) -> bool:
+        loaded = await self.log.load()
+        if loaded.is_err():
+            return False
+        batch = attrs.evolve(self.log.next_batch(wall_ms()), takeover=True)
+        if not await self._write(batch):
+            return False
+        self.working = copy.deepcopy(self.log.committed)
+        self.epoch = batch.seq
+        self.owned_since = time.monotonic()
+        logger.info("shard {} taken over at {}", self.shard, batch.seq)
+        return True
+
+    async def _commit_until_lost(self) -> None:
+        while not self.should_stop:
+            await self._wait_for_work()
+            if not await self._commit_pending():
+                return
+            if self.log.snapshot_is_due():
+                await self.log.write_snapshot(wall_ms())
+            await asyncio.sleep(COMMIT_INTERVAL_S)
+
+    async def _wait_for_work(self) -> None:
+        self._wake.clear()
+        if self._pending:
+            return
+        timeout_s = RENEW_AFTER_S if self.needs_lease else SETTLE_CHECK_S
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+
+    async def _commit_pending(self) -> bool:
+        """Write one batch; False when the shard is lost."""
+        items = self._take_items()
+        if not items and not self._renewal_is_due():
+            return True
+        batch = _fill(self.log.next_batch(wall_ms()), items)
+        if not await self._write(batch):
+            for item in items:
+                if not item.fut.done():
+                    item.fut.set_exception(NotOwnerError())
+            return False
+        for item in items:
+            if not item.fut.done():
+                item.fut.set_result(None)
+        return True
+
+    def _renewal_is_due(self) -> bool:
+        left = self.lease_until - time.monotonic()
+        return self.needs_lease and left < LEASE_S - RENEW_AFTER_S
+
+    def _take_items(self) -> list[Pending]:
+        items: list[Pending] = []
+        ended: set[str] = set()
+        size = 0
+        while self._pending and size < BATCH_MAX_BYTES:
+            if _claims_any(self._pending[0], ended):
+                break
+            item = self._pending.popleft()
+            ended |= _ended_calls(item)
+            size += sum(_size(record) for record in item.writes)
+            self._pending_records -= len(item.writes)
+            items.append(item)
+        return items
+
+    async def _write(self, batch: records.Batch) -> bool:
+        """Write until the batch is committed; False when another owner is ahead."""
+        pause = RETRY_PAUSE_S
+        unsettled = False
+        while not self.should_stop:
+            started = time.monotonic()
+            written = await self._write_once(batch, unsettled)
+            if written.is_ok():
+                self.lease_until = started + LEASE_S
+                return True
+            fault = written.unwrap_err()
+            if fault is log.AppendFault.FENCED:
+                logger.info("shard {} lost at {}", self.shard, batch.seq)
+                return False
+            if fault is log.AppendFault.TOO_LARGE:
+                logger.error("shard {}: a batch is too large", self.shard)
+                return False
+            if fault is log.AppendFault.WRAPPED:
+                await self.log.write_snapshot(wall_ms())
+            unsettled = unsettled or fault is log.AppendFault.NOT_KNOWN
+            await asyncio.sleep(pause)
+            pause = min(2 * pause, RETRY_MAX_PAUSE_S)
+        return False
+
+    async def _write_once(
+        self, batch: records.Batch, unsettled: bool
+    ) -> result.Result[records.Batch, log.AppendFault]:
+        if unsettled:
+            return await self.log.settle(batch)
+        return await self.log.append(batch)
+
+    @mode.Service.task
+    async def settle_bills(self) -> None:
+        """Bill requests whose instance ended before it told their usage."""
+        while not self.should_stop:
+            await asyncio.sleep(SETTLE_CHECK_S)
+            if not self.is_serving:
+                continue
+            closes = self._abandoned_bills(time.monotonic())
+            if closes:
+                tell = ops.BillsTell(shard=self.shard, opens=[], closes=closes)
+                self.add_future(self._settle(tell))
+
+    async def _settle(self, tell: ops.BillsTell) -> None:
+        try:
+            await self.submit(tell)
+        except (NotOwnerError, StoreDownError):
+            return
+        logger.info("shard {}: settled {} bills", self.shard, len(tell.closes))
+
+    def _abandoned_bills(self, now: float) -> list[records.BillClose]:
+        """Return the bills, by the rule of docs/design/bills.md: input tokens only."""
+        found = []
+        opens = self.working.open_bills
+        for key in [key for key in self._gone_since if key not in opens]:
+            del self._gone_since[key]
+        for opened in opens.values():
+            if self.is_running(opened.run):
+                self._gone_since.pop(opened.key, None)
+                continue
+            since = self._gone_since.setdefault(opened.key, now)
+            if now - since >= SETTLE_AFTER_S:
+                found.append(_settled(opened))
+        return found
+
+
+def _settled(opened: records.BillOpen) -> records.BillClose:
+    return records.BillClose(
+        key=opened.key,
+        customer=opened.customer,
+        service=opened.service,
+        version=opened.version,
+        state=records.SETTLED,
+        at=wall_ms(),
+        input_tokens=opened.input_tokens,
+        cost=opened.input_tokens * opened.input_price / 1e6,
+    )
+
+
+def _size(record: object) -> int:
+    if isinstance(record, records.Outcome) and record.answer is not None:
+        return RECORD_OVERHEAD_BYTES + len(record.answer.body)
+    return RECORD_OVERHEAD_BYTES
+
+
+def _ended_calls(item: Pending) -> set[str]:
+    return {w.key for w in item.writes if isinstance(w, records.Outcome)}
+
+
+def _claims_any(item: Pending, keys: set[str]) -> bool:
+    """Tell whether the item claims one of the calls again.
+
+    A batch is folded claims first, so a claim after an outcome of the same call
+    has to go into the next batch.
+    """
+    return any(isinstance(w, records.Claim) and w.key in keys for w in item.writes)
+
+
+def _fill(batch: records.Batch, items: list[Pending]) -> records.Batch:
+    lists: dict[str, list[object]] = collections.defaultdict(list)
+    for item in items:
+        for record in item.writes:
+            lists[LIST_OF_RECORD[type(record)]].append(record)
+    return attrs.evolve(batch, **lists)
+
+
+def _ignore_result(fut: asyncio.Future) -> None:
+    if not fut.cancelled():
+        fut.exception()
--- /dev/null
+++ b/libs/masticpost-shards/src/masticpost_shards/records.py
@@ -0,0 +1,132 @@
+"""What a shard's log holds. Times are wall-clock milliseconds."""
+
+import attrs
+
+ANSWERED = "answered"
+PARTIAL = "partial"
+FAILED = "failed"
+NOT_RUN = "not-run"
+SETTLED = "settled"
+
+RELEASED = "released"
+DONE = "done"
+
+
+@attrs.frozen(kw_only=True)
+class Run:
+    """One run of the program on an instance; `started` tells restarts apart."""
+
+    instance: str
+    started: int
+
+
+@attrs.frozen(kw_only=True)
+class Claim:
+    """The right to dispatch a non-idempotent call, given at most once.
+
+    `fingerprint` is a digest of the request; `nonce` names the attempt that claims.
+    """
+
+    key: str
+    fingerprint: str
+    nonce: str
+    run: Run
+    at: int
+
+
+@attrs.frozen(kw_only=True)
+class Answer:
+    """An upstream's answer that repeats of a call get."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+@attrs.frozen(kw_only=True)
+class Outcome:
+    """How a claimed call ended: ``done`` with an answer, or ``released``, not run."""
+
+    key: str
+    nonce: str
+    kind: str
+    at: int
+    answer: Answer | None = None
+
+
+@attrs.frozen(kw_only=True)
+class BillOpen:
+    """A request was dispatched; `input_tokens` is what is known by then."""
+
+    key: str
+    customer: str
+    service: str
+    version: str
+    run: Run
+    at: int
+    input_tokens: int = 0
+    input_price: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class BillClose:
+    """The one bill of a request."""
+
+    key: str
+    customer: str
+    service: str
+    version: str
+    state: str
+    at: int
+    input_tokens: int = 0
+    output_tokens: int = 0
+    cost: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class Pin:
+    """The version of a session."""
+
+    key: str
+    version: str
+    at: int
+
+
+@attrs.frozen(kw_only=True)
+class Crash:
+    """A request with this fingerprint may have crashed an upstream."""
+
+    fingerprint: str
+    upstream: str
+    at: int
+
+
+@attrs.frozen(kw_only=True)
+class Warmth:
+    """Whether an upstream is past its cold start."""
+
+    upstream: str
+    warm: bool
+    at: int
+
+
+@attrs.frozen(kw_only=True)
+class Batch:
+    """One entry of a shard's log.
+
+    `nonce` tells whose write took effect when its answer was lost. A batch with
+    `takeover` set begins a new owner's epoch; its `seq` is the fencing number.
+    """
+
+    seq: int
+    nonce: str
+    owner: Run
+    at: int
+    takeover: bool = False
+    claims: list[Claim] = attrs.field(factory=list)
+    outcomes: list[Outcome] = attrs.field(factory=list)
+    opens: list[BillOpen] = attrs.field(factory=list)
+    closes: list[BillClose] = attrs.field(factory=list)
+    pins: list[Pin] = attrs.field(factory=list)
+    crashes: list[Crash] = attrs.field(factory=list)
+    warmth: list[Warmth] = attrs.field(factory=list)
--- /dev/null
+++ b/libs/masticpost-shards/src/masticpost_shards/state.py
@@ -0,0 +1,145 @@
+"""The state of a shard: a fold of its log, and what is forgotten when."""
+
+import attrs
+
+from masticpost_shards import records
+
+MINUTE_MS = 60_000
+CLAIM_KEPT_MS = 24 * 60 * MINUTE_MS
+BILL_KEPT_MS = 20 * MINUTE_MS
+PIN_KEPT_MS = 12 * 60 * MINUTE_MS
+CRASH_KEPT_MS = 60 * MINUTE_MS
+
+
+@attrs.define(kw_only=True)
+class Call:
+    """A claim and, once known, its outcome."""
+
+    claim: records.Claim
+    outcome: records.Outcome | None = None
+
+
+@attrs.define(kw_only=True)
+class Total:
+    """Sum of the bills of one customer, service, version and state."""
+
+    customer: str
+    service: str
+    version: str
+    state: str
+    requests: int = 0
+    input_tokens: int = 0
+    output_tokens: int = 0
+    cost: float = 0.0
+
+
+@attrs.define(kw_only=True)
+class State:
+    """State of a shard after the batch `seq`."""
+
+    seq: int = -1
+    calls: dict[str, Call] = attrs.field(factory=dict)
+    open_bills: dict[str, records.BillOpen] = attrs.field(factory=dict)
+    closed_bills: dict[str, records.BillClose] = attrs.field(factory=dict)
+    totals: dict[str, Total] = attrs.field(factory=dict)
+    pins: dict[str, records.Pin] = attrs.field(factory=dict)
+    crashes: dict[str, list[records.Crash]] = attrs.field(factory=dict)
+    warmth: dict[str, records.Warmth] = attrs.field(factory=dict)
+
+    def apply(self, batch: records.Batch) -> None:
+        """Fold in the next batch; raises `ValueError` if it is not the next."""
+        if batch.seq != self.seq + 1:
+            raise ValueError(f"batch {batch.seq} after {self.seq}")
+        self.seq = batch.seq
+        for claim in batch.claims:
+            self.add_claim(claim)
+        for outcome in batch.outcomes:
+            self.add_outcome(outcome)
+        for opened in batch.opens:
+            self.open_bill(opened)
+        for closed in batch.closes:
+            self.close_bill(closed)
+        for pin in batch.pins:
+            self.pins[pin.key] = pin
+        for crash in batch.crashes:
+            self.add_crash(crash)
+        for warmth in batch.warmth:
+            self.warmth[warmth.upstream] = warmth
+
+    def add_claim(self, claim: records.Claim) -> bool:
+        """Record a claim; False if the call is claimed and was not released."""
+        call = self.calls.get(claim.key)
+        if call is not None and not is_released(call):
+            return False
+        self.calls[claim.key] = Call(claim=claim)
+        return True
+
+    def add_outcome(self, outcome: records.Outcome) -> bool:
+        """Record the outcome of the claim with the same nonce, once."""
+        call = self.calls.get(outcome.key)
+        if call is None or call.outcome is not None:
+            return False
+        if call.claim.nonce != outcome.nonce:
+            return False
+        call.outcome = outcome
+        return True
+
+    def open_bill(self, opened: records.BillOpen) -> bool:
+        """Record a dispatched request, unless its bill is known already."""
+        if opened.key in self.closed_bills or opened.key in self.open_bills:
+            return False
+        self.open_bills[opened.key] = opened
+        return True
+
+    def close_bill(self, closed: records.BillClose) -> bool:
+        """Bill a request, once."""
+        if closed.key in self.closed_bills:
+            return False
+        self.open_bills.pop(closed.key, None)
+        self.closed_bills[closed.key] = closed
+        self._add_to_total(closed)
+        return True
+
+    def add_crash(self, crash: records.Crash) -> bool:
+        """Count a crash, once per upstream."""
+        known = self.crashes.setdefault(crash.fingerprint, [])
+        if any(item.upstream == crash.upstream for item in known):
+            return False
+        known.append(crash)
+        return True
+
+    def prune(self, now_ms: int) -> None:
+        """Forget what is older than it is kept; open bills stay."""
+        self.calls = {
+            k: c for k, c in self.calls.items() if now_ms - c.claim.at < CLAIM_KEPT_MS
+        }
+        self.closed_bills = {
+            k: b for k, b in self.closed_bills.items() if now_ms - b.at < BILL_KEPT_MS
+        }
+        self.pins = {k: p for k, p in self.pins.items() if now_ms - p.at < PIN_KEPT_MS}
+        self.crashes = {
+            k: rows
+            for k, rows in self.crashes.items()
+            if now_ms - rows[-1].at < CRASH_KEPT_MS
+        }
+
+    def _add_to_total(self, bill: records.BillClose) -> None:
+        key = "\0".join((bill.customer, bill.service, bill.version, bill.state))
+        total = self.totals.get(key)
+        if total is None:
+            total = Total(
+                customer=bill.customer,
+                service=bill.service,
+                version=bill.version,
+                state=bill.state,
+            )
+            self.totals[key] = total
+        total.requests += 1
+        total.input_tokens += bill.input_tokens
+        total.output_tokens += bill.output_tokens
+        total.cost += bill.cost
+
+
+def is_released(call: Call) -> bool:
+    """Tell whether the call is known not to have run."""
+    return call.outcome is not None and call.outcome.kind == records.RELEASED
--- /dev/null
+++ b/libs/masticpost-shards/src/masticpost_shards/views.py
@@ -0,0 +1,205 @@
+"""What every instance knows of warm upstreams and suspect requests.
+
+Owners' logs hold the truth. A change is pushed to every live instance at once; each
+instance also asks the owner of one shard per period, in turn, so that a lost push
+is made up for at a cost that does not depend on the number of shards.
+"""
+
+import asyncio
+import itertools
+
+import attrs
+import mode
+from masticpost_peers import hub, messages
+
+from masticpost_shards import directory, ops, owner, records
+
+PUSH_TIMEOUT_S = 0.4
+ASK_PERIOD_S = 1.0
+ASK_TIMEOUT_S = 1.0
+QUARANTINE_AFTER = 2
+
+
+@attrs.frozen(kw_only=True)
+class Suspect:
+    """A request that may have crashed `count` upstreams."""
+
+    fingerprint: str
+    count: int
+
+
+@messages.message("view-news")
+@attrs.frozen(kw_only=True)
+class ViewNews:
+    """Changes of warmth and suspicion."""
+
+    warmth: list[records.Warmth] = attrs.field(factory=list)
+    suspects: list[Suspect] = attrs.field(factory=list)
+
+
+@messages.message("view-ask")
+@attrs.frozen(kw_only=True)
+class ViewAsk:
+    """Asks an owner for the view of its shard."""
+
+    shard: int
+
+
+class Views(mode.Service):
+    """This instance's copy of the shared view.
+
+    Parameters
+    ----------
+    shards : directory.Directory
+        Owners and members.
+    """
+
+    def __init__(self, *, shards: directory.Directory) -> None:
+        super().__init__()
+        self.shards = shards
+        self.is_complete = False
+        self._warmth: dict[str, records.Warmth] = {}
+        self._suspects: dict[str, int] = {}
+        shards.peers.handle(ViewNews, self._on_news)
+        shards.peers.handle(ViewAsk, self._on_ask)
+
+    def is_warm(self, upstream: str) -> bool:
+        """Tell whether the upstream is known to be past its cold start."""
+        known = self._warmth.get(upstream)
+        return known is not None and known.warm
+
+    def crash_count(self, fingerprint: str) -> int:
+        """Return how many upstreams the request may have crashed."""
+        return self._suspects.get(fingerprint, 0)
+
+    def is_quarantined(self, fingerprint: str) -> bool:
+        """Tell whether the request must not run any more."""
+        return self.crash_count(fingerprint) >= QUARANTINE_AFTER
+
+    async def tell_warm(self, upstream: str) -> None:
+        """Commit that the upstream is warm, then tell every instance."""
+        reply = await self._commit_warmth(upstream, warm=True)
+        if isinstance(reply, ops.WarmthReply):
+            news = ViewNews(warmth=[reply.warmth])
+            self._learn(news)
+            await self._push(news)
+
+    async def tell_cold(self, upstream: str) -> None:
+        """Tell every instance at once that the upstream is cold, then commit it."""
+        known = self._warmth.get(upstream)
+        at = max(owner.wall_ms(), known.at + 1 if known else 0)
+        news = ViewNews(warmth=[records.Warmth(upstream=upstream, warm=False, at=at)])
+        self._learn(news)
+        await self._push(news)
+        await self._commit_warmth(upstream, warm=False)
+
+    async def _commit_warmth(self, upstream: str, *, warm: bool) -> object:
+        warmth = records.Warmth(upstream=upstream, warm=warm, at=owner.wall_ms())
+        shard = self.shards.shard_of(warmth_key(upstream))
+        return await self._commit(ops.WarmthTell(shard=shard, warmth=warmth))
+
+    async def tell_crash(self, fingerprint: str, upstream: str) -> int:
+        """Count a crash; returns once every reachable instance knows."""
+        crash = records.Crash(
+            fingerprint=fingerprint, upstream=upstream, at=owner.wall_ms()
+        )
+        shard = self.shards.shard_of(fingerprint)
+        reply = await self._commit(ops.CrashTell(shard=shard, crash=crash))
+        known = self.crash_count(fingerprint)
+        count = reply.count if isinstance(reply, ops.CrashReply) else known + 1
+        news = ViewNews(suspects=[Suspect(fingerprint=fingerprint, count=count)])
+        self._learn(news)
+        await self._push(news)
+        return count
+
+    async def _commit(self, op: object) -> object:
+        try:
+            return await self.shards.call(op, timeout_s=ASK_TIMEOUT_S)
+        except (
+            directory.ShardUnavailableError,
+            directory.StoreUnavailableError,
+        ):
+            return None
+
+    async def _push(self, news: ViewNews) -> None:
+        peers = self.shards.peers
+        sends = [
+            self._push_one(member.address, news)
+            for member in self.shards.members.alive()
+            if member.name != peers.name
+        ]
+        await asyncio.gather(*sends)
+
+    async def _push_one(self, address: str, news: ViewNews) -> None:
+        try:
+            await self.shards.peers.call(address, news, PUSH_TIMEOUT_S)
+        except hub.PeerUnreachableError:
+            return
+
+    async def _on_news(self, envelope: messages.Envelope, news: ViewNews) -> ops.Done:
+        self._learn(news)
+        return ops.Done()
+
+    async def _on_ask(self, envelope: messages.Envelope, ask: ViewAsk) -> object:
+        return self._view_of(ask.shard)
+
+    def _view_of(self, shard: int) -> object:
+        own = self.shards.owners.get(shard)
+        if own is None or not own.is_serving:
+            return ops.NotOwner()
+        suspects = [
+            Suspect(fingerprint=fingerprint, count=len(rows))
+            for fingerprint, rows in own.working.crashes.items()
+        ]
+        return ViewNews(warmth=list(own.working.warmth.values()), suspects=suspects)
+
+    def _learn(self, news: ViewNews) -> None:
+        for warmth in news.warmth:
+            known = self._warmth.get(warmth.upstream)
+            if known is None or warmth.at > known.at:
+                self._warmth[warmth.upstream] = warmth
+        for suspect in news.suspects:
+            known_count = self._suspects.get(suspect.fingerprint, 0)
+            self._suspects[suspect.fingerprint] = max(known_count, suspect.count)
+
+    @mode.Service.task
+    async def ask_loop(self) -> None:
+        """Ask every shard once at the start, then one per period."""
+        shards = range(self.shards.shard_count)
+        await asyncio.gather(*(self._ask_until_known(shard) for shard in shards))
+        self.is_complete = True
+        for shard in itertools.cycle(shards):
+            if self.should_stop:
+                return
+            await asyncio.sleep(ASK_PERIOD_S)
+            await self._ask(shard)
+
+    async def _ask_until_known(self, shard: int) -> None:
+        while not self.should_stop and not await self._ask(shard):
+            await asyncio.sleep(ASK_PERIOD_S / 10)
+
+    async def _ask(self, shard: int) -> bool:
+        member = self.shards.owner_of(shard)
+        if member is None:
+            return False
+        if member.name == self.shards.peers.name:
+            reply = self._view_of(shard)
+        else:
+            reply = await self._ask_peer(member.address, shard)
+        if not isinstance(reply, ViewNews):
+            return False
+        self._learn(reply)
+        return True
+
+    async def _ask_peer(self, address: str, shard: int) -> object:
+        try:
+            return await self.shards.peers.call(
+                address, ViewAsk(shard=shard), ASK_TIMEOUT_S
+            )
+        except hub.PeerUnreachableError:
+            return None
+
+
+def warmth_key(upstream: str) -> str:
+    """Return the key whose shard holds an upstream's warmth and permits."""
+    return f"upstream:{upstream}"
--- /dev/null
+++ b/libs/masticpost-standins/src/masticpost_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems."""
--- /dev/null
+++ b/libs/masticpost-standins/src/masticpost_standins/control.py
@@ -0,0 +1,101 @@
+"""The control port of a stand-in: faults are set and counts are read there."""
+
+import asyncio
+import collections.abc
+import typing
+
+import attrs
+import msgspec
+from aiohttp import web
+
+Action = collections.abc.Callable[[bytes], collections.abc.Awaitable[object]]
+
+
+class StandIn:
+    """Base of the stand-ins: two ports, one for service and one for control.
+
+    Parameters
+    ----------
+    cfg : attrs class
+        What the stand-in is like; fixed.
+    faults : attrs class
+        What goes wrong; set over the control port.
+    counts : attrs class
+        What happened; read over the control port.
+    """
+
+    def __init__(
+        self, *, cfg: typing.Any, faults: typing.Any, counts: typing.Any
+    ) -> None:
+        self.cfg = cfg
+        self.faults = faults
+        self.counts = counts
+        self.actions: dict[str, Action] = {}
+        self._runners: list[web.AppRunner] = []
+
+    def make_app(self) -> web.Application:
+        """Return the application of the service port."""
+        raise NotImplementedError
+
+    async def start(self, host: str, port: int, control_port: int) -> None:
+        """Listen on both ports."""
+        await self._listen(self.make_app(), host, port)
+        await self._listen(self._control_app(), host, control_port)
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        for runner in self._runners:
+            await runner.cleanup()
+
+    async def _listen(self, app: web.Application, host: str, port: int) -> None:
+        runner = web.AppRunner(
+            app, access_log=None, handler_cancellation=True, shutdown_timeout=0
+        )
+        await runner.setup()
+        await web.TCPSite(runner, host, port, backlog=1024).start()
+        self._runners.append(runner)
+
+    def _control_app(self) -> web.Application:
+        app = web.Application(client_max_size=8_000_000)
+        app.router.add_post("/faults", self._set_faults)
+        app.router.add_get("/faults", self._get_faults)
+        app.router.add_get("/counts", self._get_counts)
+        app.router.add_post("/act/{name}", self._act)
+        return app
+
+    async def _set_faults(self, req: web.Request) -> web.Response:
+        kind = type(self.faults)
+        changed = msgspec.json.decode(await req.read(), type=dict[str, msgspec.Raw])
+        fields = attrs.fields_dict(kind)
+        for name, raw in changed.items():
+            setattr(self.faults, name, msgspec.json.decode(raw, type=fields[name].type))
+        return _json(self.faults)
+
+    async def _get_faults(self, req: web.Request) -> web.Response:
+        return _json(self.faults)
+
+    async def _get_counts(self, req: web.Request) -> web.Response:
+        return _json(self.counts)
+
+    async def _act(self, req: web.Request) -> web.Response:
+        action = self.actions[req.match_info["name"]]
+        return _json(await action(await req.read()))
+
+
+def _json(value: object) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(value), content_type="application/json"
+    )
+
+
+def abort(req: web.Request) -> typing.NoReturn:
+    """Cut the connection without an answer."""
+    if req.transport is not None:
+        req.transport.abort()
+    raise ConnectionResetError
+
+
+async def hang() -> typing.NoReturn:
+    """Never answer."""
+    await asyncio.Event().wait()
+    raise AssertionError
--- /dev/null
+++ b/libs/masticpost-standins/src/masticpost_standins/engine.py
@@ -0,0 +1,491 @@
+"""Stand-in for a model engine: an OpenAI-compatible server that only keeps time.
+
+Answers are made of words that depend on version, prompt and position alone, so that
+a resumed or moved stream can be checked word by word. The first word carries the
+answer's quality, which the rating stand-in reads.
+"""
+
+import asyncio
+import collections
+import hashlib
+import re
+import time
+
+import attrs
+import msgspec
+from aiohttp import web
+
+from masticpost_standins import control
+
+LENGTH_MARK = re.compile(r"\[len=(\d+)\]")
+HARD_MARK = re.compile(r"\[hard=([0-9.]+)\]")
+CRASH_MARK = "[crash]"
+PREFIX_CHARS = 256
+DEFAULT_LENGTH = 24
+CHARS_PER_TOKEN = 4
+REPORT_TICK_S = 0.1
+COLD_SLOWDOWN = 4.0
+
+
+@attrs.define(kw_only=True)
+class Config:
+    """What the engine is like; times in seconds.
+
+    `qualities` maps each version it serves to its quality, from 0 to 1.
+    """
+
+    qualities: dict[str, float]
+    step_s: float = 0.004
+    step_per_seq_s: float = 0.0002
+    prefill_tokens_s: float = 20_000.0
+    kv_tokens: int = 200_000
+    max_running: int = 64
+    cold_s: float = 0.0
+    cold_bears: int = 1
+    report_lag_s: float = 0.5
+    checks_fencing: bool = False
+    link_delay_s: float = 0.0
+
+
+@attrs.define(kw_only=True)
+class Faults:
+    """What goes wrong.
+
+    Attributes
+    ----------
+    outage : str
+        Empty, ``abort`` or ``hang`` or ``error``.
+    cut_streams_after : int
+        The next `cut_count` streams are cut after so many words.
+    cross_answers : int
+        So many of the next answers carry another request's id.
+    down_s : float
+        Time out of service after a crash.
+    quality_drop : float
+        Taken off the quality of every answer.
+    delay_s : float
+        Added to each request.
+    """
+
+    outage: str = ""
+    cut_streams_after: int = 0
+    cut_count: int = 0
+    cross_answers: int = 0
+    down_s: float = 0.5
+    quality_drop: float = 0.0
+    delay_s: float = 0.0
+
+
+@attrs.define(kw_only=True)
+class Counts:
+    """What happened.
+
+    `dispatches` maps version to the times of its requests, so that a test can see
+    what came after a withdrawal; `cold_peak` is the highest concurrency in cold
+    start and `cold_over` counts requests above what it bears.
+    """
+
+    requests: int = 0
+    finished: int = 0
+    cancelled: int = 0
+    crashes: int = 0
+    cold_peak: int = 0
+    cold_over: int = 0
+    tokens: int = 0
+    prefix_hits: int = 0
+    last_request_at: float = 0.0
+    dispatches: dict[str, list[float]] = attrs.field(factory=dict)
+    orders: list[str] = attrs.field(factory=list)
+    refused_orders: int = 0
+
+
+@attrs.define(kw_only=True)
+class Message:
+    """A message of a conversation."""
+
+    role: str
+    content: str = ""
+
+
+@attrs.define(kw_only=True)
+class Request:
+    """The fields of a chat request that matter here."""
+
+    model: str
+    messages: list[Message]
+    stream: bool = False
+    max_tokens: int | None = None
+    priority: int = 0
+    continue_final_message: bool = False
+
+
+@attrs.define(kw_only=True)
+class Sequence:
+    """A request that runs."""
+
+    words: list[str]
+    out: asyncio.Queue
+    kv: int
+    prefill_s: float
+    sent: int = 0
+    priority: int = 0
+
+
+class Engine(control.StandIn):
+    """The engine."""
+
+    def __init__(self, *, cfg: Config) -> None:
+        super().__init__(cfg=cfg, faults=Faults(), counts=Counts())
+        self.started_at = time.monotonic()
+        self.down_until = 0.0
+        self.fencing = -1
+        self.loaded = set(cfg.qualities)
+        self._waiting: list[Sequence] = []
+        self._running: list[Sequence] = []
+        self._requests: set[web.Request] = set()
+        self._prefixes: collections.OrderedDict[str, None] = collections.OrderedDict()
+        self._reports: collections.deque[tuple[float, int, int]] = collections.deque()
+        self._work = asyncio.Event()
+        self._tasks: list[asyncio.Task] = []
+        self.actions["make-cold"] = self._make_cold
+        self.actions["crash"] = self._crash_action
+
+    def make_app(self) -> web.Application:
+        """Return the engine's application."""
+        app = web.Application(client_max_size=8_000_000)
+        app.router.add_post("/v1/chat/completions", self.chat)
+        app.router.add_get("/v1/models", self.models)
+        app.router.add_get("/health", self.health)
+        app.router.add_post("/v1/load_lora_adapter", self.load_adapter)
+        app.router.add_post("/v1/unload_lora_adapter", self.unload_adapter)
+        self._tasks = [
+            asyncio.ensure_future(self._step_loop()),
+            asyncio.ensure_future(self._report_loop()),
+        ]
+        return app
+
+    @property
+    def is_cold(self) -> bool:
+        """Whether the engine is in cold start."""
+        return time.monotonic() < self.started_at + self.cfg.cold_s
+
+    async def _make_cold(self, body: bytes) -> bool:
+        self.started_at = time.monotonic()
+        return True
+
+    async def _crash_action(self, body: bytes) -> bool:
+        self.crash()
+        return True
+
+    def crash(self) -> None:
+        """Cut every connection, be down for a while, then start cold."""
+        self.counts.crashes += 1
+        self.down_until = time.monotonic() + self.faults.down_s
+        self.started_at = self.down_until
+        self._running.clear()
+        self._waiting.clear()
+        self._prefixes.clear()
+        for req in list(self._requests):
+            if req.transport is not None:
+                req.transport.abort()
+
+    async def health(self, req: web.Request) -> web.Response:
+        """Tell whether the engine serves."""
+        return web.Response(status=503 if self._is_down() else 200)
+
+    def _is_down(self) -> bool:
+        return time.monotonic() < self.down_until
+
+    async def models(self, req: web.Request) -> web.Response:
+        """List what is loaded."""
+        return web.json_response({"data": [{"id": name} for name in self.loaded]})
+
+    async def chat(self, req: web.Request) -> web.StreamResponse:
+        """Run a request."""
+        if self._is_down() or self.faults.outage == "abort":
+            control.abort(req)
+        if self.faults.outage == "hang":
+            await control.hang()
+        if self.faults.outage == "error":
+            return web.Response(status=500, text="fault")
+        parsed = msgspec.json.decode(await req.read(), type=Request)
+        if parsed.model not in self.loaded:
+            return web.Response(status=404, text="no such model")
+        await asyncio.sleep(2 * self.cfg.link_delay_s + self.faults.delay_s)
+        self._count(parsed)
+        if any(CRASH_MARK in m.content for m in parsed.messages):
+            self._requests.add(req)
+            await asyncio.sleep(self.cfg.step_s)
+            self.crash()
+            control.abort(req)
+        self._requests.add(req)
+        try:
+            return await self._run(req, parsed)
+        except asyncio.CancelledError:
+            self.counts.cancelled += 1
+            raise
+        finally:
+            self._requests.discard(req)
+
+    def _count(self, parsed: Request) -> None:
+        self.counts.requests += 1
+        self.counts.last_request_at = time.time()
+        self.counts.dispatches.setdefault(parsed.model, []).append(time.time())
+        if self.is_cold:
+            now = len(self._running) + len(self._waiting) + 1
+            self.counts.cold_peak = max(self.counts.cold_peak, now)
+            if now > self.cfg.cold_bears:
+                self.counts.cold_over += 1
+
+    async def _run(self, req: web.Request, parsed: Request) -> web.StreamResponse:
+        seq = self._sequence(parsed)
+        self._waiting.append(seq)
+        self._waiting.sort(key=lambda s: s.priority)
+        self._work.set()
+        try:
+            if parsed.stream:
+                return await self._stream(req, parsed, seq)
+            return await self._whole(req, parsed, seq)
+        finally:
+            for queue in (self._waiting, self._running):
+                if seq in queue:
+                    queue.remove(seq)
+
+    def _sequence(self, parsed: Request) -> Sequence:
+        prompt, have = split_prompt(parsed)
+        words = answer_words(
+            parsed.model, prompt, self._quality(parsed.model, prompt), parsed, len(have)
+        )
+        tokens = max(1, len(prompt) // CHARS_PER_TOKEN)
+        cached = self._prefix_tokens(prompt)
+        return Sequence(
+            words=words,
+            out=asyncio.Queue(),
+            kv=tokens + len(words),
+            prefill_s=max(0, tokens - cached) / self.cfg.prefill_tokens_s,
+            priority=parsed.priority,
+        )
+
+    def _quality(self, version: str, prompt: str) -> float:
+        base = self.cfg.qualities[version] - self.faults.quality_drop
+        found = HARD_MARK.search(prompt)
+        hard = float(found.group(1)) if found else 0.0
+        return min(1.0, max(0.0, base - hard * (1 - base)))
+
+    def _prefix_tokens(self, prompt: str) -> int:
+        prefix = prompt[:PREFIX_CHARS]
+        hit = prefix in self._prefixes
+        self._prefixes[prefix] = None
+        self._prefixes.move_to_end(prefix)
+        if len(self._prefixes) > 64:
+            self._prefixes.popitem(last=False)
+        if not hit:
+            return 0
+        self.counts.prefix_hits += 1
+        return len(prompt) // CHARS_PER_TOKEN * 3 // 4
+
+    async def _step_loop(self) -> None:
+        """Admit what fits, then give every running request one word per step."""
+        while True:
+            self._admit()
+            if not self._running:
+                self._work.clear()
+                await self._work.wait()
+                continue
+            pause = self.cfg.step_s + self.cfg.step_per_seq_s * len(self._running)
+            pause += sum(seq.prefill_s for seq in self._running if seq.sent == 0)
+            await asyncio.sleep(pause * (COLD_SLOWDOWN if self.is_cold else 1.0))
+            for seq in list(self._running):
+                self._emit(seq)
+
+    def _admit(self) -> None:
+        used = sum(seq.kv for seq in self._running)
+        while self._waiting and len(self._running) < self.cfg.max_running:
+            if used + self._waiting[0].kv > self.cfg.kv_tokens and self._running:
+                return
+            seq = self._waiting.pop(0)
+            used += seq.kv
+            self._running.append(seq)
+
+    def _emit(self, seq: Sequence) -> None:
+        if seq.sent < len(seq.words):
+            seq.out.put_nowait(seq.words[seq.sent])
+            seq.sent += 1
+            self.counts.tokens += 1
+        if seq.sent >= len(seq.words):
+            seq.out.put_nowait(None)
+            if seq in self._running:
+                self._running.remove(seq)
+
+    def _answer_id(self, req: web.Request) -> str:
+        if self.faults.cross_answers > 0:
+            self.faults.cross_answers -= 1
+            return "chatcmpl-of-another-request"
+        return "chatcmpl-" + req.headers.get("X-Request-Id", "none")
+
+    def _load_header(self) -> dict[str, str]:
+        until = time.monotonic() - self.cfg.report_lag_s
+        running = waiting = 0
+        for at, run, wait in self._reports:
+            if at <= until:
+                running, waiting = run, wait
+        report = {
+            "named_metrics": {
+                "num_requests_running": running,
+                "num_requests_waiting": waiting,
+                "warming": 1.0 if self.is_cold else 0.0,
+            }
+        }
+        return {"endpoint-load-metrics": "JSON " + msgspec.json.encode(report).decode()}
+
+    async def _report_loop(self) -> None:
+        while True:
+            row = (time.monotonic(), len(self._running), len(self._waiting))
+            self._reports.append(row)
+            while self._reports[0][0] < row[0] - 5 - self.cfg.report_lag_s:
+                self._reports.popleft()
+            await asyncio.sleep(REPORT_TICK_S)
+
+    async def _whole(
+        self, req: web.Request, parsed: Request, seq: Sequence
+    ) -> web.Response:
+        words = []
+        while (word := await seq.out.get()) is not None:
+            words.append(word)
+        self.counts.finished += 1
+        prompt_tokens = seq.kv - len(seq.words)
+        body = {
+            "id": self._answer_id(req),
+            "object": "chat.completion",
+            "created": int(time.time()),
+            "model": parsed.model,
+            "choices": [
+                {
+                    "index": 0,
+                    "message": {"role": "assistant", "content": "".join(words)},
+                    "finish_reason": "stop",
+                }
+            ],
+            "usage": usage(prompt_tokens, len(words)),
+        }
+        return web.Response(
+            body=msgspec.json.encode(body),
+            content_type="application/json",
+            headers=self._load_header(),
+        )
+
+    async def _stream(
+        self, req: web.Request, parsed: Request, seq: Sequence
+    ) -> web.StreamResponse:
+        resp = web.StreamResponse(
+            headers={"Content-Type": "text/event-stream", **self._load_header()}
+        )
+        await resp.prepare(req)
+        answer_id = self._answer_id(req)
+        cut_after = self._take_cut()
+        sent = 0
+        await _event(resp, answer_id, parsed.model, {"role": "assistant"}, None)
+        while (word := await seq.out.get()) is not None:
+            if cut_after is not None and sent >= cut_after:
+                control.abort(req)
+            await _event(resp, answer_id, parsed.model, {"content": word}, None)
+            sent += 1
+        await _event(resp, answer_id, parsed.model, {}, "stop")
+        tail = {
+            "id": answer_id,
+            "model": parsed.model,
+            "choices": [],
+            "usage": usage(seq.kv - len(seq.words), sent),
+        }
+        await resp.write(b"data: " + msgspec.json.encode(tail) + b"\n\n")
+        await resp.write(b"data: [DONE]\n\n")
+        self.counts.finished += 1
+        return resp
+
+    def _take_cut(self) -> int | None:
+        if self.faults.cut_count <= 0:
+            return None
+        self.faults.cut_count -= 1
+        return self.faults.cut_streams_after
+
+    def _is_fenced(self, req: web.Request) -> bool:
+        number = int(req.headers.get("X-Fencing-Token", "-1"))
+        if self.cfg.checks_fencing and number < self.fencing:
+            self.counts.refused_orders += 1
+            return True
+        self.fencing = max(self.fencing, number)
+        return False
+
+    async def load_adapter(self, req: web.Request) -> web.Response:
+        """Load a version."""
+        if self._is_fenced(req):
+            return web.Response(status=409, text="old fencing number")
+        name = (await req.json())["lora_name"]
+        self.counts.orders.append(f"load {name}")
+        self.cfg.qualities.setdefault(name, 0.8)
+        self.loaded.add(name)
+        return web.Response(text="loaded")
+
+    async def unload_adapter(self, req: web.Request) -> web.Response:
+        """Unload a version."""
+        if self._is_fenced(req):
+            return web.Response(status=409, text="old fencing number")
+        name = (await req.json())["lora_name"]
+        self.counts.orders.append(f"unload {name}")
+        self.loaded.discard(name)
+        return web.Response(text="unloaded")
+
+
+def split_prompt(parsed: Request) -> tuple[str, list[str]]:
+    """Return the prompt, and the words that the caller has of a resumed answer."""
+    messages = parsed.messages
+    have: list[str] = []
+    if parsed.continue_final_message:
+        have = messages[-1].content.split()
+        messages = messages[:-1]
+    prompt = "\n".join(f"{m.role}: {m.content}" for m in messages)
+    return prompt, have
+
+
+def answer_words(
+    version: str, prompt: str, quality: float, parsed: Request, have: int
+) -> list[str]:
+    """Return the words of the answer that are still to come."""
+    found = LENGTH_MARK.search(prompt)
+    length = int(found.group(1)) if found else DEFAULT_LENGTH
+    if parsed.max_tokens is not None:
+        length = min(length, have + parsed.max_tokens)
+    return [_word(version, prompt, quality, i) for i in range(have, length)]
+
+
+def _word(version: str, prompt: str, quality: float, index: int) -> str:
+    if index == 0:
+        return f"q={quality:.3f}"
+    digest = hashlib.blake2b(f"{version}|{prompt}|{index}".encode(), digest_size=3)
+    return " " + digest.hexdigest()
+
+
+def usage(prompt: int, completion: int) -> dict[str, int]:
+    """Return a usage object."""
+    return {
+        "prompt_tokens": prompt,
+        "completion_tokens": completion,
+        "total_tokens": prompt + completion,
+    }
+
+
+async def _event(
+    resp: web.StreamResponse,
+    answer_id: str,
+    model: str,
+    delta: dict[str, str],
+    finish: str | None,
+) -> None:
+    event = {
+        "id": answer_id,
+        "object": "chat.completion.chunk",
+        "created": int(time.time()),
+        "model": model,
+        "choices": [{"index": 0, "delta": delta, "finish_reason": finish}],
+    }
+    await resp.write(b"data: " + msgspec.json.encode(event) + b"\n\n")
--- /dev/null
+++ b/libs/masticpost-standins/src/masticpost_standins/instancelist.py
@@ -0,0 +1,103 @@
+"""Stand-in for the platform's list of instances, which lags behind the truth."""
+
+import time
+
+import attrs
+import msgspec
+from aiohttp import web
+
+from masticpost_standins import control
+
+PREFIX = "/apis/discovery.k8s.io/v1/namespaces/{namespace}/endpointslices"
+SERVICE_LABEL = "kubernetes.io/service-name"
+
+
+@attrs.define(kw_only=True)
+class Config:
+    """Nothing to configure."""
+
+
+@attrs.define(kw_only=True)
+class Faults:
+    """The list shows the truth of `lag_s` ago; with `outage` it cuts calls."""
+
+    lag_s: float = 0.5
+    outage: bool = False
+
+
+@attrs.define(kw_only=True)
+class Counts:
+    """Calls since the start."""
+
+    reads: int = 0
+
+
+@attrs.define(kw_only=True)
+class Row:
+    """An instance or upstream."""
+
+    service: str
+    name: str
+    host: str
+    port: int
+    zone: str
+    terminating: bool = False
+
+
+class InstanceList(control.StandIn):
+    """The list; rows are set over the control port."""
+
+    def __init__(self, *, cfg: Config) -> None:
+        super().__init__(cfg=cfg, faults=Faults(), counts=Counts())
+        self._versions: list[tuple[float, dict[str, Row]]] = [(0.0, {})]
+        self.actions["put"] = self._put
+        self.actions["remove"] = self._remove
+
+    def make_app(self) -> web.Application:
+        """Return the list's application."""
+        app = web.Application()
+        app.router.add_get(PREFIX, self.list)
+        return app
+
+    async def _put(self, body: bytes) -> int:
+        rows = dict(self._versions[-1][1])
+        for row in msgspec.json.decode(body, type=list[Row]):
+            rows[row.name] = row
+        self._versions.append((time.monotonic(), rows))
+        return len(rows)
+
+    async def _remove(self, body: bytes) -> int:
+        rows = dict(self._versions[-1][1])
+        for name in msgspec.json.decode(body, type=list[str]):
+            rows.pop(name, None)
+        self._versions.append((time.monotonic(), rows))
+        return len(rows)
+
+    async def list(self, req: web.Request) -> web.StreamResponse:
+        """Return one slice per row of the wanted service."""
+        self.counts.reads += 1
+        if self.faults.outage:
+            control.abort(req)
+        until = time.monotonic() - self.faults.lag_s
+        rows = [rows for at, rows in self._versions if at <= until][-1]
+        wanted = req.query["labelSelector"].partition("=")[2]
+        items = [_slice(row) for row in rows.values() if row.service == wanted]
+        return web.json_response({"kind": "EndpointSliceList", "items": items})
+
+
+def _slice(row: Row) -> dict[str, object]:
+    return {
+        "metadata": {"name": row.name, "labels": {SERVICE_LABEL: row.service}},
+        "ports": [{"name": "main", "port": row.port}],
+        "endpoints": [
+            {
+                "addresses": [row.host],
+                "zone": row.zone,
+                "targetRef": {"name": row.name},
+                "conditions": {
+                    "ready": not row.terminating,
+                    "terminating": row.terminating,
+                },
+            }
+        ],
+    }
--- /dev/null
+++ b/libs/masticpost-standins/src/masticpost_standins/main.py
@@ -0,0 +1,58 @@
+"""Entry point of the stand-ins: one program, the kind is an argument."""
+
+import asyncio
+import signal
+
+import docopt
+import msgspec
+import uvloop
+
+from masticpost_standins import (
+    engine,
+    instancelist,
+    objectapi,
+    plainsvc,
+    rating,
+    weights,
+)
+
+KINDS = {
+    "object-api": (objectapi.Config, objectapi.ObjectApi),
+    "instance-list": (instancelist.Config, instancelist.InstanceList),
+    "engine": (engine.Config, engine.Engine),
+    "plain": (plainsvc.Config, plainsvc.PlainService),
+    "rating": (rating.Config, rating.RatingService),
+    "weights": (weights.Config, weights.WeightStore),
+}
+
+USAGE = f"""masticpost-standin: small stand-ins for outside systems.
+
+Usage:
+  masticpost-standin KIND --port PORT --control-port PORT [--config JSON]
+
+KIND is one of: {", ".join(KINDS)}.
+
+Options:
+  --port PORT          Service port on loopback.
+  --control-port PORT  Control port on loopback.
+  --config JSON        What the stand-in is like [default: {{}}].
+"""
+
+
+def main() -> None:
+    """Run a stand-in until SIGTERM."""
+    args = docopt.docopt(USAGE)
+    config_type, kind = KINDS[args["KIND"]]
+    cfg = msgspec.json.decode(args["--config"], type=config_type)
+    uvloop.run(_run(kind, cfg, int(args["--port"]), int(args["--control-port"])))
+
+
+async def _run(kind: type, cfg: object, port: int, control_port: int) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    standin = kind(cfg=cfg)
+    await standin.start("127.0.0.1", port, control_port)
+    await stop.wait()
+    await standin.stop()
--- /dev/null
+++ b/libs/masticpost-standins/src/masticpost_standins/weights.py
@@ -0,0 +1,59 @@
+"""Stand-in for the weight store: gives weights at a limited rate."""
+
+import collections
+import time
+
+import attrs
+from aiohttp import web
+
+from masticpost_standins import control
+
+
+@attrs.define(kw_only=True)
+class Config:
+    """Loads per second that the store allows."""
+
+    max_loads_s: float = 2.0
+
+
+@attrs.define(kw_only=True)
+class Faults:
+    """Whether the store cuts calls."""
+
+    outage: bool = False
+
+
+@attrs.define(kw_only=True)
+class Counts:
+    """Loads given and refused."""
+
+    loads: int = 0
+    throttled: int = 0
+
+
+class WeightStore(control.StandIn):
+    """The weight store."""
+
+    def __init__(self, *, cfg: Config) -> None:
+        super().__init__(cfg=cfg, faults=Faults(), counts=Counts())
+        self._recent: collections.deque[float] = collections.deque()
+
+    def make_app(self) -> web.Application:
+        """Return the store's application."""
+        app = web.Application()
+        app.router.add_get("/weights/{version}", self.load)
+        return app
+
+    async def load(self, req: web.Request) -> web.Response:
+        """Give weights, or refuse with 429."""
+        if self.faults.outage:
+            control.abort(req)
+        now = time.monotonic()
+        while self._recent and self._recent[0] < now - 1.0:
+            self._recent.popleft()
+        if len(self._recent) >= self.cfg.max_loads_s:
+            self.counts.throttled += 1
+            return web.Response(status=429, headers={"Retry-After": "1"})
+        self._recent.append(now)
+        self.counts.loads += 1
+        return web.Response(body=b"weights of " + req.match_info["version"].encode())
--- /dev/null
+++ b/libs/masticpost-store/src/masticpost_store/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's object API."""
--- /dev/null
+++ b/libs/masticpost-store/src/masticpost_store/instances.py
@@ -0,0 +1,125 @@
+"""Reader of the platform's lagging list of live and leaving instances.
+
+Source: Kubernetes API reference, EndpointSlice discovery.k8s.io/v1.
+"""
+
+import aiohttp
+import attrs
+import result
+from masticpost_common import codec
+
+from masticpost_store import objects, wire
+
+CALL_TIMEOUT_S = 2.0
+
+
+@attrs.define(kw_only=True)
+class Conditions:
+    """State of an endpoint."""
+
+    ready: bool = True
+    terminating: bool = False
+
+
+@attrs.define(kw_only=True)
+class Reference:
+    """The object behind an endpoint."""
+
+    name: str = ""
+
+
+@attrs.define(kw_only=True)
+class Endpoint:
+    """One address."""
+
+    addresses: list[str]
+    conditions: Conditions = attrs.field(factory=Conditions)
+    targetRef: Reference = attrs.field(factory=Reference)  # noqa: N815
+    zone: str = ""
+
+
+@attrs.define(kw_only=True)
+class Port:
+    """A port of every endpoint of a slice."""
+
+    port: int
+    name: str = ""
+
+
+@attrs.define(kw_only=True)
+class EndpointSlice:
+    """A slice of a service's endpoints."""
+
+    metadata: wire.Metadata
+    endpoints: list[Endpoint] = attrs.field(factory=list)
+    ports: list[Port] = attrs.field(factory=list)
+
+
+@attrs.define(kw_only=True)
+class EndpointSliceList:
+    """A list of slices."""
+
+    items: list[EndpointSlice] = attrs.field(factory=list)
+
+
+@attrs.frozen(kw_only=True)
+class Listed:
+    """An instance or upstream as the platform lists it."""
+
+    name: str
+    address: str
+    domain: str
+    leaving: bool
+
+
+class InstanceList:
+    """Client of the list.
+
+    Parameters
+    ----------
+    url : str
+        Base URL of the API.
+    namespace : str
+        Namespace of the deployment.
+    """
+
+    def __init__(self, *, url: str, namespace: str) -> None:
+        self.url = (
+            f"{url.rstrip('/')}/apis/discovery.k8s.io/v1/namespaces/{namespace}"
+            "/endpointslices"
+        )
+        self._http: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._http is not None:
+            await self._http.close()
+
+    async def read(self, service: str) -> result.Result[list[Listed], objects.Fault]:
+        """Return the endpoints of `service`, live and leaving."""
+        if self._http is None:
+            timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+            self._http = aiohttp.ClientSession(timeout=timeout)
+        params = {"labelSelector": f"kubernetes.io/service-name={service}"}
+        try:
+            async with self._http.get(self.url, params=params) as resp:
+                resp.raise_for_status()
+                slices = codec.from_json(await resp.read(), EndpointSliceList)
+        except (aiohttp.ClientError, TimeoutError, OSError, codec.DecodeError) as exc:
+            kind = objects.FaultKind.NEVER_JUDGED
+            return result.Err(objects.Fault(kind=kind, message=str(exc)))
+        return result.Ok([row for item in slices.items for row in _rows(item)])
+
+
+def _rows(item: EndpointSlice) -> list[Listed]:
+    port = item.ports[0].port if item.ports else 0
+    return [
+        Listed(
+            name=endpoint.targetRef.name,
+            address=f"{endpoint.addresses[0]}:{port}",
+            domain=endpoint.zone,
+            leaving=endpoint.conditions.terminating,
+        )
+        for endpoint in item.endpoints
+        if endpoint.addresses
+    ]
--- /dev/null
+++ b/libs/masticpost-telemetry/src/masticpost_telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Structured logs, metrics and the service-level burn report."""
--- /dev/null
+++ b/libs/masticpost-telemetry/src/masticpost_telemetry/logs.py
@@ -0,0 +1,67 @@
+"""Structured logs: one JSON object per line on standard error.
+
+Request bodies, answers and keys are never logged; callers pass ids and codes only.
+"""
+
+import sys
+import typing
+
+import attrs
+import loguru
+import msgspec
+
+RESERVED = ("at", "level", "message", "instance", "module")
+
+
+@attrs.frozen(kw_only=True)
+class JsonSink:
+    """Writes records as JSON lines.
+
+    Parameters
+    ----------
+    instance : str
+        Name that goes into every line.
+    stream : file
+        Where the lines go.
+    """
+
+    instance: str
+    stream: typing.TextIO
+
+    def __call__(self, message: "loguru.Message") -> None:
+        """Write one record."""
+        record = message.record
+        row = {
+            "at": record["time"].isoformat(),
+            "level": record["level"].name.lower(),
+            "message": record["message"],
+            "instance": self.instance,
+            "module": record["name"],
+        }
+        if record["exception"] is not None:
+            row["exception"] = repr(record["exception"].value)
+            row["trace"] = _trace(record["exception"])
+        extra = {k: v for k, v in record["extra"].items() if k not in RESERVED}
+        line = msgspec.json.encode({**row, **extra}, enc_hook=str)
+        self.stream.write(line.decode() + "\n")
+        self.stream.flush()
+
+
+def _trace(exception: typing.Any) -> list[str]:
+    """Return file, line and function of each frame, without values."""
+    rows = []
+    tb = exception.traceback
+    while tb is not None:
+        code = tb.tb_frame.f_code
+        rows.append(f"{code.co_filename}:{tb.tb_lineno} {code.co_name}")
+        tb = tb.tb_next
+    return rows
+
+
+def configure(
+    *, instance: str, level: str, stream: typing.TextIO | None = None
+) -> None:
+    """Send every log of the process through `JsonSink`."""
+    sink = JsonSink(instance=instance, stream=stream or sys.stderr)
+    loguru.logger.remove()
+    loguru.logger.add(sink, level=level.upper(), format="{message}", catch=True)
--- /dev/null
+++ b/libs/masticpost-text/src/masticpost_text/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' text: parsing with places, checks, differences."""
--- /dev/null
+++ b/libs/masticpost-text/src/masticpost_text/model.py
@@ -0,0 +1,143 @@
+"""Typed form of the operators' text."""
+
+import attrs
+
+SHARE_TOTAL = 100.0
+
+
+@attrs.frozen(kw_only=True)
+class Cold:
+    """What an upstream bears in cold start."""
+
+    max_concurrent: int = 1
+    successes: int = 5
+
+
+@attrs.frozen(kw_only=True)
+class Upstream:
+    """One model engine or plain service instance.
+
+    Attributes
+    ----------
+    name, url, domain : str
+        Name in the text, base URL and failure domain.
+    serves : tuple of str
+        Versions (model engines) or services (plain services) it can run.
+    max_concurrent : int
+        Requests it bears when warm, over all instances.
+    checks_fencing : bool
+        Whether it refuses an order with an old fencing number.
+    draining : bool
+        True when no new work may go there.
+    """
+
+    name: str
+    url: str
+    domain: str
+    serves: tuple[str, ...]
+    max_concurrent: int = 32
+    checks_fencing: bool = False
+    draining: bool = False
+    cold: Cold = attrs.field(factory=Cold)
+
+
+@attrs.frozen(kw_only=True)
+class Version:
+    """A model version; prices are per million tokens.
+
+    `state` is ``active``, ``draining`` (only its sessions) or ``withdrawn``
+    (no new work at all).
+    """
+
+    name: str
+    model: str
+    share: float = SHARE_TOTAL
+    state: str = "active"
+    input_price: float = 0.0
+    output_price: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class Operation:
+    """A path prefix of a plain service and whether its calls may be repeated."""
+
+    path: str
+    idempotent: bool = True
+    price: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class Service:
+    """A service that callers name.
+
+    Attributes
+    ----------
+    kind : str
+        ``model`` or ``plain``.
+    levels : tuple of str
+        Models from the cheapest to the best; the order of escalation.
+    cascade, choice : str
+        Registry entries that decide the start level and the upstream.
+    quality_target : float
+        Least mean rating wanted, from 0 to 1.
+    on_withdrawn : str
+        What a session does whose version is withdrawn: ``move`` or ``refuse``.
+    """
+
+    name: str
+    kind: str = "model"
+    levels: tuple[str, ...] = ()
+    operations: tuple[Operation, ...] = ()
+    depends_on: tuple[str, ...] = ()
+    cascade: str = "cheapest"
+    choice: str = "least-loaded"
+    quality_target: float = 0.8
+    deadline_s: float = 30.0
+    on_withdrawn: str = "move"
+
+
+@attrs.frozen(kw_only=True)
+class Customer:
+    """Who may call; `keys` are SHA-256 digests of API keys in hex.
+
+    An empty `models` or `versions` allows every one.
+    """
+
+    name: str
+    keys: tuple[str, ...]
+    services: tuple[str, ...]
+    models: tuple[str, ...] = ()
+    versions: tuple[str, ...] = ()
+    max_concurrent: int = 64
+    weight: float = 1.0
+    priority: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class Domain:
+    """A failure domain; one that is `out` gets no new work."""
+
+    name: str
+    out: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Text:
+    """The whole text, parsed and checked."""
+
+    deployment: str
+    domains: dict[str, Domain]
+    versions: dict[str, Version]
+    services: dict[str, Service]
+    upstreams: dict[str, Upstream]
+    customers: dict[str, Customer]
+    shards: int = 8
+    rating_url: str = ""
+
+    def versions_of(self, model: str) -> list[Version]:
+        """Return the versions of `model` in the text's order."""
+        return [v for v in self.versions.values() if v.model == model]
+
+    def models(self) -> set[str]:
+        """Return every model that has a version."""
+        return {v.model for v in self.versions.values()}
--- /dev/null
+++ b/libs/masticpost-upstream/src/masticpost_upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of model engines, plain services and the rating service."""
--- /dev/null
+++ b/libs/masticpost-upstream/src/masticpost_upstream/faults.py
@@ -0,0 +1,71 @@
+"""How a call to an upstream can fail."""
+
+import enum
+
+from masticpost_common import retry
+
+
+class FaultKind(enum.Enum):
+    """What was seen."""
+
+    REFUSED = "connection refused"
+    CUT = "connection cut"
+    TIMEOUT = "timeout"
+    OVERLOADED = "overloaded"
+    COLD = "in cold start"
+    FAILED = "server error"
+    REJECTED = "request rejected"
+    CROSSED = "answer of another request"
+    SHORT = "answer not whole"
+    PERMIT_LOST = "permit lost"
+
+
+VERDICTS = {
+    FaultKind.REFUSED: retry.Verdict.NEVER_JUDGED,
+    FaultKind.OVERLOADED: retry.Verdict.NEVER_JUDGED,
+    FaultKind.COLD: retry.Verdict.NEVER_JUDGED,
+    FaultKind.REJECTED: retry.Verdict.ANSWERED,
+}
+
+
+class UpstreamError(Exception):
+    """A failed call.
+
+    Parameters
+    ----------
+    kind : FaultKind
+        What was seen.
+    upstream : str
+        Name of the upstream.
+    message : str
+        Detail for the log.
+    status : int
+        HTTP status of a `REJECTED` answer, 0 otherwise.
+    body : bytes
+        Body of a `REJECTED` answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        kind: FaultKind,
+        upstream: str,
+        message: str = "",
+        status: int = 0,
+        body: bytes = b"",
+    ) -> None:
+        super().__init__(f"{upstream}: {kind.value}: {message}")
+        self.kind = kind
+        self.upstream = upstream
+        self.status = status
+        self.body = body
+
+    @property
+    def verdict(self) -> retry.Verdict:
+        """Whether the call may have run."""
+        return VERDICTS.get(self.kind, retry.Verdict.NOT_KNOWN)
+
+    @property
+    def may_be_crash(self) -> bool:
+        """Whether the upstream may have crashed while it ran the call."""
+        return self.kind is FaultKind.CUT
