Run the thin whole path as separate processes

Cause: nothing had run yet. Found on the way and mended: mode.Service owns the names _tasks and log, so that a subclass attribute of that name stops its tasks; xxhash takes bytes only; an instance took shards over before it knew its peers, which cost each shard a second takeover 5 s later.

--- /dev/null
+++ b/libs/masticpost-bench/src/masticpost_bench/deployment.py
@@ -0,0 +1,423 @@
+"""A whole deployment on loopback: stand-ins, daemons, and calls to them."""
+
+import asyncio
+import contextlib
+import json
+import pathlib
+import tempfile
+import time
+import typing
+
+import aiohttp
+import attrs
+import result
+from masticpost_confsync import head
+from masticpost_store import client
+
+from masticpost_bench import layout, procs
+
+NAMESPACE = "masticpost"
+READY_TIMEOUT_S = 40.0
+
+
+@attrs.define(kw_only=True)
+class StandIn:
+    """A running stand-in and its ports."""
+
+    name: str
+    proc: procs.Proc
+    port: int
+    control_port: int
+
+    @property
+    def url(self) -> str:
+        """URL of the service port."""
+        return f"http://{procs.HOST}:{self.port}"
+
+    @property
+    def control_url(self) -> str:
+        """URL of the control port."""
+        return f"http://{procs.HOST}:{self.control_port}"
+
+
+@attrs.define(kw_only=True)
+class Daemon:
+    """A running `masticpostd` and its ports."""
+
+    name: str
+    domain: str
+    proc: procs.Proc
+    port: int
+    peer_port: int
+
+    @property
+    def url(self) -> str:
+        """URL for callers."""
+        return f"http://{procs.HOST}:{self.port}"
+
+
+@attrs.frozen(kw_only=True)
+class Reply:
+    """An answer that a caller got; `status` 0 means that the connection broke."""
+
+    status: int
+    body: bytes = b""
+    headers: dict[str, str] = attrs.field(factory=dict)
+    elapsed_s: float = 0.0
+
+    def json(self) -> typing.Any:
+        """Return the body as JSON."""
+        return json.loads(self.body)
+
+    @property
+    def ran(self) -> str:
+        """What the answer says about whether the request ran."""
+        return self.headers.get("X-Request-Ran", "")
+
+    @property
+    def code(self) -> str:
+        """Error code, empty for an answer."""
+        return self.json()["error"]["code"] if self.status >= 400 else ""
+
+
+class Deployment:
+    """Starts everything and stops everything it started.
+
+    Parameters
+    ----------
+    plan : layout.Layout
+        What to start.
+    daemon_args : list of str
+        Further arguments of every daemon.
+    """
+
+    def __init__(
+        self, *, plan: layout.Layout, daemon_args: list[str] | None = None
+    ) -> None:
+        self.plan = plan
+        self.daemon_args = daemon_args or []
+        self.dir = pathlib.Path(tempfile.mkdtemp(prefix="masticpost-"))
+        self.standins: dict[str, StandIn] = {}
+        self.daemons: dict[str, Daemon] = {}
+        self.generation = 0
+        self._http: aiohttp.ClientSession | None = None
+        self._next_caller = 0
+
+    async def __aenter__(self) -> "Deployment":
+        connector = aiohttp.TCPConnector(limit=0)
+        self._http = aiohttp.ClientSession(
+            connector=connector, timeout=aiohttp.ClientTimeout(total=90)
+        )
+        try:
+            await self._start_standins()
+            await self.apply()
+            for index in range(self.plan.instances):
+                self.start_daemon(f"entry-{index}", self.plan.instance_domain(index))
+            await self.list_all()
+            await self.wait_ready()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        for daemon in self.daemons.values():
+            daemon.proc.kill()
+        for standin in self.standins.values():
+            standin.proc.kill()
+        await self._http.close()
+
+    async def _start_standins(self) -> None:
+        self._start_standin("store", "object-api", {})
+        self._start_standin("list", "instance-list", {})
+        self._start_standin("rating", "rating", {})
+        for spec in self.plan.engines:
+            config = {"qualities": spec.qualities, **spec.extra}
+            self._start_standin(spec.name, "engine", config)
+        for plain in self.plan.plains:
+            self._start_standin(plain.name, "plain", dict(plain.extra))
+        for standin in self.standins.values():
+            await procs.wait_for(lambda s=standin: self._is_up(s), standin.name)
+
+    async def _is_up(self, standin: StandIn) -> bool:
+        with contextlib.suppress(aiohttp.ClientError):
+            async with self._http.get(f"{standin.control_url}/counts") as resp:
+                return resp.status == 200
+        return False
+
+    def _start_standin(self, name: str, kind: str, config: dict) -> None:
+        port, control_port = procs.free_ports(2)
+        args = [
+            procs.program("masticpost-standin"),
+            kind,
+            "--port",
+            str(port),
+            "--control-port",
+            str(control_port),
+            "--config",
+            json.dumps(config),
+        ]
+        proc = procs.Proc(name=name, args=args, log_path=self.dir / f"{name}.log")
+        proc.start()
+        self.standins[name] = StandIn(
+            name=name, proc=proc, port=port, control_port=control_port
+        )
+
+    def start_daemon(self, name: str, domain: str, *extra: str) -> Daemon:
+        """Start a daemon on fresh ports."""
+        port, peer_port = procs.free_ports(2)
+        args = [
+            procs.program("masticpostd"),
+            f"--name={name}",
+            f"--domain={domain}",
+            f"--listen={procs.HOST}:{port}",
+            f"--peer-listen={procs.HOST}:{peer_port}",
+            f"--store-url={self.standins['store'].url}",
+            f"--instances-url={self.standins['list'].url}",
+            f"--shards={self.plan.shards}",
+            "--drain-grace-s=0.5",
+            *self.daemon_args,
+            *extra,
+        ]
+        env = {
+            "MASTICPOST_PEER_KEYS": layout.PEER_KEY,
+            "MASTICPOST_ADMIN_KEY": layout.ADMIN_KEY,
+        }
+        log_path = self.dir / f"{name}.log"
+        proc = procs.Proc(name=name, args=args, log_path=log_path, env=env)
+        proc.start()
+        daemon = Daemon(
+            name=name, domain=domain, proc=proc, port=port, peer_port=peer_port
+        )
+        self.daemons[name] = daemon
+        return daemon
+
+    def store(self) -> client.Client:
+        """Return a client of the object API; close it after use."""
+        return client.Client(url=self.standins["store"].url, namespace=NAMESPACE)
+
+    def text(self, changes: dict[str, dict[str, object]] | None = None) -> str:
+        """Return the deployment's text with some fields changed."""
+        urls = {name: standin.url for name, standin in self.standins.items()}
+        return layout.text_of(self.plan, urls, urls["rating"], changes)
+
+    async def apply(self, changes: dict[str, dict[str, object]] | None = None) -> int:
+        """Apply the text with some fields changed; returns the generation."""
+        store = self.store()
+        try:
+            outcome = await head.apply(
+                store,
+                raw=self.text(changes),
+                seen_generation=self.generation,
+                author="bench",
+                note="",
+                at=time.time_ns() // 1_000_000,
+            )
+        finally:
+            await store.close()
+        if outcome.is_err():
+            raise RuntimeError(f"apply failed: {outcome.unwrap_err()}")
+        assert isinstance(outcome, result.Ok)
+        self.generation = outcome.unwrap().generation
+        return self.generation
+
+    async def list_all(self) -> None:
+        """Put every daemon and upstream on the platform's list."""
+        rows = [
+            _row("masticpost", d.name, d.peer_port, d.domain)
+            for d in self.daemons.values()
+        ]
+        specs = (*self.plan.engines, *self.plan.plains)
+        rows += [
+            _row("upstreams", s.name, self.standins[s.name].port, s.domain)
+            for s in specs
+        ]
+        await self.act("list", "put", rows)
+
+    async def set_leaving(self, name: str, service: str) -> None:
+        """Mark a daemon or upstream as leaving on the platform's list."""
+        if service == "masticpost":
+            daemon = self.daemons[name]
+            row = _row(service, name, daemon.peer_port, daemon.domain)
+        else:
+            row = _row(service, name, self.standins[name].port, "")
+        await self.act("list", "put", [{**row, "terminating": True}])
+
+    async def wait_ready(self, *names: str) -> None:
+        """Wait until the daemons, or those named, are ready and agree on members."""
+        chosen = names or tuple(self.daemons)
+        for name in chosen:
+            await procs.wait_for(
+                lambda n=name: self._is_ready(n), f"{name} ready", READY_TIMEOUT_S
+            )
+
+    async def _is_ready(self, name: str) -> bool:
+        daemon = self.daemons[name]
+        if not daemon.proc.is_running():
+            raise RuntimeError(f"{name} ended, see {daemon.proc.log_path}")
+        with contextlib.suppress(aiohttp.ClientError):
+            async with self._http.get(f"{daemon.url}/readyz") as resp:
+                if resp.status != 200:
+                    return False
+            alive = sum(1 for d in self.daemons.values() if d.proc.is_running())
+            status = await self.status(name)
+            members = [m for m in status["members"] if m["state"] == "alive"]
+            return len(members) >= alive
+        return False
+
+    async def status(self, name: str) -> typing.Any:
+        """Return a daemon's status."""
+        headers = {"Authorization": f"Bearer {layout.ADMIN_KEY}"}
+        url = f"{self.daemons[name].url}/admin/status"
+        async with self._http.get(url, headers=headers) as resp:
+            return await resp.json()
+
+    async def wait_generation(self, generation: int, timeout_s: float = 10.0) -> None:
+        """Wait until every running daemon has the generation in force."""
+        for daemon in self.daemons.values():
+            if daemon.proc.is_running():
+                await procs.wait_for(
+                    lambda d=daemon: self._has_generation(d, generation),
+                    f"generation {generation} on {daemon.name}",
+                    timeout_s,
+                )
+
+    async def _has_generation(self, daemon: Daemon, generation: int) -> bool:
+        with contextlib.suppress(aiohttp.ClientError):
+            return (await self.status(daemon.name))["generation"] >= generation
+        return False
+
+    async def faults(self, name: str, **fields: object) -> None:
+        """Set faults of a stand-in."""
+        url = f"{self.standins[name].control_url}/faults"
+        async with self._http.post(url, json=fields) as resp:
+            resp.raise_for_status()
+
+    async def counts(self, name: str) -> typing.Any:
+        """Return the counts of a stand-in."""
+        url = f"{self.standins[name].control_url}/counts"
+        async with self._http.get(url) as resp:
+            return await resp.json()
+
+    async def act(self, name: str, action: str, body: object = None) -> typing.Any:
+        """Have a stand-in do something."""
+        url = f"{self.standins[name].control_url}/act/{action}"
+        async with self._http.post(url, json=body) as resp:
+            resp.raise_for_status()
+            return await resp.json()
+
+    def pick(self, name: str | None = None) -> Daemon:
+        """Return a daemon by name, or the next running one, as a balancer would."""
+        if name is not None:
+            return self.daemons[name]
+        running = [d for d in self.daemons.values() if d.proc.is_running()]
+        self._next_caller += 1
+        return running[self._next_caller % len(running)]
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        *,
+        via: str | None = None,
+        customer: int = 0,
+        headers: dict[str, str] | None = None,
+        body: object = None,
+    ) -> Reply:
+        """Send a request as a caller would."""
+        daemon = self.pick(via)
+        sent = {
+            "Authorization": f"Bearer {self.plan.customers[customer].key}",
+            **(headers or {}),
+        }
+        data = body if isinstance(body, bytes | None) else json.dumps(body).encode()
+        started = time.monotonic()
+        try:
+            async with self._http.request(
+                method, f"{daemon.url}{path}", data=data, headers=sent
+            ) as resp:
+                content = await resp.read()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return Reply(status=0, elapsed_s=time.monotonic() - started)
+        return Reply(
+            status=resp.status,
+            body=content,
+            headers=dict(resp.headers),
+            elapsed_s=time.monotonic() - started,
+        )
+
+    async def chat(
+        self,
+        prompt: str = "hello",
+        *,
+        service: str = "setup",
+        stream: bool = False,
+        **kwargs: typing.Any,
+    ) -> Reply:
+        """Send a chat request."""
+        body = {
+            "model": service,
+            "messages": [{"role": "user", "content": prompt}],
+            "stream": stream,
+            "stream_options": {"include_usage": True} if stream else None,
+        }
+        return await self.call("POST", "/v1/chat/completions", body=body, **kwargs)
+
+    async def book(self, key: str, body: str = "crew", **kwargs: typing.Any) -> Reply:
+        """Book a crew under an idempotency key."""
+        return await self.call(
+            "POST",
+            "/v1/services/crews/bookings",
+            headers={"Idempotency-Key": key},
+            body={"crew": body},
+            **kwargs,
+        )
+
+    async def booking_runs(self) -> dict[str, int]:
+        """Return how often each booking ran, over all stand-ins."""
+        total: dict[str, int] = {}
+        for spec in self.plan.plains:
+            for key, runs in (await self.counts(spec.name))["runs"].items():
+                total[key] = total.get(key, 0) + runs
+        return total
+
+    def logs(self, name: str) -> list[dict[str, typing.Any]]:
+        """Return the log lines of a daemon."""
+        lines = (self.dir / f"{name}.log").read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+
+def _row(service: str, name: str, port: int, zone: str) -> dict[str, object]:
+    return {
+        "service": service,
+        "name": name,
+        "host": procs.HOST,
+        "port": port,
+        "zone": zone,
+    }
+
+
+def stream_words(body: bytes) -> list[str]:
+    """Return the content pieces of a streamed answer."""
+    words = []
+    for line in body.splitlines():
+        if not line.startswith(b"data: {"):
+            continue
+        event = json.loads(line[6:])
+        for choice in event.get("choices", []):
+            if choice["delta"].get("content"):
+                words.append(choice["delta"]["content"])
+    return words
+
+
+async def gather_limited(
+    limit: int, works: list[typing.Coroutine[None, None, typing.Any]]
+) -> list[typing.Any]:
+    """Run coroutines, at most `limit` at a time."""
+    gate = asyncio.Semaphore(limit)
+
+    async def run(work: typing.Coroutine[None, None, typing.Any]) -> typing.Any:
+        async with gate:
+            return await work
+
+    return await asyncio.gather(*(run(work) for work in works))
--- /dev/null
+++ b/libs/masticpost-bench/src/masticpost_bench/layout.py
@@ -0,0 +1,305 @@
+"""Deployments that the benches and tests run, and their texts."""
+
+import hashlib
+
+import attrs
+import yaml
+
+ADMIN_KEY = "admin-key-of-the-bench"
+PEER_KEY = "peer-key-of-the-bench-0001"
+
+
+@attrs.frozen(kw_only=True)
+class EngineSpec:
+    """A model engine: its failure domain and the quality of its versions."""
+
+    name: str
+    domain: str
+    qualities: dict[str, float]
+    extra: dict[str, object] = attrs.field(factory=dict)
+    max_concurrent: int = 32
+
+
+@attrs.frozen(kw_only=True)
+class PlainSpec:
+    """An instance of a plain service."""
+
+    name: str
+    domain: str
+    service: str
+    extra: dict[str, object] = attrs.field(factory=dict)
+
+
+@attrs.frozen(kw_only=True)
+class CustomerSpec:
+    """A customer and its key in the clear."""
+
+    name: str
+    key: str
+    services: tuple[str, ...]
+    max_concurrent: int = 256
+    weight: float = 1.0
+    models: tuple[str, ...] = ()
+    versions: tuple[str, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class Layout:
+    """A deployment.
+
+    `versions` and `services` are the sections of the text as plain data.
+    """
+
+    name: str
+    domains: tuple[str, ...]
+    instances: int
+    engines: tuple[EngineSpec, ...]
+    plains: tuple[PlainSpec, ...]
+    customers: tuple[CustomerSpec, ...]
+    versions: dict[str, dict[str, object]]
+    services: dict[str, dict[str, object]]
+    cold_successes: int = 3
+    cold_max_concurrent: int = 2
+    shards: int = 8
+
+    def instance_domain(self, index: int) -> str:
+        """Return the failure domain of an entry instance."""
+        return self.domains[index % len(self.domains)]
+
+
+def text_of(
+    layout: Layout,
+    urls: dict[str, str],
+    rating_url: str,
+    changes: dict[str, dict[str, object]] | None = None,
+) -> str:
+    """Return the operators' text of a layout.
+
+    Parameters
+    ----------
+    layout : Layout
+        The deployment.
+    urls : dict
+        URL of each upstream.
+    rating_url : str
+        URL of the rating service.
+    changes : dict, optional
+        Fields to set, by path such as ``versions.small-1``.
+    """
+    cold = {
+        "max_concurrent": layout.cold_max_concurrent,
+        "successes": layout.cold_successes,
+    }
+    data = {
+        "deployment": layout.name,
+        "shards": layout.shards,
+        "rating_url": rating_url,
+        "domains": {name: {"out": False} for name in layout.domains},
+        "versions": {name: dict(row) for name, row in layout.versions.items()},
+        "services": {name: dict(row) for name, row in layout.services.items()},
+        "upstreams": {
+            **{e.name: _engine_row(e, urls, cold) for e in layout.engines},
+            **{p.name: _plain_row(p, urls, cold) for p in layout.plains},
+        },
+        "customers": {c.name: _customer_row(c) for c in layout.customers},
+    }
+    for path, fields in (changes or {}).items():
+        section, _, name = path.partition(".")
+        data[section][name].update(fields)
+    return yaml.safe_dump(data, sort_keys=False)
+
+
+def _engine_row(
+    spec: EngineSpec, urls: dict[str, str], cold: dict[str, int]
+) -> dict[str, object]:
+    return {
+        "url": urls[spec.name],
+        "domain": spec.domain,
+        "serves": list(spec.qualities),
+        "max_concurrent": spec.max_concurrent,
+        "cold": dict(cold),
+    }
+
+
+def _plain_row(
+    spec: PlainSpec, urls: dict[str, str], cold: dict[str, int]
+) -> dict[str, object]:
+    return {
+        "url": urls[spec.name],
+        "domain": spec.domain,
+        "serves": [spec.service],
+        "max_concurrent": 64,
+        "cold": {"max_concurrent": 8, "successes": 1},
+    }
+
+
+def _customer_row(spec: CustomerSpec) -> dict[str, object]:
+    return {
+        "keys": [hashlib.sha256(spec.key.encode()).hexdigest()],
+        "services": list(spec.services),
+        "models": list(spec.models),
+        "versions": list(spec.versions),
+        "max_concurrent": spec.max_concurrent,
+        "weight": spec.weight,
+    }
+
+
+def _versions() -> dict[str, dict[str, object]]:
+    return {
+        "small-1": {
+            "model": "small",
+            "share": 100,
+            "input_price": 0.2,
+            "output_price": 0.6,
+        },
+        "large-1": {
+            "model": "large",
+            "share": 100,
+            "input_price": 3.0,
+            "output_price": 12.0,
+        },
+    }
+
+
+def _bookings(name: str, price: float) -> dict[str, object]:
+    return {
+        "kind": "plain",
+        "deadline_s": 10,
+        "operations": [
+            {"path": "/stock"},
+            {"path": f"/{name}", "idempotent": False, "price": price},
+        ],
+    }
+
+
+def _customers(services: tuple[str, ...], count: int = 10) -> tuple[CustomerSpec, ...]:
+    return tuple(
+        CustomerSpec(
+            name=f"plant-{i}",
+            key=f"key-of-plant-{i}-0123456789",
+            services=services,
+            weight=4.0 if i < 2 else 1.0,
+            max_concurrent=512 if i < 2 else 128,
+        )
+        for i in range(count)
+    )
+
+
+QUALITIES = {"small-1": 0.80, "large-1": 0.96}
+
+
+def lineswitch(instances: int = 8) -> Layout:
+    """Return Lineswitch's deployment: three failure domains in northern Taiwan."""
+    domains = ("taoyuan", "hsinchu", "linkou")
+    link = {"link_delay_s": 0.0005}
+    return Layout(
+        name="lineswitch",
+        domains=domains,
+        instances=instances,
+        engines=tuple(
+            EngineSpec(
+                name=f"engine-{i}",
+                domain=domains[i % 3],
+                qualities=dict(QUALITIES),
+                extra=link,
+            )
+            for i in range(5)
+        ),
+        plains=tuple(
+            PlainSpec(
+                name=f"booking-{i}", domain=domains[i], service="crews", extra=link
+            )
+            for i in range(3)
+        ),
+        customers=_customers(("planner", "setup", "crews")),
+        versions=_versions(),
+        services={
+            "planner": {
+                "levels": ["small", "large"],
+                "cascade": "expected-cost",
+                "quality_target": 0.9,
+                "deadline_s": 60,
+            },
+            "setup": {
+                "levels": ["small", "large"],
+                "cascade": "threshold",
+                "quality_target": 0.75,
+                "deadline_s": 20,
+                "depends_on": [],
+            },
+            "crews": _bookings("bookings", 0.01),
+        },
+    )
+
+
+def al_harthy(instances: int = 8) -> Layout:
+    """Return Al Harthy's deployment: four failure domains in Muscat."""
+    domains = ("ruwi", "seeb", "qurum", "barka")
+    link = {"link_delay_s": 0.0015}
+    return Layout(
+        name="alharthy",
+        domains=domains,
+        instances=instances,
+        engines=tuple(
+            EngineSpec(
+                name=f"engine-{i}",
+                domain=domains[i % 4],
+                qualities=dict(QUALITIES),
+                extra=link,
+            )
+            for i in range(6)
+        ),
+        plains=tuple(
+            PlainSpec(
+                name=f"orders-{i}", domain=domains[i], service="orders", extra=link
+            )
+            for i in range(4)
+        ),
+        customers=_customers(("checks", "explain", "orders")),
+        versions=_versions(),
+        services={
+            "checks": {
+                "levels": ["small", "large"],
+                "cascade": "expected-cost",
+                "quality_target": 0.85,
+                "deadline_s": 10,
+            },
+            "explain": {
+                "levels": ["small", "large"],
+                "cascade": "threshold",
+                "quality_target": 0.75,
+                "deadline_s": 20,
+            },
+            "orders": _bookings("payments", 0.02),
+        },
+    )
+
+
+def small(instances: int = 3, engines: int = 2, plains: int = 2) -> Layout:
+    """Return a small deployment for tests."""
+    domains = ("north", "south")
+    return Layout(
+        name="small",
+        domains=domains,
+        instances=instances,
+        engines=tuple(
+            EngineSpec(
+                name=f"engine-{i}", domain=domains[i % 2], qualities=dict(QUALITIES)
+            )
+            for i in range(engines)
+        ),
+        plains=tuple(
+            PlainSpec(name=f"booking-{i}", domain=domains[i % 2], service="crews")
+            for i in range(plains)
+        ),
+        customers=_customers(("setup", "crews"), count=2),
+        versions=_versions(),
+        services={
+            "setup": {
+                "levels": ["small", "large"],
+                "cascade": "cheapest",
+                "deadline_s": 20,
+            },
+            "crews": _bookings("bookings", 0.01),
+        },
+    )
--- a/libs/masticpost-common/src/masticpost_common/rendezvous.py
+++ b/libs/masticpost-common/src/masticpost_common/rendezvous.py
@@ -11,7 +11,7 @@
 
 def weight(member: str, key: str) -> int:
     """Return the 64-bit weight of `member` for `key`."""
-    return xxhash.xxh3_64_intdigest(f"{member}\0{key}")
+    return xxhash.xxh3_64_intdigest(f"{member}\0{key}".encode())
 
 
 def ranked(members: collections.abc.Iterable[str], key: str) -> list[str]:
@@ -26,9 +26,9 @@
 
 def shard_of(key: str, shard_count: int) -> int:
     """Return the shard of `key`, from 0 to ``shard_count - 1``."""
-    return xxhash.xxh3_64_intdigest(key) % shard_count
+    return xxhash.xxh3_64_intdigest(key.encode()) % shard_count
 
 
 def unit(key: str) -> float:
     """Map `key` evenly onto [0, 1)."""
-    return xxhash.xxh3_64_intdigest(key) / 2**64
+    return xxhash.xxh3_64_intdigest(key.encode()) / 2**64
--- a/libs/masticpost-daemon/src/masticpost_daemon/instance.py
+++ b/libs/masticpost-daemon/src/masticpost_daemon/instance.py
@@ -90,6 +90,11 @@
             self.listing,
         ]
 
+    @property
+    def has_failed(self) -> bool:
+        """Whether a part ended by an error; the process should then end too."""
+        return any(part.crashed for part in self._parts())
+
     async def drain(self) -> None:
         """Stop gracefully: no new work, requests at work end, all is handed over."""
         logger.info("stopping")
--- a/libs/masticpost-daemon/src/masticpost_daemon/listing.py
+++ b/libs/masticpost-daemon/src/masticpost_daemon/listing.py
@@ -1,12 +1,14 @@
 """Follows the platform's list: new peers, and upstreams that leave."""
 
 import asyncio
+import time
 
 import mode
 from masticpost_entry import runtime
 from masticpost_store import instances
 
-POLL_S = 1.0
+POLL_S = 0.7
+ALONE_AFTER_S = 3.0
 PEER_SERVICE = "masticpost"
 UPSTREAM_SERVICE = "upstreams"
 
@@ -44,21 +46,30 @@
     async def follow(self) -> None:
         """Poll until the service stops."""
         await asyncio.gather(*(self.rt.agreed.members.join(s) for s in self.seeds))
+        started = time.monotonic()
         while not self.should_stop:
-            await self._read_peers()
+            is_listed = await self._read_peers()
+            if is_listed or time.monotonic() - started > ALONE_AFTER_S:
+                self.rt.agreed.shards.begin()
             await self._read_upstreams()
             await asyncio.sleep(POLL_S)
 
-    async def _read_peers(self) -> None:
+    async def _read_peers(self) -> bool:
+        """Join the peers on the list; False until this instance is on it too.
+
+        The list lags, so that an instance that is not on it yet may not see its
+        peers either.
+        """
         listed = await self.source.read(PEER_SERVICE)
         if listed.is_err():
-            return
+            return False
         members = self.rt.agreed.members
         for row in listed.unwrap():
             if row.leaving or row.name == members.me.name:
                 continue
             if members.get(row.name) is None and await members.join(row.address):
                 members.add_listed(row.name, row.address, row.domain)
+        return any(row.name == members.me.name for row in listed.unwrap())
 
     async def _read_upstreams(self) -> None:
         listed = await self.source.read(UPSTREAM_SERVICE)
--- a/libs/masticpost-daemon/src/masticpost_daemon/main.py
+++ b/libs/masticpost-daemon/src/masticpost_daemon/main.py
@@ -15,6 +15,7 @@
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_SETTINGS = 2
+CHECK_S = 0.5
 
 
 def main() -> None:
@@ -42,7 +43,19 @@
     except OSError as exc:
         logger.error("cannot start: {}", exc)
         return EXIT_FAILED
-    await stop.wait()
+    while not stop.is_set():
+        if node.has_failed:
+            logger.error("a part failed; the instance ends to be replaced")
+            return EXIT_FAILED
+        await _wait(stop, CHECK_S)
     await node.drain()
     await node.stop()
     return EXIT_OK
+
+
+async def _wait(event: asyncio.Event, timeout_s: float) -> None:
+    try:
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
+    except TimeoutError:
+        return
--- a/libs/masticpost-peers/src/masticpost_peers/hub.py
+++ b/libs/masticpost-peers/src/masticpost_peers/hub.py
@@ -161,7 +161,7 @@
         self.context = zmq.asyncio.Context()
         self._handlers: dict[str, Handler] = {}
         self._conns: dict[str, PeerConn] = {}
-        self._tasks: set[asyncio.Task] = set()
+        self._handling: set[asyncio.Task] = set()
         self._sock: zmq.asyncio.Socket | None = None
 
     def handle(self, kind: type, handler: Handler) -> None:
@@ -179,7 +179,7 @@
         """Close every socket."""
         for conn in list(self._conns.values()):
             await conn.stop()
-        for task in list(self._tasks):
+        for task in list(self._handling):
             task.cancel()
         if self._sock is not None:
             self._sock.close(linger=0)
@@ -252,11 +252,11 @@
         while not self.should_stop:
             route, *frames = await self._sock.recv_multipart()
             incoming = self.open(frames)
-            if incoming is None or len(self._tasks) >= MAX_HANDLERS:
+            if incoming is None or len(self._handling) >= MAX_HANDLERS:
                 continue
             task = asyncio.create_task(self._serve(route, incoming))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._handling.add(task)
+            task.add_done_callback(self._handling.discard)
 
     async def _serve(self, route: bytes, incoming: messages.Incoming) -> None:
         envelope = incoming.envelope
--- a/libs/masticpost-shards/src/masticpost_shards/directory.py
+++ b/libs/masticpost-shards/src/masticpost_shards/directory.py
@@ -58,6 +58,8 @@
         self.run = records.Run(instance=peers.name, started=peers.incarnation)
         self.owners: dict[int, owner.ShardOwner] = {}
         self._leaving = False
+        self._stops: set[asyncio.Task] = set()
+        self._may_own = asyncio.Event()
         self._changed = asyncio.Event()
         members.listen(lambda member: self._changed.set())
         for kind in ops.DECIDERS.names():
@@ -127,9 +129,14 @@
         """Tell whether a run of an instance may still be at work."""
         return self.members.is_running(run.instance, run.started)
 
+    def begin(self) -> None:
+        """Own shards from now on; called once the other members are known."""
+        self._may_own.set()
+
     @mode.Service.task
     async def follow_members(self) -> None:
         """Start and stop owners as the members change."""
+        await self._may_own.wait()
         while not self.should_stop:
             self._changed.clear()
             await self._adjust()
@@ -146,7 +153,7 @@
             if is_mine and shard not in self.owners:
                 await self._start_owner(shard)
             elif not is_mine and shard in self.owners:
-                self.add_future(self._stop_owner(shard))
+                self._begin_stop(shard)
 
     async def _start_owner(self, shard: int) -> None:
         started = owner.ShardOwner(
@@ -158,18 +165,19 @@
         self.owners[shard] = started
         await started.start()
 
-    async def _stop_owner(self, shard: int) -> None:
-        stopped = self.owners.pop(shard, None)
-        if stopped is None:
-            return
-        await stopped.hand_over(HAND_OVER_S)
-        await stopped.stop()
+    def _begin_stop(self, shard: int) -> None:
+        """Hand a shard over in the background."""
+        stopped = self.owners.pop(shard)
+        task = asyncio.ensure_future(_hand_over(stopped))
+        self._stops.add(task)
+        task.add_done_callback(self._stops.discard)
 
     async def hand_over(self) -> None:
         """Give every shard to the others; nothing is owned here afterwards."""
         self._leaving = True
-        stops = [self._stop_owner(shard) for shard in list(self.owners)]
-        await asyncio.gather(*stops)
+        for shard in list(self.owners):
+            self._begin_stop(shard)
+        await asyncio.gather(*self._stops)
         logger.info("shards handed over")
 
     async def on_stop(self) -> None:
@@ -179,6 +187,11 @@
             await stopped.stop()
 
 
+async def _hand_over(stopped: owner.ShardOwner) -> None:
+    await stopped.hand_over(HAND_OVER_S)
+    await stopped.stop()
+
+
 @attrs.frozen(kw_only=True)
 class ShardStatus:
     """A shard that is owned here."""
@@ -195,7 +208,7 @@
         ShardStatus(
             shard=shard,
             epoch=own.epoch,
-            seq=own.log.loaded.state.seq if own.log.loaded else -1,
+            seq=own.journal.loaded.state.seq if own.journal.loaded else -1,
             is_serving=own.is_serving,
         )
         for shard, own in sorted(directory.owners.items())
--- a/libs/masticpost-shards/src/masticpost_shards/permits.py
+++ b/libs/masticpost-shards/src/masticpost_shards/permits.py
@@ -141,7 +141,10 @@
                 del self._held[resource]
 
     def _is_settling_in(self, own: owner.ShardOwner, now: float) -> bool:
-        return own.epoch > 0 and now < own.owned_since + SETTLE_IN_S
+        if own.is_first_owner:
+            return False
+        settle_s = HOLD_S if own.was_released else SETTLE_IN_S
+        return now < own.owned_since + settle_s
 
     def _live(self, resource: str, now: float) -> dict[str, float]:
         held = self._held[resource]
--- a/libs/masticpost-shards/src/masticpost_shards/records.py
+++ b/libs/masticpost-shards/src/masticpost_shards/records.py
@@ -123,6 +123,7 @@
     owner: Run
     at: int
     takeover: bool = False
+    released: bool = False
     claims: list[Claim] = attrs.field(factory=list)
     outcomes: list[Outcome] = attrs.field(factory=list)
     opens: list[BillOpen] = attrs.field(factory=list)
--- a/libs/masticpost-shards/src/masticpost_shards/state.py
+++ b/libs/masticpost-shards/src/masticpost_shards/state.py
@@ -35,9 +35,13 @@
 
 @attrs.define(kw_only=True)
 class State:
-    """State of a shard after the batch `seq`."""
+    """State of a shard after the batch `seq`.
+
+    `released` tells that the last owner has handed the shard over.
+    """
 
     seq: int = -1
+    released: bool = False
     calls: dict[str, Call] = attrs.field(factory=dict)
     open_bills: dict[str, records.BillOpen] = attrs.field(factory=dict)
     closed_bills: dict[str, records.BillClose] = attrs.field(factory=dict)
@@ -51,6 +55,7 @@
         if batch.seq != self.seq + 1:
             raise ValueError(f"batch {batch.seq} after {self.seq}")
         self.seq = batch.seq
+        self.released = batch.released
         for claim in batch.claims:
             self.add_claim(claim)
         for outcome in batch.outcomes:
--- a/libs/masticpost-standins/src/masticpost_standins/main.py
+++ b/libs/masticpost-standins/src/masticpost_standins/main.py
@@ -1,6 +1,7 @@
 """Entry point of the stand-ins: one program, the kind is an argument."""
 
 import asyncio
+import logging
 import signal
 
 import docopt
@@ -48,6 +49,7 @@
 
 
 async def _run(kind: type, cfg: object, port: int, control_port: int) -> None:
+    logging.basicConfig(level=logging.WARNING)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/libs/masticpost-telemetry/src/masticpost_telemetry/logs.py
+++ b/libs/masticpost-telemetry/src/masticpost_telemetry/logs.py
@@ -3,6 +3,7 @@
 Request bodies, answers and keys are never logged; callers pass ids and codes only.
 """
 
+import logging
 import sys
 import typing
 
@@ -58,6 +59,15 @@
     return rows
 
 
+class LibraryHandler(logging.Handler):
+    """Passes the records of libraries that use the standard logging on."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log one record, with its exception if there is one."""
+        target = loguru.logger.opt(exception=record.exc_info)
+        target.bind(library=record.name).log(record.levelname, record.getMessage())
+
+
 def configure(
     *, instance: str, level: str, stream: typing.TextIO | None = None
 ) -> None:
@@ -65,3 +75,4 @@
     sink = JsonSink(instance=instance, stream=stream or sys.stderr)
     loguru.logger.remove()
     loguru.logger.add(sink, level=level.upper(), format="{message}", catch=True)
+    logging.basicConfig(handlers=[LibraryHandler()], level=logging.WARNING, force=True)
