--- /dev/null
+++ b/libs/masticpost-bench/src/masticpost_bench/main.py
@@ -0,0 +1,36 @@
+"""Entry point of the bench: demo, overhead, scale and scenario runs."""
+
+import asyncio
+import sys
+
+import docopt
+import uvloop
+
+from masticpost_bench import (  # noqa: F401
+    bencharms,
+    demo,
+    overhead,
+)
+
+USAGE = """masticpost-bench: runs the real programs on loopback and measures them.
+
+Usage:
+  masticpost-bench demo
+  masticpost-bench overhead [options]
+  masticpost-bench --help
+
+Options:
+  --seconds S   Length of each measurement [default: 8].
+  --out DIR     Where results go [default: out].
+"""
+
+
+def main() -> None:
+    """Run one arm of the bench."""
+    args = docopt.docopt(USAGE)
+    name = next(name for name in bencharms.ARMS.names() if args.get(name))
+    sys.exit(uvloop.run(_run(name, args)))
+
+
+async def _run(name: str, args: dict[str, object]) -> int:
+    return await asyncio.ensure_future(bencharms.ARMS.get(name)(args))
--- /dev/null
+++ b/libs/masticpost-cli/src/masticpost_cli/bills.py
@@ -0,0 +1,157 @@
+"""Commands on what the shards hold: bills, audit, doubts."""
+
+import collections
+
+import attrs
+from masticpost_common import codec
+from masticpost_shards import log, state
+
+from masticpost_cli import commands, session
+
+MAX_SHARDS_READ = 1024
+
+
+@attrs.define(kw_only=True)
+class RanRow:
+    """What upstreams ran of one customer, service and version."""
+
+    customer: str
+    service: str
+    version: str
+    requests: int
+
+
+@attrs.frozen(kw_only=True)
+class Mismatch:
+    """A difference between bills and runs."""
+
+    customer: str
+    service: str
+    version: str
+    billed: int
+    ran: int
+
+
+@attrs.frozen(kw_only=True)
+class Doubt:
+    """A claimed call without a known outcome."""
+
+    key: str
+    instance: str
+    claimed_at: int
+
+
+async def read_states(ses: session.Session) -> list[state.State]:
+    """Return the committed state of every shard, by one list call each."""
+    listed = await ses.store.list({log.KIND_LABEL: log.SLOT_KIND})
+    if listed.is_err():
+        raise session.UnreachableError(f"object API: {listed.unwrap_err().message}")
+    shards = {obj.labels[log.SHARD_LABEL] for obj in listed.unwrap().objects}
+    states = []
+    for label in sorted(shards):
+        found = await ses.store.list({log.SHARD_LABEL: label})
+        if found.is_err():
+            raise session.UnreachableError(f"object API: {found.unwrap_err().message}")
+        states.append(log.fold(found.unwrap(), int(label)).state)
+    return states
+
+
+def total(states: list[state.State]) -> list[state.Total]:
+    """Return the totals over all shards, sorted."""
+    sums: dict[tuple[str, str, str, str], state.Total] = {}
+    for found in states:
+        for row in found.totals.values():
+            key = (row.customer, row.service, row.version, row.state)
+            known = sums.setdefault(
+                key,
+                state.Total(
+                    customer=row.customer,
+                    service=row.service,
+                    version=row.version,
+                    state=row.state,
+                ),
+            )
+            known.requests += row.requests
+            known.input_tokens += row.input_tokens
+            known.output_tokens += row.output_tokens
+            known.cost += row.cost
+    return [sums[key] for key in sorted(sums)]
+
+
+@commands.COMMANDS.register("bills")
+async def bills(ses: session.Session) -> int:
+    """Print the totals of the bills."""
+    rows = total(await read_states(ses))
+    if ses.wants_json:
+        ses.print_json(rows)
+        return commands.EXIT_OK
+    table = [
+        [
+            row.customer,
+            row.service,
+            row.version or "-",
+            row.state,
+            row.requests,
+            row.input_tokens,
+            row.output_tokens,
+            f"{row.cost:.6f}",
+        ]
+        for row in rows
+    ]
+    header = ["CUSTOMER", "SERVICE", "VERSION", "STATE", "REQUESTS"]
+    ses.print_table([*header, "INPUT", "OUTPUT", "COST"], table)
+    return commands.EXIT_OK
+
+
+@commands.COMMANDS.register("audit")
+async def audit(ses: session.Session) -> int:
+    """Compare answered bills with a JSON list of what upstreams ran."""
+    try:
+        ran = codec.from_json(ses.read_file(), list[RanRow])
+    except codec.DecodeError as exc:
+        raise session.UsageError(f"FILE is not a list of runs: {exc}") from exc
+    billed: collections.Counter[tuple[str, str, str]] = collections.Counter()
+    for row in total(await read_states(ses)):
+        if row.state == "answered":
+            billed[(row.customer, row.service, row.version)] += row.requests
+    wanted = {(r.customer, r.service, r.version): r.requests for r in ran}
+    found = [
+        Mismatch(
+            customer=key[0],
+            service=key[1],
+            version=key[2],
+            billed=billed[key],
+            ran=wanted.get(key, 0),
+        )
+        for key in sorted(set(billed) | set(wanted))
+        if billed[key] != wanted.get(key, 0)
+    ]
+    if ses.wants_json:
+        ses.print_json(found)
+    else:
+        for row in found:
+            name = f"{row.customer} {row.service} {row.version or '-'}"
+            ses.print(f"{name}: billed {row.billed}, ran {row.ran}")
+        ses.print(f"{len(found)} differences")
+    return commands.EXIT_NO if found else commands.EXIT_OK
+
+
+@commands.COMMANDS.register("doubts")
+async def doubts(ses: session.Session) -> int:
+    """List claimed calls without an outcome, those at work included."""
+    rows = [
+        Doubt(
+            key=call.claim.key,
+            instance=call.claim.run.instance,
+            claimed_at=call.claim.at,
+        )
+        for found in await read_states(ses)
+        for call in found.calls.values()
+        if call.outcome is None
+    ]
+    if ses.wants_json:
+        ses.print_json(rows)
+        return commands.EXIT_OK
+    table = [[row.key, row.instance, row.claimed_at] for row in rows]
+    ses.print_table(["CALL", "INSTANCE", "CLAIMED AT (MS)"], table)
+    return commands.EXIT_OK
--- /dev/null
+++ b/libs/masticpost-cli/src/masticpost_cli/main.py
@@ -0,0 +1,102 @@
+"""Entry point of the operators' tool."""
+
+import asyncio
+import os
+import sys
+
+import docopt
+from masticpost_common import findings
+
+from masticpost_cli import (  # noqa: F401
+    bills,
+    commands,
+    report,
+    session,
+    status,
+    texts,
+)
+
+USAGE = """masticpost: the operators' tool.
+
+Usage:
+  masticpost check FILE [options]
+  masticpost apply FILE [--seen GENERATION] [--note TEXT] [options]
+  masticpost show [--generation N] [options]
+  masticpost diff FILE [options]
+  masticpost diff --from N --to N [options]
+  masticpost history [options]
+  masticpost status [options]
+  masticpost drain (domain | upstream | version) NAME [options]
+  masticpost restore (domain | upstream | version) NAME [options]
+  masticpost hash-key [options]
+  masticpost bills [options]
+  masticpost audit FILE [options]
+  masticpost doubts [options]
+  masticpost report burn [--html OUT] [options]
+  masticpost --help
+
+Commands:
+  check     Check a text; every finding has line, column and what to do.
+  apply     Put a text in force, if nobody changed it since generation --seen.
+  show      Print the text in force, or an earlier generation.
+  diff      Compare a file with the text in force, or two generations.
+  history   List the generations.
+  status    Show every instance, its generation, its shards, and the upstreams.
+  drain     Take a failure domain, upstream or version out: an edit of the text.
+  restore   Bring it back.
+  hash-key  Read an API key from standard input, print what the text holds of it.
+  bills     Total the bills by customer, service and version.
+  audit     Compare the bills with a file of what upstreams ran.
+  doubts    List non-idempotent calls whose outcome is not known.
+  report    Show how fast the error budget is spent.
+
+Options:
+  --store-url URL   The platform's object API (MASTICPOST_STORE_URL).
+  --namespace NAME  Namespace (MASTICPOST_NAMESPACE) [default: masticpost].
+  --entry URL       Any instance or the balancer (MASTICPOST_ENTRY).
+  --admin-key KEY   Operators' key (MASTICPOST_ADMIN_KEY).
+  --seen N          Generation the edit was made from (default: the head's).
+  --generation N    Which generation to show.
+  --from N          Older generation.
+  --to N            Newer generation.
+  --note TEXT       Note kept with the generation.
+  --html OUT        Write the report as an HTML page with plots.
+  --json            Print JSON.
+  --help            Show this.
+
+Examples:
+  masticpost check plant.yaml && masticpost apply plant.yaml --note "new manual"
+  masticpost drain domain hsinchu
+  masticpost report burn --json
+
+Exit codes: 0 done, 1 the answer is no (findings, conflict, mismatch), 2 usage,
+3 the object API or an instance could not be reached.
+"""
+
+
+def main() -> None:
+    """Run one command and exit with its code."""
+    try:
+        args = docopt.docopt(USAGE)
+    except docopt.DocoptExit as exc:
+        print(exc, file=sys.stderr)
+        sys.exit(commands.EXIT_USAGE)
+    sys.exit(asyncio.run(_run(args)))
+
+
+async def _run(args: dict[str, object]) -> int:
+    name = next(name for name in commands.COMMANDS.names() if args.get(name))
+    ses = session.open_session(args, os.environ)
+    try:
+        return await commands.COMMANDS.get(name)(ses)
+    except findings.FindingsError as exc:
+        ses.print_error(str(exc))
+        return commands.EXIT_NO
+    except session.UsageError as exc:
+        ses.print_error(str(exc))
+        return commands.EXIT_USAGE
+    except session.UnreachableError as exc:
+        ses.print_error(str(exc))
+        return commands.EXIT_UNREACHABLE
+    finally:
+        await ses.close()
--- /dev/null
+++ b/libs/masticpost-cli/src/masticpost_cli/status.py
@@ -0,0 +1,120 @@
+"""`masticpost status`: every instance, its generation, and the upstreams."""
+
+import asyncio
+
+import attrs
+from masticpost_confsync import head
+from masticpost_entry import admin
+
+from masticpost_cli import commands, session
+
+
+@attrs.define(kw_only=True)
+class Overview:
+    """What `status` prints.
+
+    `unreachable` names the live members that did not answer.
+    """
+
+    head_generation: int | None
+    instances: list[admin.Status]
+    unreachable: list[str] = attrs.field(factory=list)
+
+
+async def collect(ses: session.Session) -> Overview:
+    """Ask one instance for the members, then each of them."""
+    entry = ses.needed("entry").rstrip("/")
+    first = await ses.fetch(f"{entry}/admin/status", admin.Status)
+    alive = [m for m in first.members if m.state in ("alive", "suspect") and m.http]
+    urls = {m.name: f"http://{m.http}/admin/status" for m in alive}
+    overview = Overview(head_generation=await _head_generation(ses), instances=[])
+    answers = await asyncio.gather(
+        *(ses.fetch(url, admin.Status) for url in urls.values()),
+        return_exceptions=True,
+    )
+    for name, answer in zip(urls, answers, strict=True):
+        if isinstance(answer, admin.Status):
+            overview.instances.append(answer)
+        else:
+            overview.unreachable.append(name)
+    return overview
+
+
+async def _head_generation(ses: session.Session) -> int | None:
+    if not ses.option("store-url"):
+        return None
+    found = await head.read(ses.store)
+    if found.is_err():
+        return None
+    current = found.unwrap()
+    return current.stored.generation if current else 0
+
+
+@commands.COMMANDS.register("status")
+async def status(ses: session.Session) -> int:
+    """Print the overview; exit 1 when an instance is behind or silent."""
+    overview = await collect(ses)
+    wanted = overview.head_generation
+    newest = max(row.generation for row in overview.instances)
+    behind = [
+        row.instance
+        for row in overview.instances
+        if row.generation < (wanted if wanted is not None else newest)
+    ]
+    if ses.wants_json:
+        ses.print_json(overview)
+    else:
+        _print(ses, overview)
+    is_good = not behind and not overview.unreachable
+    return commands.EXIT_OK if is_good else commands.EXIT_NO
+
+
+def _print(ses: session.Session, overview: Overview) -> None:
+    if overview.head_generation is not None:
+        ses.print(f"generation {overview.head_generation} is the accepted one")
+    rows = [
+        [
+            row.instance,
+            row.domain,
+            row.generation,
+            _health(row),
+            len(row.shards),
+            row.bills_waiting,
+        ]
+        for row in overview.instances
+    ]
+    rows += [[name, "-", "-", "no answer", "-", "-"] for name in overview.unreachable]
+    ses.print_table(
+        ["INSTANCE", "DOMAIN", "GENERATION", "STATE", "SHARDS", "BILLS WAITING"], rows
+    )
+    ses.print("")
+    ses.print_table(["UPSTREAM", "DOMAIN", "STATE"], _upstream_rows(overview))
+
+
+def _health(row: admin.Status) -> str:
+    if row.is_draining:
+        return "stopping"
+    if not row.is_current:
+        return "not current"
+    if row.store_is_down:
+        return "object API down"
+    return "ok"
+
+
+def _upstream_rows(overview: Overview) -> list[list[object]]:
+    first = overview.instances[0]
+    rows: list[list[object]] = []
+    for up in first.upstreams:
+        blocked = sum(
+            other.is_blocked
+            for row in overview.instances
+            for other in row.upstreams
+            if other.name == up.name
+        )
+        state = "ok" if up.is_warm else "cold"
+        if not up.is_usable:
+            state = "out"
+        if blocked:
+            state += f", failing at {blocked} instances"
+        rows.append([up.name, up.domain, state])
+    return rows
--- a/libs/masticpost-daemon/src/masticpost_daemon/instance.py
+++ b/libs/masticpost-daemon/src/masticpost_daemon/instance.py
@@ -140,6 +140,7 @@
         domain=cfg.domain,
         advertise=str(cfg.peer_advertise),
         seed=peers.incarnation,
+        http=str(cfg.listen),
     )
     shards = directory.Directory(
         store=store, peers=peers, members=members, shard_count=cfg.shards
--- a/libs/masticpost-peers/src/masticpost_peers/membership.py
+++ b/libs/masticpost-peers/src/masticpost_peers/membership.py
@@ -48,6 +48,8 @@
         run of the program.
     generation : int
         Configuration that it has in force.
+    http : str
+        ``host:port`` of its callers' side.
     """
 
     name: str
@@ -57,6 +59,7 @@
     started: int
     state: str = ALIVE
     generation: int = 0
+    http: str = ""
 
     def supersedes(self, other: "Member") -> bool:
         """Tell whether this news replaces `other` about the same instance."""
@@ -133,10 +136,18 @@
         ``host:port`` at which peers reach this instance.
     seed : int
         Seed of the probe order.
+    http : str
+        ``host:port`` of the callers' side.
     """
 
     def __init__(
-        self, *, peers: hub.Hub, domain: str, advertise: str, seed: int
+        self,
+        *,
+        peers: hub.Hub,
+        domain: str,
+        advertise: str,
+        seed: int,
+        http: str = "",
     ) -> None:
         super().__init__()
         self.peers = peers
@@ -147,6 +158,7 @@
             domain=domain,
             incarnation=peers.incarnation,
             started=peers.incarnation,
+            http=http,
         )
         self._members: dict[str, Member] = {self.me.name: self.me}
         self._news: dict[str, News] = {}
