--- a/libs/masticpost-shards/src/masticpost_shards/owner.py
+++ b/libs/masticpost-shards/src/masticpost_shards/owner.py
@@ -20,6 +20,7 @@
 COMMIT_INTERVAL_S = 0.05
 RETRY_PAUSE_S = 0.1
 RETRY_MAX_PAUSE_S = 1.0
+LOST_PAUSE_S = 0.3
 LEASE_S = 4.0
 RENEW_AFTER_S = 1.5
 SETTLE_CHECK_S = 5.0
@@ -185,6 +186,7 @@
                 continue
             await self._commit_until_lost()
             self._drop()
+            await asyncio.sleep(LOST_PAUSE_S)
 
     async def _take_over(self) -> bool:
         loaded = await self.journal.load()
--- /dev/null
+++ b/testing/support/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that several tests share."""
