Add the fault matrix, and commit a booking's bill with its claim and outcome

Cause: the matrix's oracle found a booking that was answered and never billed: its instance was killed within the 50 ms in which the bill waited to be sent. Ruled out: the shard log (its properties hold). Change: a non-idempotent call's bill is opened in the commit of its claim and closed in that of its outcome; a model request's open record must be held by another instance, or committed, before its answer ends. A call that was released as not run takes its bill back.

--- a/libs/masticpost-bench/src/masticpost_bench/deployment.py
+++ b/libs/masticpost-bench/src/masticpost_bench/deployment.py
@@ -76,8 +76,10 @@
 
     @property
     def code(self) -> str:
-        """Error code, empty for an answer."""
-        return self.json()["error"]["code"] if self.status >= 400 else ""
+        """Error code, empty for an answer or a broken connection."""
+        if self.status < 400 or not self.body.startswith(b'{"error"'):
+            return ""
+        return self.json()["error"]["code"]
 
 
 class Deployment:
@@ -183,7 +185,8 @@
             "MASTICPOST_PEER_KEYS": layout.PEER_KEY,
             "MASTICPOST_ADMIN_KEY": layout.ADMIN_KEY,
         }
-        log_path = self.dir / f"{name}.log"
+        starts = len(list(self.dir.glob(f"{name}.*.log")))
+        log_path = self.dir / f"{name}.{starts}.log"
         proc = procs.Proc(name=name, args=args, log_path=log_path, env=env)
         proc.start()
         daemon = Daemon(
@@ -221,6 +224,28 @@
         self.generation = outcome.unwrap().generation
         return self.generation
 
+    async def try_apply(self, seen: int, price: float) -> bool:
+        """Apply an edit made from generation `seen`; tell whether it was accepted."""
+        store = self.store()
+        outcome = await head.apply(
+            store,
+            raw=self.text({"versions.small-1": {"input_price": price}}),
+            seen_generation=seen,
+            author="bench",
+            note="",
+            at=time.time_ns() // 1_000_000,
+        )
+        await store.close()
+        return outcome.is_ok()
+
+    async def refresh_generation(self) -> None:
+        """Learn which generation is accepted now."""
+        store = self.store()
+        found = await head.read(store)
+        await store.close()
+        if found.is_ok() and found.unwrap() is not None:
+            self.generation = found.unwrap().stored.generation
+
     async def list_all(self) -> None:
         """Put every daemon and upstream on the platform's list."""
         rows = [
@@ -381,10 +406,16 @@
                 total[key] = total.get(key, 0) + runs
         return total
 
-    def logs(self, name: str) -> list[dict[str, typing.Any]]:
-        """Return the log lines of a daemon."""
-        lines = (self.dir / f"{name}.log").read_text().splitlines()
-        return [json.loads(line) for line in lines if line.startswith("{")]
+    def logs(self) -> dict[str, list[dict[str, typing.Any]]]:
+        """Return the log lines of each run of each daemon."""
+        return {
+            path.stem: [
+                json.loads(line)
+                for line in path.read_text().splitlines()
+                if line.startswith("{")
+            ]
+            for path in sorted(self.dir.glob("*.*.log"))
+        }
 
 
 def _row(service: str, name: str, port: int, zone: str) -> dict[str, object]:
--- a/libs/masticpost-bench/src/masticpost_bench/procs.py
+++ b/libs/masticpost-bench/src/masticpost_bench/procs.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import contextlib
+import itertools
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -14,19 +16,36 @@
 
 HOST = "127.0.0.1"
 STOP_TIMEOUT_S = 20.0
+FIRST_PORT = 10_000
+PORT_RANGES = 16
+PORTS_PER_RANGE = 1_300
+_PORT_COUNTER = itertools.count(random.Random(os.getpid()).randrange(PORTS_PER_RANGE))
 
 
 def free_ports(count: int) -> list[int]:
-    """Return distinct ports that were free a moment ago."""
-    socks = []
-    for _ in range(count):
-        sock = socket.socket()
-        sock.bind((HOST, 0))
-        socks.append(sock)
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
+    """Return distinct ports that nothing listens on.
+
+    They lie below the range of outgoing connections, and parallel test workers take
+    them from ranges of their own, so that none is taken between here and its use.
+    """
+    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:])
+    low = FIRST_PORT + (worker % PORT_RANGES) * PORTS_PER_RANGE
+    found: list[int] = []
+    while len(found) < count:
+        port = low + next(_PORT_COUNTER) % PORTS_PER_RANGE
+        if _is_free(port):
+            found.append(port)
+    return found
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind((HOST, port))
+        except OSError:
+            return False
+    return True
 
 
 def program(name: str) -> str:
--- a/libs/masticpost-daemon/src/masticpost_daemon/instance.py
+++ b/libs/masticpost-daemon/src/masticpost_daemon/instance.py
@@ -143,7 +143,11 @@
         http=str(cfg.listen),
     )
     shards = directory.Directory(
-        store=store, peers=peers, members=members, shard_count=cfg.shards
+        store=store,
+        peers=peers,
+        members=members,
+        shard_count=cfg.shards,
+        settle_after_s=cfg.settle_after_s,
     )
     agreed = _build_agreed(store, peers, members, shards)
     rt = runtime.Runtime(
--- a/libs/masticpost-daemon/src/masticpost_daemon/settings.py
+++ b/libs/masticpost-daemon/src/masticpost_daemon/settings.py
@@ -46,6 +46,8 @@
   --upstream-ca FILE     Certificate authority of https upstreams.
   --drain-grace-s S      Seconds between leaving and refusing new work [default: 2].
   --drain-limit-s S      Most seconds to wait for requests at work [default: 60].
+  --settle-after-s S     Seconds after which the open bill of an ended instance is
+                         settled [default: 30].
   --log-level LEVEL      debug, info, warning or error [default: info].
   --help                 Show this.
 
@@ -96,6 +98,7 @@
     upstream_ca: str
     drain_grace_s: float
     drain_limit_s: float
+    settle_after_s: float
     log_level: str
 
 
@@ -209,6 +212,7 @@
         upstream_ca=reader.file("upstream-ca"),
         drain_grace_s=reader.number("drain-grace-s", 0, 600),
         drain_limit_s=reader.number("drain-limit-s", 0, 3600),
+        settle_after_s=reader.number("settle-after-s", 0, 3600),
         log_level=reader.text("log-level"),
     )
     _check_pairs(reader, settings)
--- a/libs/masticpost-entry/src/masticpost_entry/chat.py
+++ b/libs/masticpost-entry/src/masticpost_entry/chat.py
@@ -145,6 +145,7 @@
         completion = await _answer_in_session(rt, job, plan)
     else:
         completion = await levels.answer(rt, job, plan)
+    await job.meter.make_safe()
     job.meter.close(records.ANSWERED)
     completion.id = engine.ID_PREFIX + job.call.request_id
     completion.model = job.meter.version
--- a/libs/masticpost-entry/src/masticpost_entry/meter.py
+++ b/libs/masticpost-entry/src/masticpost_entry/meter.py
@@ -1,5 +1,7 @@
 """Adds up the usage of one request and bills it once."""
 
+import asyncio
+
 import attrs
 from masticpost_shards import bills, owner, records
 from masticpost_text import model
@@ -7,6 +9,7 @@
 from masticpost_entry import intake, runtime
 
 TOKENS_PER_PRICE = 1e6
+SAFE_WAIT_S = 0.25
 
 
 @attrs.define(kw_only=True)
@@ -30,6 +33,7 @@
     cost: float = 0.0
     is_open: bool = False
     is_closed: bool = False
+    safe: asyncio.Future | None = None
 
     def open(self, version: model.Version | None, input_tokens: int) -> None:
         """Tell of the first dispatch; later dispatches change nothing."""
@@ -37,19 +41,32 @@
             return
         self.is_open = True
         self.version = version.name if version else ""
-        self.rt.agreed.bills.open(
-            records.BillOpen(
-                key=self.key,
-                customer=self.call.customer.name,
-                service=self.call.service.name,
-                version=self.version,
-                run=self.rt.agreed.shards.run,
-                at=owner.wall_ms(),
-                input_tokens=input_tokens,
-                input_price=version.input_price if version else 0.0,
-            )
+        price = version.input_price if version else 0.0
+        opened = self.open_record(input_tokens, price)
+        self.safe = self.rt.agreed.bills.open(opened)
+
+    def open_record(self, input_tokens: int, input_price: float) -> records.BillOpen:
+        """Return the record of the first dispatch."""
+        return records.BillOpen(
+            key=self.key,
+            customer=self.call.customer.name,
+            service=self.call.service.name,
+            version=self.version,
+            run=self.rt.agreed.shards.run,
+            at=owner.wall_ms(),
+            input_tokens=input_tokens,
+            input_price=input_price,
         )
 
+    async def make_safe(self) -> None:
+        """Wait, before an answer ends, until its open record outlives this process.
+
+        The record is on its way since the dispatch, so that only an answer that is
+        faster than it waits. An outage of the object API is not waited for.
+        """
+        if self.safe is not None and not self.safe.done():
+            await asyncio.wait([self.safe], timeout=SAFE_WAIT_S)
+
     def add(self, version: model.Version, inputs: int, outputs: int) -> None:
         """Add the tokens of an answer, or of a part of one."""
         self.version = version.name
@@ -67,18 +84,20 @@
         if not self.is_open or self.is_closed:
             return
         self.is_closed = True
-        self.rt.agreed.bills.close(
-            records.BillClose(
-                key=self.key,
-                customer=self.call.customer.name,
-                service=self.call.service.name,
-                version=self.version,
-                state=state,
-                at=owner.wall_ms(),
-                input_tokens=self.input_tokens,
-                output_tokens=self.output_tokens,
-                cost=self.cost,
-            )
+        self.rt.agreed.bills.close(self.close_record(state))
+
+    def close_record(self, state: str) -> records.BillClose:
+        """Return the request's bill."""
+        return records.BillClose(
+            key=self.key,
+            customer=self.call.customer.name,
+            service=self.call.service.name,
+            version=self.version,
+            state=state,
+            at=owner.wall_ms(),
+            input_tokens=self.input_tokens,
+            output_tokens=self.output_tokens,
+            cost=self.cost,
         )
 
 
--- a/libs/masticpost-entry/src/masticpost_entry/plain.py
+++ b/libs/masticpost-entry/src/masticpost_entry/plain.py
@@ -75,7 +75,7 @@
         body=body,
         idempotency_key=call.idempotency_key,
     )
-    unique = call.idempotency_key or f"{call.request_id}\0{time.time_ns()}"
+    unique = f"{call.request_id}\0{time.time_ns()}"
     return PlainJob(
         call=call,
         operation=operation,
@@ -153,6 +153,7 @@
             except faults.UpstreamError as exc:
                 await _pause(job, tries, exc)
                 continue
+            await job.meter.make_safe()
             job.meter.close(records.ANSWERED)
             return answer
     finally:
@@ -194,10 +195,13 @@
 async def _run_once(rt: runtime.Runtime, job: PlainJob) -> plain.PlainAnswer:
     """Claim, dispatch once, record the outcome.
 
-    An upstream that provably got nothing is replaced by another one under the same
-    claim. Every other failure leaves the call in doubt for good.
+    The bill is opened with the claim and closed with the outcome, in the same
+    commits. An upstream that provably got nothing is replaced by another one under
+    the same claim. Every other failure leaves the call in doubt for good.
     """
     key = claims.call_key(job.call.customer.name, job.call.idempotency_key)
+    job.meter.key = key
+    job.meter.is_open = True
     mark = claims.fingerprint(
         job.call.service.name.encode(),
         job.req.method.encode(),
@@ -205,7 +209,8 @@
         job.req.query.encode(),
         job.req.body,
     )
-    granted = await rt.agreed.claims.claim(key, mark, job.call.deadline)
+    opened = job.meter.open_record(0, 0.0)
+    granted = await rt.agreed.claims.claim(key, mark, job.call.deadline, opened)
     if isinstance(granted, records.Answer):
         return plain.PlainAnswer(
             status=granted.status,
@@ -217,16 +222,15 @@
     except errors.RefusalError as exc:
         if exc.refusal.ran == errors.RAN_NO:
             rt.agreed.claims.release(granted)
-            job.meter.close(records.NOT_RUN)
         else:
             job.meter.close(records.FAILED)
         raise
     job.meter.add_price(job.operation.price)
-    job.meter.close(records.ANSWERED)
+    bill = job.meter.close_record(records.ANSWERED)
     recorded = records.Answer(
         status=answer.status, content_type=answer.content_type, body=answer.body
     )
-    await rt.agreed.claims.finish(granted, recorded)
+    await rt.agreed.claims.finish(granted, recorded, bill)
     return answer
 
 
--- a/libs/masticpost-entry/src/masticpost_entry/streams.py
+++ b/libs/masticpost-entry/src/masticpost_entry/streams.py
@@ -197,6 +197,7 @@
 
 
 async def _finish(run: Relay) -> None:
+    await run.job.meter.make_safe()
     if run.wants_usage:
         usage = _total_usage(run)
         chunk = openai.Chunk(id=run.answer_id, model=run.version.name, usage=usage)
--- a/libs/masticpost-shards/src/masticpost_shards/bills.py
+++ b/libs/masticpost-shards/src/masticpost_shards/bills.py
@@ -1,15 +1,18 @@
-"""Tells the owners of bills until they are committed; nothing waits for it."""
+"""Tells the owners of bills until they are committed; see docs/design/bills.md."""
 
 import asyncio
 import collections
+import collections.abc
 import hashlib
 
+import attrs
 import mode
 from masticpost_common import errors
 
 from masticpost_shards import directory, ops, records
 
 FLUSH_S = 0.05
+OPEN_FLUSH_S = 0.004
 TELL_TIMEOUT_S = 2.5
 TELL_PAUSE_S = 0.2
 MAX_WAITING = 200_000
@@ -24,9 +27,20 @@
     return digest.hexdigest()
 
 
+@attrs.define(kw_only=True)
+class Opening:
+    """An open record on its way; `safe` completes once it outlives this process."""
+
+    record: records.BillOpen
+    safe: asyncio.Future
+
+
 class BillWriter(mode.Service):
     """Keeps the records of bills until their shards' owners committed them.
 
+    An open record is safe once the owner, on another instance, holds it, or once it
+    is committed. A closed one stays here until it is committed.
+
     Parameters
     ----------
     shards : directory.Directory
@@ -37,9 +51,10 @@
         super().__init__()
         self.shards = shards
         self.waiting = 0
-        self._opens: dict[int, list[records.BillOpen]] = collections.defaultdict(list)
+        self._opens: dict[int, list[Opening]] = collections.defaultdict(list)
         self._closes: dict[int, list[records.BillClose]] = collections.defaultdict(list)
-        self._telling: set[int] = set()
+        self._telling: set[tuple[str, int]] = set()
+        self._has_opens = asyncio.Event()
 
     def check_room(self) -> None:
         """Refuse new work when too many records wait for the object API."""
@@ -51,56 +66,89 @@
                 retry_after_s=RETRY_AFTER_S,
             )
 
-    def open(self, opened: records.BillOpen) -> None:
-        """Tell that a request is dispatched."""
-        self._opens[self.shards.shard_of(opened.key)].append(opened)
+    def open(self, opened: records.BillOpen) -> asyncio.Future:
+        """Tell that a request is dispatched; the future completes when it is safe."""
+        safe = asyncio.get_running_loop().create_future()
+        shard = self.shards.shard_of(opened.key)
+        self._opens[shard].append(Opening(record=opened, safe=safe))
         self.waiting += 1
+        self._has_opens.set()
+        return safe
 
     def close(self, closed: records.BillClose) -> None:
         """Tell the one bill of a request."""
         self._closes[self.shards.shard_of(closed.key)].append(closed)
         self.waiting += 1
 
+    @mode.Service.task
+    async def open_loop(self) -> None:
+        """Send open records on, a few milliseconds' worth at a time."""
+        while not self.should_stop:
+            await self._has_opens.wait()
+            await asyncio.sleep(OPEN_FLUSH_S)
+            self._has_opens.clear()
+            self._start("opens", self._opens, self._tell_opens)
+
     @mode.Service.task
     async def flush_loop(self) -> None:
-        """Start telling each shard that has records and is not being told."""
+        """Send closed records on, and open ones that could not be sent."""
         while not self.should_stop:
             await asyncio.sleep(FLUSH_S)
-            self._start_tells()
-
-    def _start_tells(self) -> None:
-        shards = {s for s, rows in self._opens.items() if rows}
-        shards |= {s for s, rows in self._closes.items() if rows}
-        for shard in shards - self._telling:
-            self._telling.add(shard)
-            self.add_future(self._tell(shard))
-
-    async def _tell(self, shard: int) -> None:
-        opens = self._opens[shard][:MAX_PER_TELL]
-        closes = self._closes[shard][:MAX_PER_TELL]
-        closed_keys = {row.key for row in closes}
-        tell = ops.BillsTell(
-            shard=shard,
-            opens=[row for row in opens if row.key not in closed_keys],
-            closes=closes,
-        )
+            self._start("opens", self._opens, self._tell_opens)
+            self._start("closes", self._closes, self._tell_closes)
+
+    def _start(
+        self,
+        what: str,
+        queues: dict[int, list],
+        tell: collections.abc.Callable[[int], collections.abc.Awaitable[None]],
+    ) -> None:
+        """Tell each shard that has records and is not being told."""
+        for shard in [shard for shard, rows in queues.items() if rows]:
+            if (what, shard) not in self._telling:
+                self._telling.add((what, shard))
+                self.add_future(self._tell_and_clear(what, shard, tell))
+
+    async def _tell_and_clear(
+        self,
+        what: str,
+        shard: int,
+        tell: collections.abc.Callable[[int], collections.abc.Awaitable[None]],
+    ) -> None:
         try:
-            await self.shards.call(tell, timeout_s=TELL_TIMEOUT_S)
+            await tell(shard)
         except (directory.ShardUnavailableError, directory.StoreUnavailableError):
             await asyncio.sleep(TELL_PAUSE_S)
-        else:
-            del self._opens[shard][: len(opens)]
-            del self._closes[shard][: len(closes)]
-            self.waiting -= len(opens) + len(closes)
         finally:
-            self._telling.discard(shard)
+            self._telling.discard((what, shard))
+
+    async def _tell_opens(self, shard: int) -> None:
+        """Have the owner hold the records; one of this instance commits them."""
+        rows = self._opens[shard][:MAX_PER_TELL]
+        member = self.shards.owner_of(shard)
+        is_elsewhere = member is not None and member.name != self.shards.peers.name
+        tell = ops.BillsTell(
+            shard=shard, opens=[row.record for row in rows], held=is_elsewhere
+        )
+        await self.shards.call(tell, timeout_s=TELL_TIMEOUT_S)
+        del self._opens[shard][: len(rows)]
+        self.waiting -= len(rows)
+        for row in rows:
+            if not row.safe.done():
+                row.safe.set_result(None)
+
+    async def _tell_closes(self, shard: int) -> None:
+        rows = self._closes[shard][:MAX_PER_TELL]
+        tell = ops.BillsTell(shard=shard, closes=list(rows))
+        await self.shards.call(tell, timeout_s=TELL_TIMEOUT_S)
+        del self._closes[shard][: len(rows)]
+        self.waiting -= len(rows)
 
     async def flush(self, timeout_s: float) -> None:
         """Wait until everything is committed, for at most `timeout_s`."""
         try:
             async with asyncio.timeout(timeout_s):
                 while self.waiting:
-                    self._start_tells()
                     await asyncio.sleep(FLUSH_S)
         except TimeoutError:
             return
--- a/libs/masticpost-shards/src/masticpost_shards/claims.py
+++ b/libs/masticpost-shards/src/masticpost_shards/claims.py
@@ -58,10 +58,16 @@
         self._tells: set[asyncio.Task] = set()
 
     async def claim(
-        self, key: str, fingerprint: str, deadline: float
+        self,
+        key: str,
+        fingerprint: str,
+        deadline: float,
+        bill: records.BillOpen | None = None,
     ) -> Granted | records.Answer:
         """Return the right to dispatch, or the recorded answer of the call.
 
+        The bill is opened in the commit that grants the claim.
+
         Raises
         ------
         errors.RefusalError
@@ -76,7 +82,7 @@
             at=owner.wall_ms(),
         )
         while True:
-            reply = await self._ask(claim)
+            reply = await self._ask(claim, bill)
             if reply.verdict == ops.GRANTED:
                 return Granted(key=key, nonce=claim.nonce)
             if reply.verdict == ops.RECORDED and reply.answer is not None:
@@ -87,8 +93,11 @@
                 raise _refusal(ops.PENDING)
             await asyncio.sleep(PENDING_POLL_S)
 
-    async def _ask(self, claim: records.Claim) -> ops.ClaimReply:
-        ask = ops.ClaimAsk(shard=self.shards.shard_of(claim.key), claim=claim)
+    async def _ask(
+        self, claim: records.Claim, bill: records.BillOpen | None
+    ) -> ops.ClaimReply:
+        shard = self.shards.shard_of(claim.key)
+        ask = ops.ClaimAsk(shard=shard, claim=claim, bill=bill)
         try:
             return await self.shards.call(ask, timeout_s=CLAIM_TIMEOUT_S)
         except directory.StoreUnavailableError as exc:
@@ -100,19 +109,25 @@
             self.release(Granted(key=claim.key, nonce=claim.nonce))
             raise
 
-    async def finish(self, granted: Granted, answer: records.Answer) -> None:
-        """Record the answer; waits a little for the commit, then goes on telling."""
+    async def finish(
+        self, granted: Granted, answer: records.Answer, bill: records.BillClose | None
+    ) -> None:
+        """Record answer and bill; waits a little for the commit, then goes on."""
         if len(answer.body) > ops.MAX_ANSWER_BYTES:
             answer = attrs.evolve(answer, status=200, body=b"")
-        task = self._tell(granted, records.DONE, answer)
+        task = self._tell(granted, records.DONE, answer, bill)
         await asyncio.wait([task], timeout=OUTCOME_WAIT_S)
 
     def release(self, granted: Granted) -> None:
         """Tell that the call was not and will not be dispatched by this attempt."""
-        self._tell(granted, records.RELEASED, None)
+        self._tell(granted, records.RELEASED, None, None)
 
     def _tell(
-        self, granted: Granted, kind: str, answer: records.Answer | None
+        self,
+        granted: Granted,
+        kind: str,
+        answer: records.Answer | None,
+        bill: records.BillClose | None,
     ) -> asyncio.Task:
         outcome = records.Outcome(
             key=granted.key,
@@ -121,7 +136,8 @@
             at=owner.wall_ms(),
             answer=answer,
         )
-        tell = ops.OutcomeTell(shard=self.shards.shard_of(granted.key), outcome=outcome)
+        shard = self.shards.shard_of(granted.key)
+        tell = ops.OutcomeTell(shard=shard, outcome=outcome, bill=bill)
         task = asyncio.create_task(self._tell_until_done(tell))
         self._tells.add(task)
         task.add_done_callback(self._tells.discard)
--- a/libs/masticpost-shards/src/masticpost_shards/directory.py
+++ b/libs/masticpost-shards/src/masticpost_shards/directory.py
@@ -40,6 +40,8 @@
         Instances that may own shards.
     shard_count : int
         Number of shards of the deployment.
+    settle_after_s : float
+        Seconds after which the open bill of an ended instance is settled.
     """
 
     def __init__(
@@ -49,12 +51,14 @@
         peers: hub.Hub,
         members: membership.Membership,
         shard_count: int,
+        settle_after_s: float = owner.SETTLE_AFTER_S,
     ) -> None:
         super().__init__()
         self.store = store
         self.peers = peers
         self.members = members
         self.shard_count = shard_count
+        self.settle_after_s = settle_after_s
         self.run = records.Run(instance=peers.name, started=peers.incarnation)
         self.owners: dict[int, owner.ShardOwner] = {}
         self._leaving = False
@@ -161,6 +165,7 @@
             shard=shard,
             run=self.run,
             is_running=self.is_running,
+            settle_after_s=self.settle_after_s,
         )
         self.owners[shard] = started
         await started.start()
--- a/libs/masticpost-shards/src/masticpost_shards/ops.py
+++ b/libs/masticpost-shards/src/masticpost_shards/ops.py
@@ -44,10 +44,14 @@
 @messages.message("claim-ask")
 @attrs.frozen(kw_only=True)
 class ClaimAsk:
-    """Asks for the right to dispatch a non-idempotent call."""
+    """Asks for the right to dispatch a non-idempotent call.
+
+    `bill` is opened in the same commit; its key is the claim's.
+    """
 
     shard: int
     claim: records.Claim
+    bill: records.BillOpen | None = None
 
 
 @messages.message("claim-reply")
@@ -63,20 +67,26 @@
 @messages.message("outcome-tell")
 @attrs.frozen(kw_only=True)
 class OutcomeTell:
-    """Tells how a claimed call ended."""
+    """Tells how a claimed call ended, and its bill."""
 
     shard: int
     outcome: records.Outcome
+    bill: records.BillClose | None = None
 
 
 @messages.message("bills-tell")
 @attrs.frozen(kw_only=True)
 class BillsTell:
-    """Tells of dispatched and of billed requests; may be repeated."""
+    """Tells of dispatched and of billed requests; may be repeated.
+
+    With `held` the reply does not wait for the commit: it tells that the owner
+    holds the records in memory.
+    """
 
     shard: int
-    opens: list[records.BillOpen]
-    closes: list[records.BillClose]
+    opens: list[records.BillOpen] = attrs.field(factory=list)
+    closes: list[records.BillClose] = attrs.field(factory=list)
+    held: bool = False
 
 
 @messages.message("pin-ask")
@@ -174,7 +184,10 @@
     claim = op.claim
     if working.add_claim(claim):
         reply = ClaimReply(verdict=GRANTED, nonce=claim.nonce)
-        return Decision(reply=reply, writes=[claim])
+        writes: list[object] = [claim]
+        if op.bill is not None and working.open_bill(op.bill):
+            writes.append(op.bill)
+        return Decision(reply=reply, writes=writes)
     known = working.calls[claim.key]
     if known.claim.fingerprint != claim.fingerprint:
         return Decision(reply=ClaimReply(verdict=MISMATCH), waits=False)
@@ -194,7 +207,9 @@
     working: state.State, op: OutcomeTell, is_running: IsRunning
 ) -> Decision:
     """Record the outcome of the attempt that holds the claim."""
-    writes = [op.outcome] if working.add_outcome(op.outcome) else []
+    writes: list[object] = [op.outcome] if working.add_outcome(op.outcome) else []
+    if op.bill is not None and working.close_bill(op.bill):
+        writes.append(op.bill)
     return Decision(reply=Done(), writes=writes)
 
 
@@ -205,7 +220,7 @@
     """Record what is new; an open record whose bill is known is left out."""
     closes = [row for row in op.closes if working.close_bill(row)]
     opens = [row for row in op.opens if working.open_bill(row)]
-    return Decision(reply=Done(), writes=[*opens, *closes])
+    return Decision(reply=Done(), writes=[*opens, *closes], waits=not op.held)
 
 
 @DECIDERS.register(PinAsk.MESSAGE_KIND)
--- a/libs/masticpost-shards/src/masticpost_shards/owner.py
+++ b/libs/masticpost-shards/src/masticpost_shards/owner.py
@@ -23,7 +23,7 @@
 LOST_PAUSE_S = 0.3
 LEASE_S = 4.0
 RENEW_AFTER_S = 1.5
-SETTLE_CHECK_S = 5.0
+SETTLE_CHECK_S = 2.0
 SETTLE_AFTER_S = 30.0
 BATCH_MAX_BYTES = 600_000
 RECORD_OVERHEAD_BYTES = 200
@@ -74,6 +74,8 @@
         This process.
     is_running : callable
         Tells whether a run of an instance may still be at work.
+    settle_after_s : float
+        Seconds after which the open bill of an ended instance is settled.
     """
 
     def __init__(
@@ -83,12 +85,14 @@
         shard: int,
         run: records.Run,
         is_running: ops.IsRunning,
+        settle_after_s: float = SETTLE_AFTER_S,
     ) -> None:
         super().__init__()
         self.store = store
         self.shard = shard
         self.run = run
         self.is_running = is_running
+        self.settle_after_s = settle_after_s
         self.journal = log.Log(store=store, shard=shard, run=run)
         self.working: state.State | None = None
         self.epoch = -1
@@ -307,7 +311,7 @@
                 continue
             closes = self._abandoned_bills(time.monotonic())
             if closes:
-                tell = ops.BillsTell(shard=self.shard, opens=[], closes=closes)
+                tell = ops.BillsTell(shard=self.shard, closes=closes)
                 self.add_future(self._settle(tell))
 
     async def _settle(self, tell: ops.BillsTell) -> None:
@@ -328,7 +332,7 @@
                 self._gone_since.pop(opened.key, None)
                 continue
             since = self._gone_since.setdefault(opened.key, now)
-            if now - since >= SETTLE_AFTER_S:
+            if now - since >= self.settle_after_s:
                 found.append(_settled(opened))
         return found
 
--- a/libs/masticpost-shards/src/masticpost_shards/state.py
+++ b/libs/masticpost-shards/src/masticpost_shards/state.py
@@ -58,10 +58,10 @@
         self.released = batch.released
         for claim in batch.claims:
             self.add_claim(claim)
-        for outcome in batch.outcomes:
-            self.add_outcome(outcome)
         for opened in batch.opens:
             self.open_bill(opened)
+        for outcome in batch.outcomes:
+            self.add_outcome(outcome)
         for closed in batch.closes:
             self.close_bill(closed)
         for pin in batch.pins:
@@ -80,13 +80,18 @@
         return True
 
     def add_outcome(self, outcome: records.Outcome) -> bool:
-        """Record the outcome of the claim with the same nonce, once."""
+        """Record the outcome of the claim with the same nonce, once.
+
+        The bill of a call that was released, which did not run, is taken back.
+        """
         call = self.calls.get(outcome.key)
         if call is None or call.outcome is not None:
             return False
         if call.claim.nonce != outcome.nonce:
             return False
         call.outcome = outcome
+        if outcome.kind == records.RELEASED:
+            self.open_bills.pop(outcome.key, None)
         return True
 
     def open_bill(self, opened: records.BillOpen) -> bool:
--- a/libs/masticpost-shards/testing/test_owner.py
+++ b/libs/masticpost-shards/testing/test_owner.py
@@ -135,9 +135,10 @@
 
 
 async def test_abandoned_bill_is_settled_once(monkeypatch):
-    monkeypatch.setattr(owner, "SETTLE_AFTER_S", 0.0)
     monkeypatch.setattr(owner, "SETTLE_CHECK_S", 0.01)
-    own = await serving(make_owner(fakestore.Server(), running=lambda run: False))
+    own = make_owner(fakestore.Server(), running=lambda run: False)
+    own.settle_after_s = 0.0
+    await serving(own)
     opened = records.BillOpen(
         key="b",
         customer="c",
--- /dev/null
+++ b/testing/support/faults.py
@@ -0,0 +1,329 @@
+"""The fault matrix as a table: steps that are held open, and faults."""
+
+import asyncio
+import collections.abc
+import signal
+
+import attrs
+from masticpost_bench import deployment
+from masticpost_common import registry
+
+PAUSE_S = 6.0
+HOLD_S = 0.6
+
+
+@attrs.define(kw_only=True)
+class Step:
+    """A step of the system's work and how it is held open while a fault strikes."""
+
+    name: str
+    begin: collections.abc.Callable
+    end: collections.abc.Callable
+
+
+@attrs.define(kw_only=True)
+class Fault:
+    """A fault: how it strikes and how it heals."""
+
+    name: str
+    strike: collections.abc.Callable
+    heal: collections.abc.Callable
+
+
+STEPS: registry.Registry[Step] = registry.Registry(kind="step")
+FAULTS: registry.Registry[Fault] = registry.Registry(kind="fault")
+
+
+def step(name):
+    """Register a pair of coroutines (begin, end) as a step."""
+
+    def add(make):
+        begin, end = make()
+        STEPS.register(name)(Step(name=name, begin=begin, end=end))
+        return make
+
+    return add
+
+
+def fault(name):
+    """Register a pair of coroutines (strike, heal) as a fault."""
+
+    def add(make):
+        strike, heal = make()
+        FAULTS.register(name)(Fault(name=name, strike=strike, heal=heal))
+        return make
+
+    return add
+
+
+async def each(dep: deployment.Deployment, kind: str, **fields: object) -> None:
+    """Set faults of every stand-in of a kind."""
+    specs = dep.plan.plains if kind == "plain" else dep.plan.engines
+    for spec in specs:
+        if dep.standins[spec.name].proc.is_running():
+            await dep.faults(spec.name, **fields)
+
+
+async def nothing(dep: deployment.Deployment) -> None:
+    """Do nothing."""
+
+
+@step("claim")
+def hold_claim():
+    async def begin(dep):
+        await dep.faults("store", delay_s=0.25)
+
+    async def end(dep):
+        await dep.faults("store", delay_s=0.0)
+
+    return begin, end
+
+
+@step("dispatch")
+def hold_dispatch():
+    async def begin(dep):
+        await each(dep, "plain", delay_s=HOLD_S)
+        await each(dep, "engine", delay_s=HOLD_S / 2)
+
+    async def end(dep):
+        await each(dep, "plain", delay_s=0.0)
+        await each(dep, "engine", delay_s=0.0)
+
+    return begin, end
+
+
+@step("stream")
+def hold_stream():
+    async def begin(dep):
+        await each(dep, "engine", cut_streams_after=4, cut_count=6)
+
+    return begin, nothing
+
+
+@step("outcome")
+def hold_outcome():
+    async def begin(dep):
+        await each(dep, "plain", delay_s=0.1)
+        await dep.faults("store", delay_s=0.15)
+
+    async def end(dep):
+        await each(dep, "plain", delay_s=0.0)
+        await dep.faults("store", delay_s=0.0)
+
+    return begin, end
+
+
+@step("bill")
+def hold_bill():
+    async def begin(dep):
+        await dep.faults("store", lose_write_answers=4, delay_s=0.05)
+
+    async def end(dep):
+        await dep.faults("store", lose_write_answers=0, delay_s=0.0)
+
+    return begin, end
+
+
+@step("pin")
+def hold_pin():
+    async def begin(dep):
+        await dep.faults("store", delay_s=0.2)
+        await dep.apply({"versions.small-1": {"share": 100.0}})
+
+    async def end(dep):
+        await dep.faults("store", delay_s=0.0)
+
+    return begin, end
+
+
+@step("configuration")
+def hold_configuration():
+    async def begin(dep):
+        for price in (0.3, 0.4, 0.5):
+            await dep.apply({"versions.small-1": {"input_price": price}})
+
+    async def end(dep):
+        await dep.apply({"versions.small-1": {"input_price": 0.6}})
+
+    return begin, end
+
+
+@step("drain")
+def hold_drain():
+    async def begin(dep):
+        await dep.apply({"domains.south": {"out": True}})
+
+    async def end(dep):
+        await dep.apply({})
+
+    return begin, end
+
+
+@step("takeover")
+def hold_takeover():
+    async def begin(dep):
+        dep.daemons["entry-2"].proc.kill()
+
+    async def end(dep):
+        dep.start_daemon("entry-2", dep.plan.instance_domain(2))
+        await dep.list_all()
+
+    return begin, end
+
+
+@step("planned stop")
+def hold_stop():
+    async def begin(dep):
+        dep.daemons["entry-2"].proc.send(signal.SIGTERM)
+
+    async def end(dep):
+        code = await dep.daemons["entry-2"].proc.stop()
+        assert code == 0, f"a planned stop ended with {code}"
+        dep.start_daemon("entry-2", dep.plan.instance_domain(2))
+        await dep.list_all()
+
+    return begin, end
+
+
+@fault("none")
+def no_fault():
+    return nothing, nothing
+
+
+@fault("instance killed")
+def kill_instance():
+    async def strike(dep):
+        dep.daemons["entry-0"].proc.kill()
+
+    async def heal(dep):
+        dep.start_daemon("entry-0", dep.plan.instance_domain(0))
+        await dep.list_all()
+
+    return strike, heal
+
+
+@fault("instance paused past its lease")
+def pause_instance():
+    async def strike(dep):
+        dep.daemons["entry-1"].proc.send(signal.SIGSTOP)
+        await asyncio.sleep(PAUSE_S)
+
+    async def heal(dep):
+        dep.daemons["entry-1"].proc.send(signal.SIGCONT)
+
+    return strike, heal
+
+
+def store_fault(**fields):
+    """Return strike and heal of a fault of the object API."""
+    healed = {"outage": "", "lose_write_answers": 0, "stale_s": 0.0}
+
+    async def strike(dep):
+        await dep.faults("store", **fields)
+        await asyncio.sleep(1.5)
+
+    async def heal(dep):
+        await dep.faults("store", **healed)
+
+    return strike, heal
+
+
+@fault("object API cuts connections")
+def cut_store():
+    return store_fault(outage="abort")
+
+
+@fault("object API hangs")
+def hang_store():
+    return store_fault(outage="hang")
+
+
+@fault("object API answers 503")
+def error_store():
+    return store_fault(outage="error")
+
+
+@fault("object API loses answers")
+def lose_answers():
+    return store_fault(lose_write_answers=12)
+
+
+@fault("object API reads are stale")
+def stale_store():
+    return store_fault(stale_s=1.0)
+
+
+@fault("upstreams frozen")
+def freeze_upstreams():
+    async def strike(dep):
+        for name in ("engine-0", "booking-0"):
+            dep.standins[name].proc.send(signal.SIGSTOP)
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(1.0)
+
+    async def heal(dep):
+        for name in ("engine-0", "booking-0"):
+            dep.standins[name].proc.send(signal.SIGCONT)
+
+    return strike, heal
+
+
+@fault("upstreams cut connections")
+def cut_upstreams():
+    async def strike(dep):
+        await each(dep, "plain", cut_before=3, cut_after=3)
+        await dep.faults("engine-0", outage="abort")
+        await asyncio.sleep(1.0)
+
+    async def heal(dep):
+        await each(dep, "plain", cut_before=0, cut_after=0)
+        await dep.faults("engine-0", outage="")
+
+    return strike, heal
+
+
+@fault("answers crossed")
+def cross_answers():
+    async def strike(dep):
+        await each(dep, "engine", cross_answers=5)
+        await each(dep, "plain", cross_answers=2)
+        await asyncio.sleep(0.5)
+
+    async def heal(dep):
+        await each(dep, "plain", cross_answers=0)
+        await each(dep, "engine", cross_answers=0)
+
+    return strike, heal
+
+
+@fault("engine cold again")
+def cold_again():
+    async def strike(dep):
+        await dep.act("engine-0", "crash")
+        await asyncio.sleep(1.5)
+
+    return strike, nothing
+
+
+@fault("operators race")
+def racing_operators():
+    async def strike(dep):
+        seen = dep.generation
+        works = [dep.try_apply(seen, price) for price in (0.7, 0.8, 0.9)]
+        won = sum(await asyncio.gather(*works))
+        assert won <= 1, f"{won} of three conflicting edits were accepted"
+        await dep.refresh_generation()
+
+    return strike, nothing
+
+
+@fault("list lags and fails")
+def lagging_list():
+    async def strike(dep):
+        await dep.faults("list", lag_s=5.0, outage=True)
+        await asyncio.sleep(0.5)
+
+    async def heal(dep):
+        await dep.faults("list", lag_s=0.5, outage=False)
+
+    return strike, heal
--- /dev/null
+++ b/testing/support/workload.py
@@ -0,0 +1,102 @@
+"""Callers whose every request and answer is kept for the oracle."""
+
+import asyncio
+import random
+
+import attrs
+from masticpost_bench import deployment
+from masticpost_standins import engine
+
+REPEATS = 6
+REPEAT_PAUSE_S = 0.25
+PLANT = "plant-0"
+
+
+@attrs.define(kw_only=True)
+class Sent:
+    """One logical request and the answers to its tries, the last one last."""
+
+    kind: str
+    key: str
+    prompt: str = ""
+    session: str = ""
+    replies: list[deployment.Reply] = attrs.field(factory=list)
+
+    @property
+    def final(self) -> deployment.Reply:
+        return self.replies[-1]
+
+    @property
+    def is_answered(self) -> bool:
+        return any(reply.status in (200, 201) for reply in self.replies)
+
+
+@attrs.define(kw_only=True)
+class Workload:
+    """Sends requests of every kind until told to stop."""
+
+    dep: deployment.Deployment
+    seed: int
+    sent: list[Sent] = attrs.field(factory=list)
+    is_stopped: bool = False
+
+    async def run(self, callers: int = 6) -> None:
+        """Run callers until `stop`."""
+        async with asyncio.TaskGroup() as group:
+            for number in range(callers):
+                group.create_task(self._caller(number))
+
+    def stop(self) -> None:
+        """Let every caller finish its request and end."""
+        self.is_stopped = True
+
+    async def _caller(self, number: int) -> None:
+        draw = random.Random(f"{self.seed}/{number}")
+        serial = 0
+        while not self.is_stopped:
+            serial += 1
+            name = f"{number}-{serial}"
+            if number % 3 == 0:
+                await self._book(f"book-{name}")
+            elif number % 3 == 1:
+                await self._chat(f"chat-{name}", draw, stream=True, session="")
+            else:
+                session = f"session-{number}-{serial // 12}"
+                await self._chat(f"chat-{name}", draw, stream=False, session=session)
+            await asyncio.sleep(draw.uniform(0.0, 0.05))
+
+    async def _book(self, key: str) -> None:
+        sent = Sent(kind="book", key=key)
+        self.sent.append(sent)
+        for _ in range(REPEATS):
+            reply = await self.dep.book(key)
+            sent.replies.append(reply)
+            if reply.status == 201 or reply.code == "in_doubt":
+                return
+            await asyncio.sleep(REPEAT_PAUSE_S)
+
+    async def _chat(
+        self, key: str, draw: random.Random, *, stream: bool, session: str
+    ) -> None:
+        prompt = f"question {key} [len={draw.randint(3, 30)}]"
+        kind = "stream" if stream else "whole"
+        sent = Sent(kind=kind, key=key, prompt=prompt, session=session)
+        self.sent.append(sent)
+        headers = {"Idempotency-Key": key}
+        if session:
+            headers["X-Session-Id"] = session
+        for _ in range(REPEATS):
+            reply = await self.dep.chat(prompt, stream=stream, headers=headers)
+            sent.replies.append(reply)
+            if reply.status == 200:
+                return
+            await asyncio.sleep(REPEAT_PAUSE_S)
+
+
+def expected_words(prompt: str, version: str, quality: float) -> list[str]:
+    """Return the words that the engine stand-in gives for a prompt."""
+    parsed = engine.Request(
+        model=version, messages=[engine.Message(role="user", content=prompt)]
+    )
+    text, _ = engine.split_prompt(parsed)
+    return engine.answer_words(version, text, quality, parsed, 0)
