--- a/libs/masticpost-bench/src/masticpost_bench/deployment.py
+++ b/libs/masticpost-bench/src/masticpost_bench/deployment.py
@@ -1,6 +1,7 @@
 """A whole deployment on loopback: stand-ins, daemons, and calls to them."""
 
 import asyncio
+import collections.abc
 import contextlib
 import json
 import pathlib
@@ -62,7 +63,7 @@
 
     status: int
     body: bytes = b""
-    headers: dict[str, str] = attrs.field(factory=dict)
+    headers: collections.abc.Mapping[str, str] = attrs.field(factory=dict)
     elapsed_s: float = 0.0
 
     def json(self) -> typing.Any:
@@ -367,7 +368,7 @@
         return Reply(
             status=resp.status,
             body=content,
-            headers=dict(resp.headers),
+            headers=resp.headers,
             elapsed_s=time.monotonic() - started,
         )
 
--- /dev/null
+++ b/libs/masticpost-peers/testing/test_hub.py
@@ -0,0 +1,175 @@
+"""Messages reach their handler, and nobody without a key can speak."""
+
+import asyncio
+
+import attrs
+import pytest
+from masticpost_bench import procs
+from masticpost_peers import hub, keys, membership, messages
+
+KEY = "a-shared-key-of-the-tests"
+
+
+@messages.message("test-echo")
+@attrs.frozen(kw_only=True)
+class Echo:
+    text: str
+
+
+async def make_hub(name, secrets=(KEY,)):
+    port = procs.free_ports(1)[0]
+    made = hub.Hub(
+        name=name,
+        incarnation=1,
+        address=f"127.0.0.1:{port}",
+        ring=keys.KeyRing(secrets=list(secrets)),
+    )
+    await made.start()
+    return made
+
+
+async def echo(envelope, body):
+    return Echo(text=f"{envelope.sender}: {body.text}")
+
+
+async def test_call_gets_the_reply():
+    one, two = await make_hub("one"), await make_hub("two")
+    two.handle(Echo, echo)
+    reply = await one.call(two.address, Echo(text="hi"), 5.0)
+    assert reply.text == "one: hi"
+    await one.stop()
+    await two.stop()
+
+
+async def test_many_calls_at_once_get_their_own_replies():
+    one, two = await make_hub("one"), await make_hub("two")
+    two.handle(Echo, echo)
+    calls = [one.call(two.address, Echo(text=str(i)), 10.0) for i in range(300)]
+    replies = await asyncio.gather(*calls)
+    assert [reply.text for reply in replies] == [f"one: {i}" for i in range(300)]
+    await one.stop()
+    await two.stop()
+
+
+async def test_wrong_key_is_dropped_and_counted():
+    one = await make_hub("one", ["another-key-of-somebody"])
+    two = await make_hub("two")
+    two.handle(Echo, echo)
+    with pytest.raises(hub.PeerUnreachableError):
+        await one.call(two.address, Echo(text="hi"), 0.3)
+    assert two.traffic.rejected == 1
+    await one.stop()
+    await two.stop()
+
+
+async def test_rotated_keys_overlap():
+    old, new = KEY, "the-next-key-of-the-tests"
+    one, two = await make_hub("one", [old, new]), await make_hub("two", [new, old])
+    two.handle(Echo, echo)
+    assert (await one.call(two.address, Echo(text="x"), 5.0)).text == "one: x"
+    await one.stop()
+    await two.stop()
+
+
+async def test_failing_handler_is_told_to_the_caller():
+    async def fail(envelope, body):
+        raise ValueError("no")
+
+    one, two = await make_hub("one"), await make_hub("two")
+    two.handle(Echo, fail)
+    with pytest.raises(hub.PeerUnreachableError, match="ValueError"):
+        await one.call(two.address, Echo(text="hi"), 5.0)
+    await one.stop()
+    await two.stop()
+
+
+async def test_absent_peer_times_out():
+    one = await make_hub("one")
+    with pytest.raises(hub.PeerUnreachableError):
+        await one.call(f"127.0.0.1:{procs.free_ports(1)[0]}", Echo(text="hi"), 0.2)
+    await one.stop()
+
+
+@pytest.mark.parametrize("frames", [[b"a"], [b"a", b"b"], [b"a", b"b", b"c"], []])
+def test_frames_that_are_not_messages_are_dropped(frames):
+    made = hub.Hub(
+        name="one",
+        incarnation=1,
+        address="127.0.0.1:1",
+        ring=keys.KeyRing(secrets=[KEY]),
+    )
+    assert made.open(frames) is None
+    assert made.traffic.rejected == 1
+    made.context.destroy()
+
+
+def member(name="m", incarnation=1, state=membership.ALIVE, generation=0):
+    return membership.Member(
+        name=name,
+        address="127.0.0.1:1",
+        domain="d",
+        incarnation=incarnation,
+        started=incarnation,
+        state=state,
+        generation=generation,
+    )
+
+
+def test_news_is_ordered_by_incarnation_then_state():
+    dead = member(state=membership.DEAD)
+    assert dead.supersedes(member())
+    assert not member().supersedes(dead)
+    assert member(incarnation=2).supersedes(dead)
+    assert member(generation=3).supersedes(member(generation=2))
+
+
+async def make_member(name, seed):
+    made = await make_hub(name)
+    members = membership.Membership(
+        peers=made, domain="d", advertise=made.address, seed=seed
+    )
+    await members.start()
+    return made, members
+
+
+async def wait_until(check, timeout_s=15.0):
+    async with asyncio.timeout(timeout_s):
+        while not check():
+            await asyncio.sleep(0.02)
+
+
+async def test_members_find_each_other_and_notice_an_end():
+    nodes = [await make_member(f"n{i}", i) for i in range(4)]
+    first = nodes[0][0].address
+    for _, members in nodes[1:]:
+        assert await members.join(first)
+    await wait_until(lambda: all(len(m.alive()) == 4 for _, m in nodes))
+    gone_hub, gone = nodes.pop()
+    await gone.stop()
+    await gone_hub.stop()
+    await wait_until(lambda: all(len(m.alive()) == 3 for _, m in nodes))
+    for made, members in nodes:
+        await members.stop()
+        await made.stop()
+
+
+async def test_wrongly_suspected_member_refutes():
+    (hub_a, one), (hub_b, two) = await make_member("a", 1), await make_member("b", 2)
+    assert await two.join(hub_a.address)
+    await wait_until(lambda: len(one.alive()) == 2)
+    suspect = attrs.evolve(one.get("b"), state=membership.SUSPECT)
+    one._accept(suspect)
+    await wait_until(lambda: one.get("b").state == membership.ALIVE)
+    assert one.get("b").incarnation > suspect.incarnation
+    for part in (one, two, hub_a, hub_b):
+        await part.stop()
+
+
+async def test_leaving_member_owns_nothing_at_once():
+    (hub_a, one), (hub_b, two) = await make_member("a", 1), await make_member("b", 2)
+    assert await two.join(hub_a.address)
+    await wait_until(lambda: len(one.alive()) == 2)
+    await two.leave()
+    await wait_until(lambda: [m.name for m in one.alive()] == ["a"])
+    for part in (one, two, hub_a, hub_b):
+        await part.stop()
--- a/libs/masticpost-text/src/masticpost_text/rules.py
+++ b/libs/masticpost-text/src/masticpost_text/rules.py
@@ -55,7 +55,8 @@
             return places[path]
         if f"text.{path}" in places:
             return places[f"text.{path}"]
-        path = path.rpartition(".")[0]
+        parent, bracket, _ = path.rpartition("[")
+        path = parent if bracket else path.rpartition(".")[0]
     return findings.Place(source=source, line=1, column=1)
 
 
--- /dev/null
+++ b/libs/masticpost-text/testing/test_parse.py
@@ -0,0 +1,176 @@
+"""A text is refused with every finding at once, each with its place."""
+
+import hypothesis
+import pytest
+import yaml
+from hypothesis import strategies
+from masticpost_common import findings
+from masticpost_text import edit, parse
+
+GOOD = """\
+deployment: plant
+domains:
+  north: {out: false}
+  south: {}
+versions:
+  small-1: {model: small, share: 90, input_price: 0.1, output_price: 0.2}
+  small-2: {model: small, share: 10}
+  large-1: {model: large}
+services:
+  setup: {levels: [small, large]}
+  crews:
+    kind: plain
+    operations:
+      - {path: /stock}
+      - {path: /bookings, idempotent: false}
+upstreams:
+  engine-0:
+    url: http://127.0.0.1:9000
+    domain: north
+    serves: [small-1, small-2, large-1]
+  crews-0: {url: "http://127.0.0.1:9001", domain: south, serves: [crews]}
+customers:
+  plant:
+    keys: [{key}]
+    services: [setup, crews]
+""".replace("{key}", "ab" * 32)
+
+
+def problems(raw):
+    with pytest.raises(findings.FindingsError) as caught:
+        parse.parse(raw, source="t")
+    return caught.value.findings
+
+
+def one(raw, *words):
+    found = problems(raw)
+    matching = [f for f in found if all(word in str(f) for word in words)]
+    assert matching, f"no finding with {words} in {[str(f) for f in found]}"
+    return matching[0]
+
+
+def test_good_text_is_read():
+    text = parse.parse(GOOD).text
+    assert text.versions["small-1"].share == 90.0
+    assert text.upstreams["engine-0"].serves == ("small-1", "small-2", "large-1")
+    assert not text.services["crews"].operations[1].idempotent
+
+
+def test_all_findings_come_at_once_with_their_places():
+    raw = GOOD.replace("domain: north", "domain: norht").replace(
+        "share: 10", "share: 20"
+    )
+    found = problems(raw)
+    assert len(found) == 2
+    assert [(f.place.line, f.place.column) for f in found] == [(6, 27), (19, 5)]
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "words"),
+    [
+        ("domain: north", "domain: west", ("west", "north, south")),
+        ("[small, large]", "[small, huge]", ("huge",)),
+        ("serves: [crews]", "serves: [crew]", ("crew", "crews")),
+        ("share: 90", "share: 80", ("add up to 90",)),
+        ("share: 90", "share: many", ("must be a number",)),
+        ("share: 90", "share: 90, sahre: 1", ("sahre", "use one of")),
+        ("path: /stock", "path: stock", ("must begin with /",)),
+        ("http://127.0.0.1:9000", "127.0.0.1", ("not an HTTP URL",)),
+        ("kind: plain", "kind: plane", ("plane", "model, plain")),
+        ("ab" * 32, "secret", ("SHA-256", "hash-key")),
+        ("deployment: plant", "", ("section deployment is missing",)),
+        ("model: large}", "model: large, state: gone}", ("gone",)),
+        ("  plant:\n", "  plant:\n    max_concurrent: 0\n", ("1 or more",)),
+        ("levels: [small, large]", "levels: []", ("no levels",)),
+    ],
+)
+def test_mistakes_are_found(old, new, words):
+    assert old in GOOD
+    one(GOOD.replace(old, new), *words)
+
+
+def test_dependency_cycle_is_found():
+    raw = GOOD.replace(
+        "setup: {levels: [small, large]}",
+        "setup: {levels: [small, large], depends_on: [crews]}",
+    ).replace("kind: plain\n", "kind: plain\n    depends_on: [setup]\n")
+    one(raw, "depend on each other", "setup")
+
+
+def test_customer_left_without_a_version_is_found():
+    raw = GOOD.replace(
+        "services: [setup, crews]", "services: [setup]\n    versions: [large-9]"
+    )
+    one(raw, "no usable version")
+
+
+def test_shared_key_is_found():
+    extra = "  other:\n    keys: [" + "ab" * 32 + "]\n    services: [crews]\n"
+    one(GOOD + extra, "also a key of customer 'plant'")
+
+
+def test_duplicate_entry_is_found():
+    one(GOOD.replace("  south: {}", "  north: {}"), "given twice")
+
+
+@hypothesis.given(strategies.text(max_size=300))
+@hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
+def test_any_characters_give_findings_not_crashes(raw):
+    problems(raw)
+
+
+scalars = strategies.one_of(
+    strategies.none(),
+    strategies.booleans(),
+    strategies.integers(-5, 5),
+    strategies.floats(allow_nan=False),
+    strategies.text(max_size=6),
+)
+trees = strategies.recursive(
+    scalars,
+    lambda inner: strategies.one_of(
+        strategies.lists(inner, max_size=3),
+        strategies.dictionaries(strategies.text(max_size=8), inner, max_size=4),
+    ),
+    max_leaves=12,
+)
+
+
+@hypothesis.given(
+    strategies.sampled_from(
+        ["domains", "versions", "services", "upstreams", "customers", "shards"]
+    ),
+    trees,
+)
+@hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
+def test_any_section_gives_findings_not_crashes(section, tree):
+    data = yaml.safe_load(GOOD)
+    data[section] = tree
+    try:
+        parse.parse(yaml.safe_dump(data))
+    except findings.FindingsError as exc:
+        assert exc.findings
+
+
+@pytest.mark.parametrize(
+    ("section", "name", "field", "value"),
+    [
+        ("domains", "north", "out", "true"),
+        ("domains", "south", "out", "true"),
+        ("upstreams", "engine-0", "draining", "true"),
+        ("versions", "small-2", "state", "draining"),
+    ],
+)
+def test_edit_changes_one_field_and_keeps_the_rest(section, name, field, value):
+    raw = "# a comment\n" + GOOD
+    edited = edit.set_field(raw, section, name, field, value)
+    before, after = yaml.safe_load(raw), yaml.safe_load(edited)
+    assert after[section][name].pop(field) == yaml.safe_load(value)
+    before[section][name].pop(field, None)
+    assert before == after
+    assert edited.startswith("# a comment")
+
+
+def test_edit_of_an_unknown_entry_says_so():
+    with pytest.raises(edit.EditError, match="no 'west'"):
+        edit.set_field(GOOD, "domains", "west", "out", "true")
