--- /dev/null
+++ b/testing/test_config.py
@@ -0,0 +1,121 @@
+"""The text: in force everywhere within seconds, never reverting."""
+
+import asyncio
+import signal
+import time
+
+import pytest
+from masticpost_bench import deployment, layout, procs
+from masticpost_confsync import keeper
+from support import oracle
+
+IN_FORCE_S = 4.0
+
+
+def rising(dep):
+    evidence = oracle.Evidence(
+        sent=[], runs={}, states=[], engines={}, logs=dep.logs()
+    )
+    return oracle.generations_rise(evidence)
+
+
+async def test_edit_is_in_force_everywhere_in_time_and_conflicts_are_refused():
+    async with deployment.Deployment(plan=layout.small(instances=5)) as dep:
+        for price in (1.0, 2.0, 3.0):
+            generation = await dep.apply({"versions.small-1": {"input_price": price}})
+            await dep.wait_generation(generation, IN_FORCE_S)
+        assert not await dep.try_apply(generation - 1, 9.0)
+        assert not rising(dep)
+
+
+async def test_new_instance_starts_from_its_peers_while_the_store_is_out():
+    plan = layout.small(instances=4)
+    async with deployment.Deployment(plan=plan) as dep:
+        await dep.faults("store", outage="abort")
+        dep.start_daemon("entry-9", "south")
+        await dep.list_all()
+        await dep.wait_ready("entry-9")
+        assert (await dep.chat("x [len=2]", via="entry-9")).status == 200
+
+
+async def test_new_instance_alone_without_the_store_takes_no_work():
+    plan = layout.small(instances=1)
+    async with deployment.Deployment(plan=plan) as dep:
+        await dep.faults("store", outage="abort")
+        dep.daemons["entry-0"].proc.kill()
+        dep.start_daemon("entry-9", "south")
+        daemon = dep.daemons["entry-9"]
+
+        async def listens():
+            return (await dep.call("GET", "/livez", via="entry-9")).status == 200
+
+        await procs.wait_for(listens, "entry-9 listening")
+        reply = await dep.chat("x", via="entry-9")
+        assert (reply.status, reply.code, reply.ran) == (503, "not_current", "no")
+        assert daemon.proc.is_running()
+
+
+async def test_paused_instance_takes_the_newest_text_when_it_wakes():
+    async with deployment.Deployment(plan=layout.small()) as dep:
+        paused = dep.daemons["entry-0"].proc
+        paused.send(signal.SIGSTOP)
+        generation = await dep.apply({"domains.south": {"out": True}})
+        await asyncio.sleep(1.0)
+        paused.send(signal.SIGCONT)
+        await dep.wait_generation(generation, IN_FORCE_S)
+        assert not rising(dep)
+
+
+async def test_stale_reads_of_the_store_never_bring_an_old_text_back():
+    async with deployment.Deployment(plan=layout.small()) as dep:
+        await dep.faults("store", stale_s=2.0)
+        first = await dep.try_apply(dep.generation, 5.0)
+        second = await dep.try_apply(dep.generation, 6.0)
+        assert not (first and second)
+        await asyncio.sleep(3.0)
+        await dep.faults("store", stale_s=0.0)
+        await dep.refresh_generation()
+        await dep.wait_generation(dep.generation, IN_FORCE_S)
+        assert not rising(dep)
+
+
+class FakeMembers:
+    """Members of whom a share is heard."""
+
+    def __init__(self, share):
+        self.share = share
+        self.me = None
+
+    def listen(self, listener):
+        pass
+
+    def reachable_share(self, within_s):
+        return self.share
+
+
+class FakePeers:
+    name = "entry-0"
+
+    def handle(self, kind, handler):
+        pass
+
+
+class FakeStore:
+    def __init__(self, age_s):
+        self.last_success = time.monotonic() - age_s
+
+
+@pytest.mark.parametrize(
+    ("store_age_s", "share", "is_current"),
+    [(1, 0.1, True), (60, 0.9, True), (60, 0.5, True), (60, 0.4, False)],
+)
+def test_minority_that_cannot_reach_the_store_takes_no_work(
+    store_age_s, share, is_current
+):
+    kept = keeper.Keeper(
+        store=FakeStore(store_age_s), peers=FakePeers(), members=FakeMembers(share)
+    )
+    kept.in_force = object()
+    kept.is_compared = True
+    kept._last_proof = time.monotonic() - 60
+    assert kept.is_current() is is_current
--- /dev/null
+++ b/testing/test_leaving.py
@@ -0,0 +1,160 @@
+"""Failure domains and upstreams that leave get no new work; stops cut nothing off."""
+
+import asyncio
+import signal
+import time
+
+import attrs
+import pytest
+from masticpost_bench import deployment, layout
+from support import workload
+
+NO_NEW_WORK_S = 3.0
+
+
+async def last_requests(dep, names):
+    return {name: (await dep.counts(name))["last_request_at"] for name in names}
+
+
+def in_domain(dep, domain):
+    specs = (*dep.plan.engines, *dep.plan.plains)
+    return [spec.name for spec in specs if spec.domain == domain]
+
+
+@pytest.mark.parametrize("way", ["text", "upstream", "list"])
+async def test_what_leaves_gets_no_new_work_and_callers_notice_nothing(way):
+    async with deployment.Deployment(plan=layout.small()) as dep:
+        load = workload.Workload(dep=dep, seed=1)
+        task = asyncio.create_task(load.run())
+        await asyncio.sleep(2.0)
+        names = in_domain(dep, "south")
+        if way == "text":
+            await dep.apply({"domains.south": {"out": True}})
+        elif way == "upstream":
+            await dep.apply({f"upstreams.{name}": {"draining": True} for name in names})
+        else:
+            for name in names:
+                await dep.set_leaving(name, "upstreams")
+        told = time.time()
+        await asyncio.sleep(NO_NEW_WORK_S + 2.0)
+        last = await last_requests(dep, names)
+        load.stop()
+        await task
+        late = {name: at - told for name, at in last.items() if at - told > 3.0}
+        assert not late
+        refused = [s.key for s in load.sent if s.final.status not in (200, 201)]
+        assert not refused
+
+
+async def test_domain_that_returns_is_used_again():
+    async with deployment.Deployment(plan=layout.small()) as dep:
+        generation = await dep.apply({"domains.south": {"out": True}})
+        await dep.wait_generation(generation)
+        generation = await dep.apply()
+        await dep.wait_generation(generation)
+        back = time.time()
+        replies = [await dep.chat(f"{i} [len=2]") for i in range(40)]
+        assert {reply.status for reply in replies} == {200}
+        assert max((await last_requests(dep, ["engine-1"])).values()) > back
+
+
+async def test_everything_out_is_refused_truthfully_at_once():
+    async with deployment.Deployment(plan=layout.small()) as dep:
+        generation = await dep.apply(
+            {"domains.south": {"out": True}, "domains.north": {"out": True}}
+        )
+        await dep.wait_generation(generation)
+        reply = await dep.chat("x")
+        booked = await dep.book("never")
+        assert (reply.status, reply.code, reply.ran) == (503, "no_upstream", "no")
+        assert (booked.status, booked.ran) == (503, "no")
+        assert reply.headers["Retry-After"]
+        assert max(reply.elapsed_s, booked.elapsed_s) < reply_bound_s(dep)
+        generation = await dep.apply()
+        await dep.wait_generation(generation)
+        assert (await dep.book("never")).status == 201
+        assert (await dep.booking_runs())["never"] == 1
+
+
+def reply_bound_s(dep):
+    """Return half the deadline: a held-back refusal would come near the deadline."""
+    return dep.plan.services["crews"]["deadline_s"] / 2
+
+
+async def test_planned_stop_cuts_off_no_request():
+    plan = layout.small()
+    async with deployment.Deployment(plan=plan) as dep:
+        streams = [
+            asyncio.create_task(dep.chat(f"{i} [len=300]", stream=True, via="entry-0"))
+            for i in range(6)
+        ]
+        bookings = [
+            asyncio.create_task(dep.book(f"stop-{i}", via="entry-0")) for i in range(6)
+        ]
+        await asyncio.sleep(0.15)
+        daemon = dep.daemons["entry-0"]
+        daemon.proc.send(signal.SIGTERM)
+        replies = await asyncio.gather(*streams)
+        booked = await asyncio.gather(*bookings)
+        assert await daemon.proc.stop() == 0
+        for i, reply in enumerate(replies):
+            wanted = workload.expected_words(f"{i} [len=300]", "small-1", 0.8)
+            assert deployment.stream_words(reply.body) == wanted
+        assert {reply.status for reply in booked} == {201}
+        assert set((await dep.booking_runs()).values()) == {1}
+
+
+async def test_rolling_replacement_of_every_instance_loses_nothing():
+    async with deployment.Deployment(plan=layout.small()) as dep:
+        load = workload.Workload(dep=dep, seed=2)
+        task = asyncio.create_task(load.run())
+        for index in range(dep.plan.instances):
+            daemon = dep.daemons[f"entry-{index}"]
+            dep.daemons.pop(daemon.name)
+            assert await daemon.proc.stop() == 0
+            dep.start_daemon(f"entry-1{index}", daemon.domain)
+            await dep.list_all()
+            await dep.wait_ready()
+        load.stop()
+        await task
+        runs = await dep.booking_runs()
+        assert set(runs.values()) <= {1}
+        unanswered = [s.key for s in load.sent if not s.is_answered]
+        assert not unanswered
+
+
+async def test_cold_upstreams_get_no_more_than_they_bear_from_all_instances():
+    plan = layout.small(instances=4)
+    cold = {"cold_s": 3.0, "cold_bears": 2}
+    engines = tuple(attrs.evolve(e, extra=cold) for e in plan.engines)
+    plan = attrs.evolve(plan, engines=engines, cold_successes=40)
+    async with deployment.Deployment(plan=plan) as dep:
+        for spec in plan.engines:
+            await dep.act(spec.name, "make-cold")
+        works = [dep.chat(f"{i} [len=3]") for i in range(60)]
+        replies = await deployment.gather_limited(24, works)
+        assert any(reply.status == 200 for reply in replies)
+        refused = [r for r in replies if r.status != 200]
+        assert all(r.ran == "no" and r.headers["Retry-After"] for r in refused)
+        for spec in plan.engines:
+            row = await dep.counts(spec.name)
+            assert (row["cold_over"], row["requests"] > 0) == (0, True)
+
+
+async def test_request_that_crashes_upstreams_is_stopped_after_two():
+    plan = layout.small(instances=3, engines=4)
+    async with deployment.Deployment(plan=plan) as dep:
+        await asyncio.gather(*(dep.chat(f"{i} [len=2]") for i in range(24)))
+        replies = []
+        for _ in range(6):
+            replies.append(await dep.chat("please [crash]"))
+            await asyncio.sleep(0.3)
+        crashes = 0
+        for spec in plan.engines:
+            crashes += (await dep.counts(spec.name))["crashes"]
+        assert 1 <= crashes <= 2
+        assert replies[-1].code == "quarantined"
+        assert replies[-1].ran == "no"
+        await asyncio.sleep(1.0)
+        others = [await dep.chat(f"fine {i} [len=2]") for i in range(8)]
+        assert {reply.status for reply in others} == {200}
