--- a/libs/masticpost-bench/src/masticpost_bench/procs.py
+++ b/libs/masticpost-bench/src/masticpost_bench/procs.py
@@ -28,7 +28,7 @@
     They lie below the range of outgoing connections, and parallel test workers take
     them from ranges of their own, so that none is taken between here and its use.
     """
-    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:])
+    worker = int(os.environ.get("PYTEST_XDIST_WORKER", f"gw{PORT_RANGES - 1}")[2:])
     low = FIRST_PORT + (worker % PORT_RANGES) * PORTS_PER_RANGE
     found: list[int] = []
     while len(found) < count:
--- a/libs/masticpost-entry/src/masticpost_entry/app.py
+++ b/libs/masticpost-entry/src/masticpost_entry/app.py
@@ -22,19 +22,48 @@
     app = web.Application(
         client_max_size=runtime.MAX_BODY_BYTES, middlewares=[_errors_middleware]
     )
-    app.router.add_get("/livez", _simple(rt, admin.live))
-    app.router.add_get("/readyz", _simple(rt, admin.ready))
-    app.router.add_get("/metrics", _simple(rt, admin.show_metrics))
-    app.router.add_get("/admin/status", _simple(rt, admin.status))
-    app.router.add_get("/admin/burn", _simple(rt, admin.burn_counts))
-    app.router.add_get("/v1/models", _simple(rt, chat.list_models))
-    app.router.add_post("/v1/chat/completions", _counted(rt, chat.chat))
-    app.router.add_route(
-        "*", "/v1/services/{service}/{path:.*}", _counted(rt, plain.serve)
-    )
+    _add(app, "GET", "/livez", _simple(rt, admin.live))
+    _add(app, "GET", "/readyz", _simple(rt, admin.ready))
+    _add(app, "GET", "/metrics", _simple(rt, admin.show_metrics))
+    _add(app, "GET", "/admin/status", _simple(rt, admin.status))
+    _add(app, "GET", "/admin/burn", _simple(rt, admin.burn_counts))
+    _add(app, "GET", "/v1/models", _simple(rt, chat.list_models))
+    _add(app, "POST", "/v1/chat/completions", _counted(rt, chat.chat))
+    _add(app, "*", "/v1/services/{service}/{path:.*}", _counted(rt, plain.serve))
+    _add(app, "*", "/{path:.*}", _unknown_path)
     return app
 
 
+def _add(app: web.Application, method: str, path: str, handler: Handler) -> None:
+    """Add a route that answers every method, so that no default handler is left."""
+    app.router.add_route(method, path, handler, expect_handler=_expect)
+    if method != "*":
+        app.router.add_route("*", path, _bad_method, expect_handler=_expect)
+
+
+async def _unknown_path(req: web.Request) -> web.StreamResponse:
+    raise errors.refuse(404, "http_404", "There is nothing at this path.")
+
+
+async def _bad_method(req: web.Request) -> web.StreamResponse:
+    raise errors.refuse(405, "http_405", "The path does not take this method.")
+
+
+async def _expect(req: web.Request) -> web.StreamResponse | None:
+    """Answer an Expect header; aiohttp's own handler fails on bytes that are no text.
+
+    It runs outside the middlewares, so that it returns its refusal.
+    """
+    if req.headers.get("Expect", "").lower() == "100-continue":
+        await req.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        req.writer.output_size = 0
+        return None
+    refusal = errors.Refusal(
+        status=417, code="http_417", message="Only Expect: 100-continue is served."
+    )
+    return reply.error_response(refusal, intake.request_id_of(req))
+
+
 def _simple(rt: runtime.Runtime, handler: collections.abc.Callable) -> Handler:
     async def handle(req: web.Request) -> web.StreamResponse:
         return await handler(rt, req)
--- a/libs/masticpost-telemetry/src/masticpost_telemetry/logs.py
+++ b/libs/masticpost-telemetry/src/masticpost_telemetry/logs.py
@@ -10,6 +10,7 @@
 import attrs
 import loguru
 import msgspec
+from aiohttp import http_exceptions
 
 RESERVED = ("at", "level", "message", "instance", "module")
 
@@ -63,7 +64,16 @@
     """Passes the records of libraries that use the standard logging on."""
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Log one record, with its exception if there is one."""
+        """Log one record, with its exception if there is one.
+
+        The exception of a malformed request quotes the caller's bytes, keys
+        included, so that only its kind is logged.
+        """
+        exc = record.exc_info[1] if record.exc_info else None
+        if isinstance(exc, http_exceptions.HttpProcessingError):
+            logger = loguru.logger.bind(library=record.name, kind=type(exc).__name__)
+            logger.warning("malformed request")
+            return
         target = loguru.logger.opt(exception=record.exc_info)
         target.bind(library=record.name).log(record.levelname, record.getMessage())
 
