Mend what the full matrix found: lost refutations, early warmth, a bill in one memory

Causes: (1) an instance that woke from a pause refuted its suspicion in answers to probes that nobody waited for any more, used up its news there, and stayed dead for the others, who went on taking its shards back; (2) an engine was taken for warm after three quick successes while it was still cold: 9 requests too many, peak 4 where 2 are borne; (3) an open bill was only in the memory of its own instance when that instance owned the shard and the object API was slow, and was lost with it. Ruled out: the log and the permits' limit themselves. Changes: a process tells its state in every probe, and again when it hears old news of itself; warmth needs successes over a time that the text gives; another instance, of another failure domain first, holds such records and tells them to the shard's next owner.

--- a/libs/masticpost-bench/src/masticpost_bench/layout.py
+++ b/libs/masticpost-bench/src/masticpost_bench/layout.py
@@ -60,6 +60,7 @@
     services: dict[str, dict[str, object]]
     cold_successes: int = 3
     cold_max_concurrent: int = 2
+    cold_seconds: float = 0.0
     shards: int = 8
 
     def instance_domain(self, index: int) -> str:
@@ -89,6 +90,7 @@
     cold = {
         "max_concurrent": layout.cold_max_concurrent,
         "successes": layout.cold_successes,
+        "seconds": layout.cold_seconds,
     }
     data = {
         "deployment": layout.name,
@@ -129,7 +131,7 @@
         "domain": spec.domain,
         "serves": [spec.service],
         "max_concurrent": 64,
-        "cold": {"max_concurrent": 8, "successes": 1},
+        "cold": {"max_concurrent": 8, "successes": 1, "seconds": 0.0},
     }
 
 
--- a/libs/masticpost-bench/src/masticpost_bench/procs.py
+++ b/libs/masticpost-bench/src/masticpost_bench/procs.py
@@ -99,6 +99,10 @@
     async def stop(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
         """Ask the process to stop and return its exit code."""
         self.send(signal.SIGTERM)
+        return await self.wait(timeout_s)
+
+    async def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Return the exit code of a process that ends; kill it if it does not."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout_s):
                 while self.is_running():
--- a/libs/masticpost-daemon/src/masticpost_daemon/instance.py
+++ b/libs/masticpost-daemon/src/masticpost_daemon/instance.py
@@ -14,6 +14,7 @@
     bills,
     claims,
     directory,
+    holds,
     permits,
     sessions,
     views,
@@ -83,6 +84,7 @@
             agreed.keeper,
             agreed.shards,
             agreed.claims,
+            agreed.holds,
             agreed.bills,
             agreed.sessions,
             agreed.permits,
@@ -174,6 +176,7 @@
         view.add_future(view.tell_warm(upstream))
 
     desk.listen(became_warm)
+    keeper_of_bills = holds.Holds(shards=shards)
     return runtime.Agreed(
         store=store,
         peers=peers,
@@ -181,7 +184,8 @@
         keeper=keeper.Keeper(store=store, peers=peers, members=members),
         shards=shards,
         claims=claims.Claims(shards=shards),
-        bills=bills.BillWriter(shards=shards),
+        bills=bills.BillWriter(shards=shards, keeper=keeper_of_bills),
+        holds=keeper_of_bills,
         sessions=sessions.Sessions(shards=shards),
         permits=permits.Permits(shards=shards, desk=desk),
         views=view,
--- a/libs/masticpost-entry/src/masticpost_entry/routing.py
+++ b/libs/masticpost-entry/src/masticpost_entry/routing.py
@@ -253,6 +253,7 @@
         place.permit,
         is_success=is_success,
         successes=place.upstream.cold.successes,
+        seconds=place.upstream.cold.seconds,
     )
 
 
--- a/libs/masticpost-entry/src/masticpost_entry/runtime.py
+++ b/libs/masticpost-entry/src/masticpost_entry/runtime.py
@@ -12,6 +12,7 @@
     bills,
     claims,
     directory,
+    holds,
     permits,
     sessions,
     views,
@@ -50,6 +51,7 @@
     shards: directory.Directory
     claims: claims.Claims
     bills: bills.BillWriter
+    holds: holds.Holds
     sessions: sessions.Sessions
     permits: permits.Permits
     views: views.Views
--- a/libs/masticpost-peers/src/masticpost_peers/membership.py
+++ b/libs/masticpost-peers/src/masticpost_peers/membership.py
@@ -282,6 +282,8 @@
 
     async def _probe_once(self, target: Member) -> bool:
         news = self._take_news()
+        if self.me not in news:
+            news.append(self.me)
         known = self._members.get(target.name)
         if known is not None and known.state == SUSPECT:
             news.append(known)
@@ -346,7 +348,10 @@
         if claim.started > self.me.started:
             logger.error("another process runs as instance {}", self.me.name)
             return
-        if claim.incarnation < self.me.incarnation or claim.state == self.me.state:
+        if claim.state == self.me.state:
+            return
+        if claim.incarnation < self.me.incarnation:
+            self._news[self.me.name] = News(member=self.me)
             return
         incarnation = max(claim.incarnation, self.me.incarnation) + 1
         self._update_me(attrs.evolve(self.me, incarnation=incarnation))
--- a/libs/masticpost-peers/testing/test_hub.py
+++ b/libs/masticpost-peers/testing/test_hub.py
@@ -165,6 +165,19 @@
         await part.stop()
 
 
+async def test_refutation_that_was_lost_is_told_again():
+    """A woken process refutes while it answers probes that nobody waits for."""
+    (hub_a, one), (hub_b, two) = await make_member("a", 1), await make_member("b", 2)
+    assert await two.join(hub_a.address)
+    await wait_until(lambda: len(one.alive()) == 2)
+    one._accept(attrs.evolve(one.get("b"), state=membership.DEAD))
+    two._update_me(attrs.evolve(two.me, incarnation=two.me.incarnation + 1))
+    two._news.clear()
+    await wait_until(lambda: one.get("b").state == membership.ALIVE)
+    for part in (one, two, hub_a, hub_b):
+        await part.stop()
+
+
 async def test_leaving_member_owns_nothing_at_once():
     (hub_a, one), (hub_b, two) = await make_member("a", 1), await make_member("b", 2)
     assert await two.join(hub_a.address)
--- a/libs/masticpost-shards/src/masticpost_shards/bills.py
+++ b/libs/masticpost-shards/src/masticpost_shards/bills.py
@@ -9,7 +9,7 @@
 import mode
 from masticpost_common import errors
 
-from masticpost_shards import directory, ops, records
+from masticpost_shards import directory, holds, ops, records
 
 FLUSH_S = 0.05
 OPEN_FLUSH_S = 0.004
@@ -38,18 +38,22 @@
 class BillWriter(mode.Service):
     """Keeps the records of bills until their shards' owners committed them.
 
-    An open record is safe once the owner, on another instance, holds it, or once it
-    is committed. A closed one stays here until it is committed.
+    An open record is safe once another instance holds it too: the owner of its shard,
+    or, where that is this instance, another one. A closed one stays here until it is
+    committed.
 
     Parameters
     ----------
     shards : directory.Directory
         Routes to the owners.
+    keeper : holds.Holds
+        Has other instances hold the records of own shards.
     """
 
-    def __init__(self, *, shards: directory.Directory) -> None:
+    def __init__(self, *, shards: directory.Directory, keeper: holds.Holds) -> None:
         super().__init__()
         self.shards = shards
+        self.holds = keeper
         self.waiting = 0
         self._opens: dict[int, list[Opening]] = collections.defaultdict(list)
         self._closes: dict[int, list[records.BillClose]] = collections.defaultdict(list)
@@ -123,13 +127,13 @@
             self._telling.discard((what, shard))
 
     async def _tell_opens(self, shard: int) -> None:
-        """Have the owner hold the records; one of this instance commits them."""
+        """Have the owner, or for an own shard another instance, hold the records."""
         rows = self._opens[shard][:MAX_PER_TELL]
+        opens = [row.record for row in rows]
         member = self.shards.owner_of(shard)
-        is_elsewhere = member is not None and member.name != self.shards.peers.name
-        tell = ops.BillsTell(
-            shard=shard, opens=[row.record for row in rows], held=is_elsewhere
-        )
+        if member is not None and member.name == self.shards.peers.name:
+            await self.holds.keep_elsewhere(opens)
+        tell = ops.BillsTell(shard=shard, opens=opens, held=True)
         await self.shards.call(tell, timeout_s=TELL_TIMEOUT_S)
         del self._opens[shard][: len(rows)]
         self.waiting -= len(rows)
--- a/libs/masticpost-shards/src/masticpost_shards/permits.py
+++ b/libs/masticpost-shards/src/masticpost_shards/permits.py
@@ -51,7 +51,8 @@
 class PermitReturn:
     """Gives a permit back.
 
-    `is_success` counts towards the `successes` in a row that end a cold start.
+    `is_success` counts towards the `successes` in a row, over at least `seconds`,
+    that end a cold start.
     """
 
     shard: int
@@ -59,6 +60,15 @@
     nonce: str
     is_success: bool = False
     successes: int = 0
+    seconds: float = 0.0
+
+
+@attrs.define(kw_only=True)
+class Streak:
+    """Successes in a row of a resource's uses, and when the first one was."""
+
+    count: int = 0
+    since: float = 0.0
 
 
 class Desk:
@@ -75,7 +85,7 @@
         self._held: dict[str, dict[str, float]] = collections.defaultdict(dict)
         self._epochs: dict[int, int] = {}
         self._used_at: dict[int, float] = {}
-        self._successes: collections.Counter[str] = collections.Counter()
+        self._streaks: dict[str, Streak] = {}
         self._on_enough: collections.abc.Callable[[str], None] | None = None
         shards.peers.handle(PermitAsk, self.on_ask)
         shards.peers.handle(PermitReturn, self.on_return)
@@ -110,11 +120,14 @@
         if known is None or not back.successes:
             return ops.Done()
         if not back.is_success:
-            self._successes[back.resource] = 0
+            self._streaks.pop(back.resource, None)
             return ops.Done()
-        self._successes[back.resource] += 1
-        if self._successes[back.resource] >= back.successes and self._on_enough:
-            self._successes[back.resource] = 0
+        now = time.monotonic()
+        streak = self._streaks.setdefault(back.resource, Streak(since=now))
+        streak.count += 1
+        is_long = now - streak.since >= back.seconds
+        if streak.count >= back.successes and is_long and self._on_enough:
+            del self._streaks[back.resource]
             self._on_enough(back.resource)
         return ops.Done()
 
@@ -195,7 +208,9 @@
         started = time.monotonic()
         nonce = uuid.uuid4().hex
         if not await self._ask(resource, limit, nonce, renews=False):
-            self.add_future(self._give_back(resource, nonce))
+            shard = self.shards.shard_of(resource)
+            back = PermitReturn(shard=shard, resource=resource, nonce=nonce)
+            self.add_future(self._send(shard, back))
             return None
         permit = Permit(
             resource=resource,
@@ -208,13 +223,24 @@
         return permit
 
     def release(
-        self, permit: Permit, *, is_success: bool = False, successes: int = 0
+        self,
+        permit: Permit,
+        *,
+        is_success: bool = False,
+        successes: int = 0,
+        seconds: float = 0.0,
     ) -> None:
         """Give a permit back, in the background; see `PermitReturn`."""
         self._held.pop(permit.nonce, None)
-        self.add_future(
-            self._give_back(permit.resource, permit.nonce, is_success, successes)
+        back = PermitReturn(
+            shard=self.shards.shard_of(permit.resource),
+            resource=permit.resource,
+            nonce=permit.nonce,
+            is_success=is_success,
+            successes=successes,
+            seconds=seconds,
         )
+        self.add_future(self._send(back.shard, back))
 
     @mode.Service.task
     async def renew_loop(self) -> None:
@@ -242,23 +268,6 @@
         reply = await self._send(shard, ask)
         return isinstance(reply, PermitReply) and reply.granted
 
-    async def _give_back(
-        self,
-        resource: str,
-        nonce: str,
-        is_success: bool = False,
-        successes: int = 0,
-    ) -> None:
-        shard = self.shards.shard_of(resource)
-        back = PermitReturn(
-            shard=shard,
-            resource=resource,
-            nonce=nonce,
-            is_success=is_success,
-            successes=successes,
-        )
-        await self._send(shard, back)
-
     async def _send(self, shard: int, body: PermitAsk | PermitReturn) -> object:
         member = self.shards.owner_of(shard)
         if member is None:
--- a/libs/masticpost-text/src/masticpost_text/model.py
+++ b/libs/masticpost-text/src/masticpost_text/model.py
@@ -7,10 +7,14 @@
 
 @attrs.frozen(kw_only=True)
 class Cold:
-    """What an upstream bears in cold start."""
+    """What an upstream bears in cold start, and when it counts as warm.
+
+    It is warm after `successes` in a row, the first one at least `seconds` ago.
+    """
 
     max_concurrent: int = 1
     successes: int = 5
+    seconds: float = 5.0
 
 
 @attrs.frozen(kw_only=True)
--- a/libs/masticpost-text/src/masticpost_text/rules.py
+++ b/libs/masticpost-text/src/masticpost_text/rules.py
@@ -187,7 +187,14 @@
             message=f"{up.url!r} is not an HTTP URL",
             remedy="write http://ADDRESS:PORT",
         )
-    if up.max_concurrent < 1 or up.cold.max_concurrent < 1 or up.cold.successes < 1:
+    cold = up.cold
+    if cold.seconds < 0:
+        yield Problem(
+            path=f"{base}.cold.seconds",
+            message="seconds must be 0 or more",
+            remedy="give the length of the upstream's cold start",
+        )
+    if min(up.max_concurrent, cold.max_concurrent, cold.successes) < 1:
         yield Problem(
             path=base,
             message="max_concurrent and successes must be 1 or more",
--- a/testing/support/faults.py
+++ b/testing/support/faults.py
@@ -177,7 +177,7 @@
         dep.daemons["entry-2"].proc.send(signal.SIGTERM)
 
     async def end(dep):
-        code = await dep.daemons["entry-2"].proc.stop()
+        code = await dep.daemons["entry-2"].proc.wait()
         assert code == 0, f"a planned stop ended with {code}"
         dep.start_daemon("entry-2", dep.plan.instance_domain(2))
         await dep.list_all()
--- a/testing/test_config.py
+++ b/testing/test_config.py
@@ -13,9 +13,7 @@
 
 
 def rising(dep):
-    evidence = oracle.Evidence(
-        sent=[], runs={}, states=[], engines={}, logs=dep.logs()
-    )
+    evidence = oracle.Evidence(sent=[], runs={}, states=[], engines={}, logs=dep.logs())
     return oracle.generations_rise(evidence)
 
 
--- a/testing/test_entry.py
+++ b/testing/test_entry.py
@@ -147,9 +147,7 @@
 
 
 async def test_customer_limit_is_told_at_once(dep):
-    works = [
-        dep.chat("x [len=400]", customer=1, via="entry-0") for _ in range(4)
-    ]
+    works = [dep.chat("x [len=400]", customer=1, via="entry-0") for _ in range(4)]
     replies = await asyncio.gather(*works)
     refused = [reply for reply in replies if reply.status == 429]
     assert refused
--- a/testing/test_hostile.py
+++ b/testing/test_hostile.py
@@ -64,9 +64,7 @@
 requests = strategies.tuples(
     strategies.sampled_from(METHODS),
     strategies.sampled_from(PATHS),
-    strategies.dictionaries(
-        strategies.sampled_from(HEADER_NAMES), junk, max_size=4
-    ),
+    strategies.dictionaries(strategies.sampled_from(HEADER_NAMES), junk, max_size=4),
     bodies,
     strategies.booleans(),
 )
--- a/testing/test_leaving.py
+++ b/testing/test_leaving.py
@@ -84,6 +84,8 @@
 async def test_planned_stop_cuts_off_no_request():
     plan = layout.small()
     async with deployment.Deployment(plan=plan) as dep:
+        for number in range(20):
+            assert (await dep.chat(f"warm {number} [len=2]")).status == 200
         streams = [
             asyncio.create_task(dep.chat(f"{i} [len=300]", stream=True, via="entry-0"))
             for i in range(6)
@@ -127,7 +129,7 @@
     plan = layout.small(instances=4)
     cold = {"cold_s": 3.0, "cold_bears": 2}
     engines = tuple(attrs.evolve(e, extra=cold) for e in plan.engines)
-    plan = attrs.evolve(plan, engines=engines, cold_successes=40)
+    plan = attrs.evolve(plan, engines=engines, cold_seconds=4.0)
     async with deployment.Deployment(plan=plan) as dep:
         for spec in plan.engines:
             await dep.act(spec.name, "make-cold")
--- a/testing/test_matrix.py
+++ b/testing/test_matrix.py
@@ -53,7 +53,7 @@
 def matrix_plan():
     plan = layout.small()
     engines = tuple(attrs.evolve(e, extra={**e.extra, **COLD}) for e in plan.engines)
-    return attrs.evolve(plan, engines=engines)
+    return attrs.evolve(plan, engines=engines, cold_seconds=1.2)
 
 
 @pytest.mark.parametrize("index", range(len(CELLS)), ids=map(cell_id, CELLS))
