--- a/libs/masticpost-bench/src/masticpost_bench/deployment.py
+++ b/libs/masticpost-bench/src/masticpost_bench/deployment.py
@@ -92,13 +92,20 @@
         What to start.
     daemon_args : list of str
         Further arguments of every daemon.
+    daemon_program : list of str
+        Command that starts a daemon, `masticpostd` if not given.
     """
 
     def __init__(
-        self, *, plan: layout.Layout, daemon_args: list[str] | None = None
+        self,
+        *,
+        plan: layout.Layout,
+        daemon_args: list[str] | None = None,
+        daemon_program: list[str] | None = None,
     ) -> None:
         self.plan = plan
         self.daemon_args = daemon_args or []
+        self.daemon_program = daemon_program or [procs.program("masticpostd")]
         self.dir = pathlib.Path(tempfile.mkdtemp(prefix="masticpost-"))
         self.standins: dict[str, StandIn] = {}
         self.daemons: dict[str, Daemon] = {}
@@ -170,7 +177,7 @@
         """Start a daemon on fresh ports."""
         port, peer_port = procs.free_ports(2)
         args = [
-            procs.program("masticpostd"),
+            *self.daemon_program,
             f"--name={name}",
             f"--domain={domain}",
             f"--listen={procs.HOST}:{port}",
--- /dev/null
+++ b/libs/masticpost-bench/src/masticpost_bench/load.py
@@ -0,0 +1,123 @@
+"""Open-loop load: requests leave at their times, however slow the answers are.
+
+Latency counts from the time a request should have left, so that a stalled system
+cannot hide its stall (coordinated omission).
+"""
+
+import asyncio
+import collections
+import random
+import time
+
+import attrs
+from hdrh import histogram
+
+from masticpost_bench import deployment
+
+LOWEST_MS = 1
+HIGHEST_MS = 120_000
+DIGITS = 3
+
+
+@attrs.frozen(kw_only=True)
+class Kind:
+    """A kind of request of a mix and its weight."""
+
+    name: str
+    service: str
+    weight: float
+    prompt: str = ""
+    stream: bool = False
+    session_share: float = 0.0
+
+
+@attrs.define(kw_only=True)
+class Results:
+    """What a load got."""
+
+    latency: histogram.HdrHistogram = attrs.field(
+        factory=lambda: histogram.HdrHistogram(LOWEST_MS, HIGHEST_MS, DIGITS)
+    )
+    statuses: collections.Counter = attrs.field(factory=collections.Counter)
+    codes: collections.Counter = attrs.field(factory=collections.Counter)
+    sent: int = 0
+    keys: list[str] = attrs.field(factory=list)
+    answered_keys: list[str] = attrs.field(factory=list)
+
+    def percentile(self, share: float) -> float:
+        """Return a percentile of the latency in milliseconds."""
+        return self.latency.get_value_at_percentile(share)
+
+
+MIX = (
+    Kind(name="question", service="setup", weight=0.6, prompt="[len=24]"),
+    Kind(
+        name="stream",
+        service="setup",
+        weight=0.25,
+        prompt="[len=60]",
+        stream=True,
+        session_share=0.5,
+    ),
+    Kind(name="booking", service="crews", weight=0.15),
+)
+
+
+async def run(
+    dep: deployment.Deployment,
+    *,
+    rate_s: float,
+    seconds: float,
+    seed: int,
+    mix: tuple[Kind, ...] = MIX,
+) -> Results:
+    """Send requests at random times with a mean rate, and wait for the answers."""
+    draw = random.Random(seed)
+    results = Results()
+    started = time.monotonic()
+    due = started
+    tasks: set[asyncio.Task] = set()
+    while due < started + seconds:
+        due += draw.expovariate(rate_s)
+        await asyncio.sleep(max(0.0, due - time.monotonic()))
+        kind = draw.choices(mix, [k.weight for k in mix])[0]
+        results.sent += 1
+        work = _send(dep, kind, f"{seed}-{results.sent}", draw.random(), due, results)
+        task = asyncio.create_task(work)
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+    await asyncio.gather(*tasks)
+    return results
+
+
+async def _send(
+    dep: deployment.Deployment,
+    kind: Kind,
+    name: str,
+    chance: float,
+    due: float,
+    results: Results,
+) -> None:
+    customer = int(chance * 1e6) % len(dep.plan.customers)
+    if kind.service == "crews":
+        key = f"load-{name}"
+        results.keys.append(key)
+        reply = await dep.book(key, customer=customer)
+        if reply.status == 201:
+            results.answered_keys.append(key)
+    else:
+        headers = {}
+        if chance < kind.session_share:
+            headers["X-Session-Id"] = f"session-{customer}-{int(chance * 1000) % 8}"
+        reply = await dep.chat(
+            f"{name} {kind.prompt}",
+            service=kind.service,
+            stream=kind.stream,
+            customer=customer,
+            headers=headers,
+        )
+    results.statuses[reply.status] += 1
+    if reply.code:
+        results.codes[reply.code] += 1
+    elapsed_ms = int((time.monotonic() - due) * 1000)
+    results.latency.record_value(max(LOWEST_MS, elapsed_ms))
--- a/libs/masticpost-bench/src/masticpost_bench/main.py
+++ b/libs/masticpost-bench/src/masticpost_bench/main.py
@@ -10,6 +10,8 @@
     bencharms,
     demo,
     overhead,
+    recovery,
+    scale,
 )
 
 USAGE = """masticpost-bench: runs the real programs on loopback and measures them.
@@ -17,10 +19,14 @@
 Usage:
   masticpost-bench demo
   masticpost-bench overhead [options]
+  masticpost-bench scale [options]
+  masticpost-bench takeover [options]
+  masticpost-bench outage [options]
   masticpost-bench --help
 
 Options:
   --seconds S   Length of each measurement [default: 8].
+  --rate R      Requests per second, where it applies [default: 50].
   --out DIR     Where results go [default: out].
 """
 
--- /dev/null
+++ b/libs/masticpost-bench/src/masticpost_bench/recovery.py
@@ -0,0 +1,113 @@
+"""Recovery: time of a takeover after a kill, and bills over a long outage."""
+
+import asyncio
+import json
+import pathlib
+import time
+
+import attrs
+
+from masticpost_bench import bencharms, demo, deployment, layout, load
+
+TAKEOVER_ROUNDS = 20
+POLL_S = 0.02
+BEFORE_S = 2.0
+ROUND_TIMEOUT_S = 20.0
+SETTLED_TIMEOUT_S = 90.0
+
+
+@attrs.define(kw_only=True)
+class Takeovers:
+    """Seconds from a kill until a booking of the killed owner's shard is answered."""
+
+    seconds: list[float]
+
+    def percentile(self, share: float) -> float:
+        """Return a percentile, in seconds."""
+        ordered = sorted(self.seconds)
+        return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+@bencharms.ARMS.register("takeover")
+async def takeover(args: dict[str, object]) -> int:
+    """Kill shard owners and time until their shards serve again."""
+    found = Takeovers(seconds=[])
+    async with deployment.Deployment(plan=layout.lineswitch()) as dep:
+        for number in range(TAKEOVER_ROUNDS):
+            found.seconds.append(await _one_takeover(dep, number))
+    out = pathlib.Path(str(args["--out"]))
+    out.mkdir(parents=True, exist_ok=True)
+    (out / "takeover.json").write_text(json.dumps(attrs.asdict(found)))
+    print(
+        f"{TAKEOVER_ROUNDS} kills: p50 {found.percentile(0.5):.2f} s, "
+        f"p99 and worst {found.percentile(0.99):.2f} s"
+    )
+    return 0
+
+
+async def _one_takeover(dep: deployment.Deployment, number: int) -> float:
+    victim = next(
+        name
+        for name in sorted(dep.daemons)
+        if dep.daemons[name].proc.is_running() and (await dep.status(name))["shards"]
+    )
+    shards = {row["shard"] for row in (await dep.status(victim))["shards"]}
+    daemon = dep.daemons.pop(victim)
+    daemon.proc.kill()
+    started = time.monotonic()
+    while time.monotonic() - started < ROUND_TIMEOUT_S:
+        owned = set()
+        for name in dep.daemons:
+            rows = (await dep.status(name))["shards"]
+            owned |= {row["shard"] for row in rows if row["is_serving"]}
+        if shards <= owned:
+            break
+        await asyncio.sleep(POLL_S)
+    elapsed = time.monotonic() - started
+    dep.start_daemon(f"entry-{100 + number}", daemon.domain)
+    await dep.list_all()
+    await dep.wait_ready()
+    return elapsed
+
+
+@bencharms.ARMS.register("outage")
+async def outage(args: dict[str, object]) -> int:
+    """Run load over an outage of the object API; compare bills with answers."""
+    seconds = float(str(args["--seconds"]))
+    rate_s = float(str(args["--rate"]))
+    async with deployment.Deployment(plan=layout.lineswitch()) as dep:
+        await load.run(dep, rate_s=rate_s, seconds=8, seed=1)
+        await asyncio.sleep(BEFORE_S)
+        before = await _answered_bills(dep)
+        await dep.faults("store", outage="abort")
+        during = await load.run(dep, rate_s=rate_s, seconds=seconds, seed=2)
+        waiting = [(await dep.status(name))["bills_waiting"] for name in dep.daemons]
+        memory = [d.proc.pid for d in dep.daemons.values()]
+        await dep.faults("store", outage="")
+        healed = time.monotonic()
+        answered = during.statuses[200] + during.statuses[201]
+        billed = 0
+        while time.monotonic() - healed < SETTLED_TIMEOUT_S:
+            billed = await _answered_bills(dep) - before
+            if billed >= answered and not any(
+                [(await dep.status(name))["bills_waiting"] for name in dep.daemons]
+            ):
+                break
+            await asyncio.sleep(0.5)
+        caught_up_s = time.monotonic() - healed
+        runs = await dep.booking_runs()
+    print(
+        f"outage {seconds:.0f} s at {rate_s:.0f}/s: sent {during.sent}, answered "
+        f"{answered}, statuses {dict(during.statuses)}, codes {dict(during.codes)}"
+    )
+    print(
+        f"bills waiting at the end {sum(waiting)} on {len(memory)} instances, "
+        f"billed {billed}, caught up {caught_up_s:.1f} s after the outage, "
+        f"bookings run more than once: {sum(1 for n in runs.values() if n > 1)}"
+    )
+    return 0 if billed == answered else 1
+
+
+async def _answered_bills(dep: deployment.Deployment) -> int:
+    rows = await demo.bill_totals(dep)
+    return sum(row.requests for row in rows if row.state in ("answered", "partial"))
--- a/libs/masticpost-shards/src/masticpost_shards/holds.py
+++ b/libs/masticpost-shards/src/masticpost_shards/holds.py
@@ -84,14 +84,13 @@
 
     def _on_member(self, member: membership.Member) -> None:
         """Tell what is held for a run once it has ended, or another has begun."""
-        gone = [
-            item
-            for item in self._held
-            if item.run.instance == member.name and not self.shards.is_running(item.run)
-        ]
+        gone, kept = [], []
+        for item in self._held:
+            is_of_member = item.run.instance == member.name
+            is_gone = is_of_member and not self.shards.is_running(item.run)
+            (gone if is_gone else kept).append(item)
         if not gone:
             return
-        kept = [item for item in self._held if item not in gone]
         self._held = collections.deque(kept, maxlen=MAX_HELD)
         by_shard: dict[int, list[records.BillOpen]] = collections.defaultdict(list)
         for item in gone:
--- a/libs/masticpost-standins/src/masticpost_standins/engine.py
+++ b/libs/masticpost-standins/src/masticpost_standins/engine.py
@@ -129,6 +129,7 @@
     prefill_s: float
     sent: int = 0
     priority: int = 0
+    answer_id: str = ""
 
 
 class Engine(control.StandIn):
@@ -238,6 +239,10 @@
 
     async def _run(self, req: web.Request, parsed: Request) -> web.StreamResponse:
         seq = self._sequence(parsed)
+        if self.faults.cross_answers > 0:
+            self.faults.cross_answers -= 1
+            seq.words = [f"another's {word}" for word in seq.words]
+            seq.answer_id = "chatcmpl-of-another-request"
         self._waiting.append(seq)
         self._waiting.sort(key=lambda s: s.priority)
         self._work.set()
@@ -317,9 +322,6 @@
                 self._running.remove(seq)
 
     def _answer_id(self, req: web.Request) -> str:
-        if self.faults.cross_answers > 0:
-            self.faults.cross_answers -= 1
-            return "chatcmpl-of-another-request"
         return "chatcmpl-" + req.headers.get("X-Request-Id", "none")
 
     def _load_header(self) -> dict[str, str]:
@@ -354,7 +356,7 @@
         self.counts.finished += 1
         prompt_tokens = seq.kv - len(seq.words)
         body = {
-            "id": self._answer_id(req),
+            "id": seq.answer_id or self._answer_id(req),
             "object": "chat.completion",
             "created": int(time.time()),
             "model": parsed.model,
@@ -380,7 +382,7 @@
             headers={"Content-Type": "text/event-stream", **self._load_header()}
         )
         await resp.prepare(req)
-        answer_id = self._answer_id(req)
+        answer_id = seq.answer_id or self._answer_id(req)
         cut_after = self._take_cut()
         sent = 0
         await _event(resp, answer_id, parsed.model, {"role": "assistant"}, None)
--- /dev/null
+++ b/testing/support/broken.py
@@ -0,0 +1,103 @@
+"""Runs the daemon with one mechanism broken, to show that the oracle notices.
+
+Usage: broken.py MUTATION [daemon options]
+"""
+
+import sys
+
+from masticpost_common import errors, registry
+from masticpost_confsync import keeper
+from masticpost_daemon import main
+from masticpost_entry import plain, routing, streams
+from masticpost_shards import bills, ops, sessions, state, views
+from masticpost_text import parse
+from masticpost_upstream import engine, faults
+
+MUTATIONS = registry.Registry(kind="mutation")
+
+
+@MUTATIONS.register("claims are always granted")
+def grant_always():
+    def decide(working, op, is_running):
+        working.calls[op.claim.key] = state.Call(claim=op.claim)
+        reply = ops.ClaimReply(verdict=ops.GRANTED, nonce=op.claim.nonce)
+        return ops.Decision(reply=reply, writes=[op.claim])
+
+    ops.DECIDERS._entries[ops.ClaimAsk.MESSAGE_KIND] = decide
+
+
+@MUTATIONS.register("calls in doubt are tried again")
+def retry_in_doubt():
+    faults.VERDICTS[faults.FaultKind.CUT] = faults.VERDICTS[faults.FaultKind.REFUSED]
+
+
+@MUTATIONS.register("calls in doubt are said not to have run")
+def deny_runs():
+    def in_doubt(exc):
+        return errors.refuse(502, "in_doubt", "It was not run.", ran=errors.RAN_NO)
+
+    plain._in_doubt = in_doubt
+
+
+@MUTATIONS.register("ids of answers are not compared")
+def skip_ids():
+    engine._check_id = lambda target, answer_id: None
+
+
+@MUTATIONS.register("a cut stream just ends")
+def end_early():
+    async def relay(rt, run, req):
+        need = routing.Need(target=run.version.name, policy="random")
+        place = await routing.find_place(rt, run.job.call, need)
+        try:
+            await streams._relay_from(rt, run, req, place, need)
+        except faults.UpstreamError:
+            await streams._prepare(run, req)
+        await streams._finish(run)
+
+    streams.relay = relay
+
+
+@MUTATIONS.register("cold upstreams are taken for warm")
+def ignore_cold():
+    views.Views.is_warm = lambda self, upstream: True
+
+
+@MUTATIONS.register("sessions are not pinned")
+def no_pins():
+    async def pin(self, key, proposed, replaces=""):
+        return sessions.Pinned(version=proposed)
+
+    sessions.Sessions.pin = pin
+
+
+@MUTATIONS.register("bills are lost on the way")
+def lose_bills():
+    closes = bills.BillWriter.close
+
+    def close(self, closed):
+        if int(closed.key[:2], 16) % 8:
+            closes(self, closed)
+
+    bills.BillWriter.close = close
+
+
+@MUTATIONS.register("any generation is put in force")
+def take_any():
+    def offer(self, stored):
+        if self.in_force is not None and stored == self.in_force.stored:
+            return False
+        text = parse.parse(stored.raw).text
+        self.in_force = keeper.InForce(stored=stored, text=text)
+        keeper.logger.info("generation {} in force", stored.generation)
+        self.members.set_generation(stored.generation)
+        for listener in self._listeners:
+            listener(self.in_force)
+        return True
+
+    keeper.Keeper.offer = offer
+
+
+if __name__ == "__main__":
+    MUTATIONS.get(sys.argv.pop(1))()
+    main.main()
--- /dev/null
+++ b/testing/test_mutants.py
@@ -0,0 +1,83 @@
+"""Each invariant's check notices a daemon whose mechanism is broken."""
+
+import asyncio
+import pathlib
+import sys
+
+import pytest
+import test_matrix
+from masticpost_bench import deployment
+from support import oracle, workload
+
+BROKEN = str(pathlib.Path(__file__).parent / "support" / "broken.py")
+CASES = [
+    ("claims are always granted", "repeat", "at most once"),
+    ("calls in doubt are tried again", "upstreams cut connections", "at most once"),
+    ("calls in doubt are said not to have run", "upstreams cut connections", "is true"),
+    ("ids of answers are not compared", "answers crossed", "whole"),
+    ("a cut stream just ends", "cut streams", "whole"),
+    ("cold upstreams are taken for warm", "engine cold again", "cold"),
+    ("sessions are not pinned", "shares move", "keeps its version"),
+    ("bills are lost on the way", "none", "billed exactly once"),
+    ("any generation is put in force", "object API reads are stale", "reverts"),
+]
+
+
+@pytest.mark.parametrize(
+    ("mutation", "fault", "check"),
+    CASES,
+    ids=[case[0].replace(" ", "-") for case in CASES],
+)
+async def test_broken_daemon_is_noticed(mutation, fault, check):
+    program = [sys.executable, BROKEN, mutation]
+    async with deployment.Deployment(
+        plan=test_matrix.matrix_plan(),
+        daemon_args=test_matrix.DAEMON_ARGS,
+        daemon_program=program,
+    ) as dep:
+        if fault in SPECIAL:
+            found = await SPECIAL[fault](dep)
+        else:
+            step = "configuration" if "stale" in fault else "claim"
+            found = await test_matrix.run_cell(dep, step, (fault,), seed=1)
+    assert any(check in row for row in found), found
+
+
+async def repeat(dep):
+    """Repeat a booking through every instance."""
+    for index in range(3):
+        await dep.book("again", via=f"entry-{index}")
+    return await judged(dep)
+
+
+async def cut_streams(dep):
+    """Cut streams mid-way."""
+    load = workload.Workload(dep=dep, seed=3)
+    task = asyncio.create_task(load.run())
+    await asyncio.sleep(1.0)
+    for spec in dep.plan.engines:
+        await dep.faults(spec.name, cut_streams_after=2, cut_count=8)
+    await asyncio.sleep(2.0)
+    load.stop()
+    await task
+    return oracle.violations(await oracle.collect(dep, load))
+
+
+async def shares_move(dep):
+    """Move the share from one version to another under sessions."""
+    load = workload.Workload(dep=dep, seed=4)
+    task = asyncio.create_task(load.run())
+    await asyncio.sleep(1.5)
+    await dep.apply({"versions.small-1": {"state": "draining"}})
+    await asyncio.sleep(2.0)
+    load.stop()
+    await task
+    return oracle.violations(await oracle.collect(dep, load))
+
+
+async def judged(dep):
+    load = workload.Workload(dep=dep, seed=0)
+    return oracle.violations(await oracle.collect(dep, load))
+
+
+SPECIAL = {"repeat": repeat, "cut streams": cut_streams, "shares move": shares_move}
