--- a/testing/test_mutants.py
+++ b/testing/test_mutants.py
@@ -12,8 +12,8 @@
 BROKEN = str(pathlib.Path(__file__).parent / "support" / "broken.py")
 CASES = [
     ("claims are always granted", "repeat", "at most once"),
-    ("calls in doubt are tried again", "upstreams cut connections", "at most once"),
-    ("calls in doubt are said not to have run", "upstreams cut connections", "is true"),
+    ("calls in doubt are tried again", "cut bookings", "at most once"),
+    ("calls in doubt are said not to have run", "cut bookings", "is true"),
     ("ids of answers are not compared", "answers crossed", "whole"),
     ("a cut stream just ends", "cut streams", "whole"),
     ("cold upstreams are taken for warm", "engine cold again", "cold"),
@@ -50,6 +50,16 @@
     return await judged(dep)
 
 
+async def cut_bookings(dep):
+    """Cut each service's first booking after it ran; the caller does not repeat."""
+    for spec in dep.plan.plains:
+        await dep.faults(spec.name, cut_after=1)
+    load = workload.Workload(dep=dep, seed=0)
+    load.sent = [workload.Sent(kind="book", key="cut")]
+    load.sent[0].replies.append(await dep.book("cut"))
+    return oracle.violations(await oracle.collect(dep, load))
+
+
 async def cut_streams(dep):
     """Cut streams mid-way."""
     load = workload.Workload(dep=dep, seed=3)
@@ -80,4 +90,9 @@
     return oracle.violations(await oracle.collect(dep, load))
 
 
-SPECIAL = {"repeat": repeat, "cut streams": cut_streams, "shares move": shares_move}
+SPECIAL = {
+    "repeat": repeat,
+    "cut bookings": cut_bookings,
+    "cut streams": cut_streams,
+    "shares move": shares_move,
+}
