Give engines orders under one lease with fencing numbers

Cause: nothing made engines load what the text says. Ways weighed: every instance gives orders (they race), a lease object of its own (one more writer, and a clock decides); chosen: the owner of one shard, whose takeover position is the fencing number. Found: a version that was removed from the text was never unloaded, as only versions of the text were looked at; an adapter's parent tells now.

--- a/libs/masticpost-bench/src/masticpost_bench/deployment.py
+++ b/libs/masticpost-bench/src/masticpost_bench/deployment.py
@@ -141,6 +141,7 @@
         self._start_standin("store", "object-api", {})
         self._start_standin("list", "instance-list", {})
         self._start_standin("rating", "rating", {})
+        self._start_standin("weights", "weights", {"max_loads_s": 3.0})
         for spec in self.plan.engines:
             config = {"qualities": spec.qualities, **spec.extra}
             self._start_standin(spec.name, "engine", config)
@@ -210,7 +211,7 @@
     def text(self, changes: dict[str, dict[str, object]] | None = None) -> str:
         """Return the deployment's text with some fields changed."""
         urls = {name: standin.url for name, standin in self.standins.items()}
-        return layout.text_of(self.plan, urls, urls["rating"], changes)
+        return layout.text_of(self.plan, urls, urls["rating"], urls["weights"], changes)
 
     async def apply(self, changes: dict[str, dict[str, object]] | None = None) -> int:
         """Apply the text with some fields changed; returns the generation."""
--- a/libs/masticpost-bench/src/masticpost_bench/layout.py
+++ b/libs/masticpost-bench/src/masticpost_bench/layout.py
@@ -72,6 +72,7 @@
     layout: Layout,
     urls: dict[str, str],
     rating_url: str,
+    weights_url: str,
     changes: dict[str, dict[str, object]] | None = None,
 ) -> str:
     """Return the operators' text of a layout.
@@ -84,6 +85,8 @@
         URL of each upstream.
     rating_url : str
         URL of the rating service.
+    weights_url : str
+        URL of the weight store.
     changes : dict, optional
         Fields to set, by path such as ``versions.small-1``.
     """
@@ -96,6 +99,8 @@
         "deployment": layout.name,
         "shards": layout.shards,
         "rating_url": rating_url,
+        "weights_url": weights_url,
+        "weight_loads_s": 2.0,
         "domains": {name: {"out": False} for name in layout.domains},
         "versions": {name: dict(row) for name, row in layout.versions.items()},
         "services": {name: dict(row) for name, row in layout.services.items()},
@@ -107,7 +112,7 @@
     }
     for path, fields in (changes or {}).items():
         section, _, name = path.partition(".")
-        data[section][name].update(fields)
+        data[section].setdefault(name, {}).update(fields)
     return yaml.safe_dump(data, sort_keys=False)
 
 
@@ -117,6 +122,7 @@
     return {
         "url": urls[spec.name],
         "domain": spec.domain,
+        "checks_fencing": bool(spec.extra.get("checks_fencing")),
         "serves": list(spec.qualities),
         "max_concurrent": spec.max_concurrent,
         "cold": dict(cold),
--- a/libs/masticpost-daemon/src/masticpost_daemon/instance.py
+++ b/libs/masticpost-daemon/src/masticpost_daemon/instance.py
@@ -9,6 +9,7 @@
 from loguru import logger
 from masticpost_confsync import keeper
 from masticpost_entry import app, runtime
+from masticpost_orders import giver
 from masticpost_peers import hub, keys, membership
 from masticpost_shards import (
     bills,
@@ -50,6 +51,9 @@
             ),
             seeds=[str(seed) for seed in cfg.seeds],
         )
+        self.orders = giver.OrderGiver(
+            shards=self.rt.agreed.shards, texts=self.rt.agreed.keeper
+        )
         self._runner: web.AppRunner | None = None
 
     async def on_start(self) -> None:
@@ -90,6 +94,7 @@
             agreed.permits,
             agreed.views,
             self.listing,
+            self.orders,
         ]
 
     @property
--- a/libs/masticpost-entry/src/masticpost_entry/routing.py
+++ b/libs/masticpost-entry/src/masticpost_entry/routing.py
@@ -226,6 +226,8 @@
         place.track.failures_in_row = 0
         return
     need.tried.add(place.upstream.name)
+    if exc.kind is faults.FaultKind.NOT_LOADED:
+        return
     if exc.kind is faults.FaultKind.OVERLOADED:
         rt.gate.overloaded()
         return
--- /dev/null
+++ b/libs/masticpost-orders/src/masticpost_orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to engines under one lease with fencing numbers."""
--- /dev/null
+++ b/libs/masticpost-orders/src/masticpost_orders/client.py
@@ -0,0 +1,105 @@
+"""Client of an engine's orders: what is loaded, load, unload.
+
+Source: vLLM's OpenAI-compatible server, `/v1/models`, `/v1/load_lora_adapter` and
+`/v1/unload_lora_adapter`. The fencing number goes in a header; engines that do not
+check it ignore it.
+"""
+
+import enum
+
+import aiohttp
+import attrs
+from masticpost_common import codec
+
+FENCING_HEADER = "X-Fencing-Token"
+DELIVERY_LIMIT_S = 2.0
+
+
+class Outcome(enum.Enum):
+    """What became of an order."""
+
+    DONE = "done"
+    FENCED = "refused: old fencing number"
+    BUSY = "refused: try later"
+    FAILED = "failed or not known"
+
+
+@attrs.frozen(kw_only=True)
+class Order:
+    """An order that names its target state, so that it may be repeated."""
+
+    version: str
+    is_load: bool
+    weights: str = ""
+
+
+@attrs.define(kw_only=True)
+class ModelRow:
+    """A loaded version; one that was loaded by an order has a parent."""
+
+    id: str
+    parent: str | None = None
+
+
+@attrs.define(kw_only=True)
+class ModelRows:
+    """All that an engine has loaded."""
+
+    data: list[ModelRow]
+
+
+@attrs.frozen(kw_only=True)
+class LoadBody:
+    """Body of an order."""
+
+    lora_name: str
+    lora_path: str = ""
+
+
+class OrderClient:
+    """HTTP client of the engines' orders."""
+
+    def __init__(self) -> None:
+        self._http: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._http is not None:
+            await self._http.close()
+            self._http = None
+
+    def _session(self) -> aiohttp.ClientSession:
+        if self._http is None:
+            timeout = aiohttp.ClientTimeout(total=DELIVERY_LIMIT_S)
+            self._http = aiohttp.ClientSession(timeout=timeout)
+        return self._http
+
+    async def loaded(self, url: str) -> list[ModelRow] | None:
+        """Return what an engine has loaded, None without an answer."""
+        try:
+            async with self._session().get(f"{url}/v1/models") as resp:
+                resp.raise_for_status()
+                rows = codec.from_json(await resp.read(), ModelRows)
+        except (aiohttp.ClientError, TimeoutError, OSError, codec.DecodeError):
+            return None
+        return rows.data
+
+    async def give(self, url: str, order: Order, epoch: int) -> Outcome:
+        """Give an order under a fencing number."""
+        verb = "load" if order.is_load else "unload"
+        body = LoadBody(lora_name=order.version, lora_path=order.weights)
+        headers = {FENCING_HEADER: str(epoch), "Content-Type": "application/json"}
+        try:
+            async with self._session().post(
+                f"{url}/v1/{verb}_lora_adapter",
+                data=codec.to_json(body),
+                headers=headers,
+            ) as resp:
+                status = resp.status
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return Outcome.FAILED
+        if status < 300:
+            return Outcome.DONE
+        if status == 409:
+            return Outcome.FENCED
+        return Outcome.BUSY if status in (429, 503) else Outcome.FAILED
--- /dev/null
+++ b/libs/masticpost-orders/src/masticpost_orders/giver.py
@@ -0,0 +1,146 @@
+"""Gives engines the orders that make them serve what the text says.
+
+One instance gives orders at a time: the owner of one shard, while it holds the shard's
+lease. The position of its takeover in the shard's log is the fencing number. Engines
+that do not check it are protected by waiting: the first order to them comes after the
+old lease and the longest delivery have run out. What an order did is read back; the
+next round mends what an order that came late undid.
+"""
+
+import asyncio
+import time
+
+import mode
+from loguru import logger
+from masticpost_confsync import keeper
+from masticpost_shards import directory, owner
+from masticpost_text import model
+
+from masticpost_orders import client
+
+ORDERS_KEY = "orders"
+ROUND_S = 1.0
+UNLOAD_AFTER_S = 5.0
+BUSY_PAUSE_S = 2.0
+SETTLE_IN_S = owner.LEASE_S + client.DELIVERY_LIMIT_S
+
+
+class OrderGiver(mode.Service):
+    """Compares engines with the text and gives orders, where this is its job.
+
+    Parameters
+    ----------
+    shards : directory.Directory
+        Tells whether this instance owns the orders' shard.
+    texts : keeper.Keeper
+        The text in force.
+    """
+
+    def __init__(self, *, shards: directory.Directory, texts: keeper.Keeper) -> None:
+        super().__init__()
+        self.shards = shards
+        self.texts = texts
+        self.client = client.OrderClient()
+        self.given = 0
+        self._next_load = 0.0
+        self._unwanted_since: dict[tuple[str, str], float] = {}
+
+    async def on_stop(self) -> None:
+        """Close the client."""
+        await self.client.close()
+
+    def lease(self) -> owner.ShardOwner | None:
+        """Return the orders' shard if this instance may give orders now."""
+        own = self.shards.owners.get(self.shards.shard_of(ORDERS_KEY))
+        if own is None or not own.is_serving:
+            return None
+        own.needs_lease = True
+        return own if own.holds_lease else None
+
+    @mode.Service.task
+    async def rounds(self) -> None:
+        """Run rounds until the service stops."""
+        while not self.should_stop:
+            await asyncio.sleep(ROUND_S)
+            if self.lease() is not None and self.texts.in_force is not None:
+                await self._round(self.texts.in_force.text)
+
+    async def _round(self, text: model.Text) -> None:
+        engines = [up for up in text.upstreams.values() if _is_engine(text, up)]
+        loaded = await asyncio.gather(
+            *(self.client.loaded(up.url.rstrip("/")) for up in engines)
+        )
+        for up, versions in zip(engines, loaded, strict=True):
+            if versions is None:
+                continue
+            for order in self._orders(text, up, versions):
+                await self._give(up, order)
+
+    def _orders(
+        self, text: model.Text, up: model.Upstream, loaded: list[client.ModelRow]
+    ) -> list[client.Order]:
+        """Return loads first, by need: the versions with the largest share first."""
+        names = {row.id for row in loaded}
+        wanted = [text.versions[name] for name in up.serves if name not in names]
+        wanted = [ver for ver in wanted if ver.state != "withdrawn"]
+        wanted.sort(key=lambda ver: -ver.share)
+        loads = [
+            client.Order(
+                version=ver.name, is_load=True, weights=_weights(text, ver.name)
+            )
+            for ver in wanted
+        ]
+        return loads + self._unloads(text, up, loaded)
+
+    def _unloads(
+        self, text: model.Text, up: model.Upstream, loaded: list[client.ModelRow]
+    ) -> list[client.Order]:
+        """Return unloads of adapters and known versions that are served no more."""
+        now = time.monotonic()
+        orders = []
+        names = {row.id for row in loaded if row.parent or row.id in text.versions}
+        for name in sorted(names):
+            key = (up.name, name)
+            if name in up.serves:
+                self._unwanted_since.pop(key, None)
+                continue
+            since = self._unwanted_since.setdefault(key, now)
+            if now - since >= UNLOAD_AFTER_S:
+                orders.append(client.Order(version=name, is_load=False))
+        return orders
+
+    async def _give(self, up: model.Upstream, order: client.Order) -> None:
+        """Give an order if the lease is held and the weight store's rate allows it."""
+        now = time.monotonic()
+        if order.is_load and now < self._next_load:
+            return
+        own = self.lease()
+        if own is None or not self._may_order(own, up, now):
+            return
+        if order.is_load:
+            rate = max(0.001, self.texts.in_force.text.weight_loads_s)
+            self._next_load = now + 1.0 / rate
+        outcome = await self.client.give(up.url.rstrip("/"), order, own.epoch)
+        self.given += 1
+        logger.bind(
+            upstream=up.name,
+            version=order.version,
+            load=order.is_load,
+            epoch=own.epoch,
+            outcome=outcome.value,
+        ).info("order given")
+        if outcome is client.Outcome.BUSY:
+            self._next_load = now + BUSY_PAUSE_S
+
+    def _may_order(self, own: owner.ShardOwner, up: model.Upstream, now: float) -> bool:
+        if up.checks_fencing or own.is_first_owner:
+            return True
+        return now >= own.owned_since + SETTLE_IN_S
+
+
+def _is_engine(text: model.Text, up: model.Upstream) -> bool:
+    return any(name in text.versions for name in up.serves)
+
+
+def _weights(text: model.Text, version: str) -> str:
+    return f"{text.weights_url.rstrip('/')}/weights/{version}"
--- a/libs/masticpost-text/src/masticpost_text/model.py
+++ b/libs/masticpost-text/src/masticpost_text/model.py
@@ -137,6 +137,8 @@
     customers: dict[str, Customer]
     shards: int = 8
     rating_url: str = ""
+    weights_url: str = ""
+    weight_loads_s: float = 1.0
 
     def versions_of(self, model: str) -> list[Version]:
         """Return the versions of `model` in the text's order."""
--- a/libs/masticpost-text/src/masticpost_text/parse.py
+++ b/libs/masticpost-text/src/masticpost_text/parse.py
@@ -14,7 +14,13 @@
     "upstreams": model.Upstream,
     "customers": model.Customer,
 }
-SCALARS = {"deployment": str, "shards": int, "rating_url": str}
+SCALARS = {
+    "deployment": str,
+    "shards": int,
+    "rating_url": str,
+    "weights_url": str,
+    "weight_loads_s": float,
+}
 
 
 @attrs.frozen(kw_only=True)
--- a/libs/masticpost-text/src/masticpost_text/rules.py
+++ b/libs/masticpost-text/src/masticpost_text/rules.py
@@ -120,6 +120,12 @@
             message=f"shards must be from 1 to {MAX_SHARDS}",
             remedy="use 8 for a deployment of 8 instances",
         )
+    if text.weight_loads_s <= 0:
+        yield Problem(
+            path="weight_loads_s",
+            message="weight_loads_s must be above 0",
+            remedy="give the loads a second that the weight store allows",
+        )
     for ver in text.versions.values():
         base = f"versions.{ver.name}"
         yield from _one_of(f"{base}.state", ver.state, VERSION_STATES)
--- a/libs/masticpost-upstream/src/masticpost_upstream/engine.py
+++ b/libs/masticpost-upstream/src/masticpost_upstream/engine.py
@@ -20,6 +20,7 @@
 COLD_HEADER = "X-Upstream-State"
 COLD_VALUE = "cold"
 OVERLOAD_STATUSES = (429, 503)
+NOT_LOADED_STATUS = 404
 
 
 @attrs.frozen(kw_only=True)
@@ -164,6 +165,8 @@
         raise _fault(target, faults.FaultKind.COLD, resp.status)
     if resp.status in OVERLOAD_STATUSES:
         raise _fault(target, faults.FaultKind.OVERLOADED, resp.status)
+    if resp.status == NOT_LOADED_STATUS:
+        raise _fault(target, faults.FaultKind.NOT_LOADED, resp.status)
     if resp.status >= 500:
         raise _fault(target, faults.FaultKind.FAILED, resp.status)
     raise faults.UpstreamError(
--- a/libs/masticpost-upstream/src/masticpost_upstream/faults.py
+++ b/libs/masticpost-upstream/src/masticpost_upstream/faults.py
@@ -18,12 +18,14 @@
     CROSSED = "answer of another request"
     SHORT = "answer not whole"
     PERMIT_LOST = "permit lost"
+    NOT_LOADED = "version not loaded"
 
 
 VERDICTS = {
     FaultKind.REFUSED: retry.Verdict.NEVER_JUDGED,
     FaultKind.OVERLOADED: retry.Verdict.NEVER_JUDGED,
     FaultKind.COLD: retry.Verdict.NEVER_JUDGED,
+    FaultKind.NOT_LOADED: retry.Verdict.NEVER_JUDGED,
     FaultKind.REJECTED: retry.Verdict.ANSWERED,
 }
 
--- a/testing/support/faults.py
+++ b/testing/support/faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import signal
 
 import attrs
@@ -10,6 +11,7 @@
 
 PAUSE_S = 6.0
 HOLD_S = 0.6
+FROZEN_S = 1.0
 
 
 @attrs.define(kw_only=True)
@@ -57,11 +59,12 @@
 
 
 async def each(dep: deployment.Deployment, kind: str, **fields: object) -> None:
-    """Set faults of every stand-in of a kind."""
+    """Set faults of every stand-in of a kind but those that are frozen."""
     specs = dep.plan.plains if kind == "plain" else dep.plan.engines
     for spec in specs:
-        if dep.standins[spec.name].proc.is_running():
-            await dep.faults(spec.name, **fields)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FROZEN_S):
+                await dep.faults(spec.name, **fields)
 
 
 async def nothing(dep: deployment.Deployment) -> None:
@@ -272,12 +275,12 @@
 def cut_upstreams():
     async def strike(dep):
         await each(dep, "plain", cut_before=3, cut_after=3)
-        await dep.faults("engine-0", outage="abort")
+        await each(dep, "engine", cut_streams_after=1, cut_count=3)
         await asyncio.sleep(1.0)
 
     async def heal(dep):
         await each(dep, "plain", cut_before=0, cut_after=0)
-        await dep.faults("engine-0", outage="")
+        await each(dep, "engine", cut_count=0)
 
     return strike, heal
 
@@ -299,7 +302,9 @@
 @fault("engine cold again")
 def cold_again():
     async def strike(dep):
-        await dep.act("engine-0", "crash")
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FROZEN_S):
+                await dep.act("engine-0", "crash")
         await asyncio.sleep(1.5)
 
     return strike, nothing
