Bench scenarios under policies side by side; mix plans and explore levels in the cascade

Cause: no figure told what the decisions are worth. Change: masticpost-bench run with seven scenarios, eight policies and the cost of an oracle that knows each difficulty; the learnt cascade mixes two plans to meet a target just so, and tries a hardly rated level for a tenth of the requests, rated and escalated.

--- a/libs/masticpost-bench/src/masticpost_bench/main.py
+++ b/libs/masticpost-bench/src/masticpost_bench/main.py
@@ -11,6 +11,7 @@
     demo,
     overhead,
     recovery,
+    runs,
     scale,
 )
 
@@ -21,12 +22,16 @@
   masticpost-bench overhead [options]
   masticpost-bench scale [options]
   masticpost-bench takeover [options]
+  masticpost-bench run SCENARIO [options]
   masticpost-bench outage [options]
   masticpost-bench --help
 
 Options:
   --seconds S   Length of each measurement [default: 8].
   --rate R      Requests per second, where it applies [default: 50].
+  --policy P    Policies, comma separated [default: ours].
+  --seeds N     Runs per policy [default: 1].
+  --deployment D  lineswitch or alharthy [default: lineswitch].
   --out DIR     Where results go [default: out].
 """
 
--- /dev/null
+++ b/libs/masticpost-bench/src/masticpost_bench/runs.py
@@ -0,0 +1,322 @@
+"""Runs a scenario under several policies and reports them side by side."""
+
+import asyncio
+import collections
+import json
+import pathlib
+import random
+import re
+import time
+import zlib
+
+import aiohttp
+import attrs
+
+from masticpost_bench import bencharms, bound, deployment, layout, scenarios
+
+QUALITY = re.compile(rb"q=([0-9.]+)")
+USAGE = re.compile(rb'"completion_tokens":(\d+),"prompt_tokens":(\d+)')
+MANUAL = "Manual of line 4: torque, caps, labels, cleaning cycles. " * 40
+WARM_UP = 160
+WARM_UP_AT_ONCE = 8
+
+
+@attrs.define(kw_only=True)
+class Shot:
+    """One request of a run; times in seconds, `due` from the start of the run."""
+
+    due: float
+    service: str
+    hard: float
+    status: int = 0
+    ran: str = ""
+    code: str = ""
+    first_s: float = 0.0
+    total_s: float = 0.0
+    gap_s: float = 0.0
+    quality: float = -1.0
+    cost: float = 0.0
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+
+    @property
+    def is_good(self) -> bool:
+        """Whether the request was answered."""
+        return self.status in (200, 201)
+
+
+@attrs.define(kw_only=True)
+class Row:
+    """Summary of a run under one policy; times in milliseconds."""
+
+    scenario: str
+    policy: str
+    seed: int
+    sent: int
+    answered: float
+    refused: int
+    broken: int
+    cost_per_request: float
+    oracle_cost: float
+    quality: dict[str, float]
+    first_p50: float
+    first_p95: float
+    first_p99: float
+    gap_p95: float
+    total_p99: float
+    window_answered: float
+    window_total_p99: float
+    codes: dict[str, int]
+
+
+@bencharms.ARMS.register("run")
+async def run(args: dict[str, object]) -> int:
+    """Run one scenario under the policies and seeds given."""
+    name = str(args["SCENARIO"])
+    plan = scenarios.LAYOUTS[str(args["--deployment"])]()
+    rows = []
+    for seed in range(1, int(str(args["--seeds"])) + 1):
+        for policy in str(args["--policy"]).split(","):
+            shots = await fire(plan, scenarios.SCENARIOS.get(name), policy, seed)
+            row = summarize(plan, scenarios.SCENARIOS.get(name), policy, seed, shots)
+            rows.append(row)
+            print(_line(row), flush=True)
+    out = pathlib.Path(str(args["--out"]))
+    out.mkdir(parents=True, exist_ok=True)
+    path = out / f"{plan.name}-{name}.json"
+    path.write_text(json.dumps([attrs.asdict(row) for row in rows], indent=2))
+    _plot(rows, out / f"{plan.name}-{name}.png")
+    return 0
+
+
+async def fire(
+    plan: layout.Layout, chosen: scenarios.Scenario, policy: str, seed: int
+) -> list[Shot]:
+    """Run a scenario once and return every request."""
+    plan = attrs.evolve(plan, services=_with_policy(plan, policy))
+    async with deployment.Deployment(plan=plan) as dep:
+        await _warm_up(dep)
+        timeline = asyncio.create_task(chosen.timeline(dep))
+        shots = await _open_loop(dep, chosen, seed)
+        timeline.cancel()
+        await asyncio.gather(timeline, return_exceptions=True)
+    return shots
+
+
+def _with_policy(plan: layout.Layout, policy: str) -> dict[str, dict[str, object]]:
+    changes = scenarios.changes_of(plan, policy)
+    return {
+        name: {**row, **changes.get(f"services.{name}", {})}
+        for name, row in plan.services.items()
+    }
+
+
+async def _warm_up(dep: deployment.Deployment) -> None:
+    """Let upstreams get warm and cascades learn, under the same mix."""
+    draw = random.Random(0)
+    mix = scenarios.MIXES[dep.plan.name]
+    works = [_shoot(dep, _draw(mix, draw), 0.0, f"warm-{i}") for i in range(WARM_UP)]
+    await deployment.gather_limited(WARM_UP_AT_ONCE, works)
+
+
+def _draw(mix: tuple[scenarios.Ask, ...], draw: random.Random) -> scenarios.Ask:
+    return draw.choices(mix, [ask.weight for ask in mix])[0]
+
+
+async def _open_loop(
+    dep: deployment.Deployment, chosen: scenarios.Scenario, seed: int
+) -> list[Shot]:
+    draw = random.Random(seed)
+    mix = scenarios.MIXES[dep.plan.name]
+    started = time.monotonic()
+    due = 0.0
+    tasks = []
+    while due < chosen.seconds:
+        due += draw.expovariate(chosen.rate_s)
+        await asyncio.sleep(max(0.0, started + due - time.monotonic()))
+        name = f"{seed}-{len(tasks)}"
+        tasks.append(asyncio.create_task(_shoot(dep, _draw(mix, draw), due, name)))
+    return list(await asyncio.gather(*tasks))
+
+
+async def _shoot(
+    dep: deployment.Deployment, ask: scenarios.Ask, due: float, name: str
+) -> Shot:
+    """Send one request and time its answer."""
+    shot = Shot(due=due, service=ask.service, hard=ask.hard)
+    customer = zlib.crc32(name.encode()) % len(dep.plan.customers)
+    headers = {"Authorization": f"Bearer {dep.plan.customers[customer].key}"}
+    if ask.hint:
+        headers["X-Request-Class"] = ask.hint
+    if not ask.words:
+        headers["Idempotency-Key"] = f"run-{name}"
+        path = _operation_path(dep, ask)
+        body: object = {"crew": name}
+    else:
+        path = "/v1/chat/completions"
+        prompt = f"{name} [len={ask.words}] [hard={ask.hard}]"
+        content = MANUAL + prompt if ask.manual else prompt
+        body = {
+            "model": ask.service,
+            "messages": [{"role": "user", "content": content}],
+            "stream": ask.stream,
+            "stream_options": {"include_usage": True} if ask.stream else None,
+        }
+    await _timed(dep, shot, path, headers, body)
+    return shot
+
+
+def _operation_path(dep: deployment.Deployment, ask: scenarios.Ask) -> str:
+    """Return the path of the non-idempotent operation of a plain service."""
+    operations = dep.plan.services[ask.service]["operations"]
+    path = next(op["path"] for op in operations if op.get("idempotent") is False)
+    return f"/v1/services/{ask.service}{path}"
+
+
+async def _timed(
+    dep: deployment.Deployment,
+    shot: Shot,
+    path: str,
+    headers: dict[str, str],
+    body: object,
+) -> None:
+    started = time.monotonic()
+    content = b""
+    chunks = 0
+    try:
+        async with dep._http.post(
+            f"{dep.pick().url}{path}", json=body, headers=headers
+        ) as resp:
+            async for chunk in resp.content.iter_any():
+                if not content:
+                    shot.first_s = time.monotonic() - started
+                content += chunk
+                chunks += 1
+        shot.status = resp.status
+        shot.ran = resp.headers.get("X-Request-Ran", "")
+        shot.cost = float(resp.headers.get("X-Request-Cost", 0.0))
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        shot.status = 0
+    shot.total_s = time.monotonic() - started
+    if chunks > 1:
+        shot.gap_s = (shot.total_s - shot.first_s) / (chunks - 1)
+    if shot.status >= 400:
+        shot.code = json.loads(content)["error"]["code"]
+    found = QUALITY.search(content)
+    if found and shot.status == 200:
+        shot.quality = float(found.group(1))
+        _read_usage(dep, shot, content, resp.headers["X-Model-Version"])
+
+
+def _read_usage(
+    dep: deployment.Deployment, shot: Shot, content: bytes, version: str
+) -> None:
+    """Take tokens from the answer, and a stream's cost from its tokens."""
+    found = USAGE.findall(content)
+    if not found:
+        return
+    shot.output_tokens, shot.prompt_tokens = map(int, found[-1])
+    if not shot.cost:
+        shot.cost = bound.cost_of(
+            dep.plan, version, shot.prompt_tokens, shot.output_tokens
+        )
+
+
+def summarize(
+    plan: layout.Layout,
+    chosen: scenarios.Scenario,
+    policy: str,
+    seed: int,
+    shots: list[Shot],
+) -> Row:
+    """Return the summary of a run."""
+    good = [s for s in shots if s.is_good]
+    models = [s for s in good if s.quality >= 0]
+    low, high = chosen.window
+    inside = [s for s in shots if low <= s.due < high]
+    inside_good = [s for s in inside if s.is_good]
+    firsts = [s.first_s for s in models]
+    return Row(
+        scenario=chosen.name,
+        policy=policy,
+        seed=seed,
+        sent=len(shots),
+        answered=len(good) / len(shots),
+        refused=sum(1 for s in shots if s.status >= 400),
+        broken=sum(1 for s in shots if s.status == 0),
+        cost_per_request=_mean([s.cost for s in models]) * 1e6,
+        oracle_cost=_oracle(plan, models) * 1e6,
+        quality=_quality(models),
+        first_p50=_percentile(firsts, 0.5),
+        first_p95=_percentile(firsts, 0.95),
+        first_p99=_percentile(firsts, 0.99),
+        gap_p95=_percentile([s.gap_s for s in models if s.gap_s], 0.95),
+        total_p99=_percentile([s.total_s for s in good], 0.99),
+        window_answered=len(inside_good) / max(1, len(inside)),
+        window_total_p99=_percentile([s.total_s for s in inside_good], 0.99),
+        codes=dict(collections.Counter(s.code for s in shots if s.code)),
+    )
+
+
+def _oracle(plan: layout.Layout, models: list[Shot]) -> float:
+    known = [
+        bound.Known(
+            service=s.service,
+            hard=s.hard,
+            prompt_tokens=s.prompt_tokens,
+            output_tokens=s.output_tokens,
+        )
+        for s in models
+    ]
+    cost = bound.oracle_cost(plan, known, *layout.QUALITIES)
+    return cost / max(1, len(models))
+
+
+def _quality(shots: list[Shot]) -> dict[str, float]:
+    grouped = collections.defaultdict(list)
+    for shot in shots:
+        grouped[shot.service].append(shot.quality)
+    return {name: round(_mean(values), 3) for name, values in sorted(grouped.items())}
+
+
+def _mean(values: list[float]) -> float:
+    return sum(values) / len(values) if values else 0.0
+
+
+def _percentile(values: list[float], share: float) -> float:
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return 1000 * ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def _line(row: Row) -> str:
+    return (
+        f"{row.scenario:<13} {row.policy:<17} seed {row.seed}  sent {row.sent:>5} "
+        f"answered {row.answered:.4f} refused {row.refused} broken {row.broken}  "
+        f"cost {row.cost_per_request:>6.1f}e-6 (oracle {row.oracle_cost:.1f}) "
+        f"quality {row.quality}  "
+        f"first {row.first_p50:.0f}/{row.first_p95:.0f}/{row.first_p99:.0f} ms "
+        f"gap p95 {row.gap_p95:.1f}  total p99 {row.total_p99:.0f}  "
+        f"window {row.window_answered:.4f} p99 {row.window_total_p99:.0f}  "
+        f"{row.codes or ''}"
+    )
+
+
+def _plot(rows: list[Row], path: pathlib.Path) -> None:
+    """Write a bar plot of first-token p95 and cost per policy."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, (left, right) = pyplot.subplots(1, 2, figsize=(11, 4))
+    names = [f"{row.policy} #{row.seed}" for row in rows]
+    left.barh(names, [row.first_p95 for row in rows])
+    left.set_xlabel("first token p95, ms")
+    right.barh(names, [row.cost_per_request for row in rows])
+    right.set_xlabel("cost per model request, 1e-6")
+    figure.suptitle(rows[0].scenario)
+    figure.tight_layout()
+    figure.savefig(path, dpi=100)
+    pyplot.close(figure)
--- /dev/null
+++ b/libs/masticpost-bench/src/masticpost_bench/scenarios.py
@@ -0,0 +1,159 @@
+"""Scenarios, policies and the mixes of both deployments."""
+
+import asyncio
+import collections.abc
+
+import attrs
+from masticpost_common import registry
+
+from masticpost_bench import deployment, layout
+
+Timeline = collections.abc.Callable[
+    [deployment.Deployment], collections.abc.Awaitable[None]
+]
+
+
+@attrs.frozen(kw_only=True)
+class Scenario:
+    """A load and what happens during it; times in seconds.
+
+    `window` is the part that is reported on its own, such as the time around a change.
+    """
+
+    name: str
+    rate_s: float
+    seconds: float
+    timeline: Timeline
+    window: tuple[float, float]
+
+
+SCENARIOS: registry.Registry[Scenario] = registry.Registry(kind="scenario")
+
+
+def scenario(
+    name: str, *, rate_s: float, seconds: float, window: tuple[float, float]
+) -> collections.abc.Callable[[Timeline], Timeline]:
+    """Register a timeline as a scenario."""
+
+    def add(timeline: Timeline) -> Timeline:
+        SCENARIOS.register(name)(
+            Scenario(
+                name=name,
+                rate_s=rate_s,
+                seconds=seconds,
+                timeline=timeline,
+                window=window,
+            )
+        )
+        return timeline
+
+    return add
+
+
+@scenario("steady", rate_s=30, seconds=20, window=(0, 20))
+async def steady(dep: deployment.Deployment) -> None:
+    """Nothing happens."""
+
+
+@scenario("peak", rate_s=90, seconds=20, window=(0, 20))
+async def peak(dep: deployment.Deployment) -> None:
+    """Nothing happens but three times the load."""
+
+
+@scenario("domain", rate_s=30, seconds=30, window=(6, 30))
+async def domain(dep: deployment.Deployment) -> None:
+    """A failure domain is taken out and comes back."""
+    name = dep.plan.domains[0]
+    await asyncio.sleep(8)
+    await dep.apply({f"domains.{name}": {"out": True}})
+    await asyncio.sleep(10)
+    await dep.apply()
+
+
+@scenario("pool-loss", rate_s=30, seconds=24, window=(6, 24))
+async def pool_loss(dep: deployment.Deployment) -> None:
+    """Two engines crash without warning and come back cold."""
+    await asyncio.sleep(8)
+    for engine in dep.plan.engines[:2]:
+        await dep.faults(engine.name, down_s=4.0)
+        await dep.act(engine.name, "crash")
+
+
+@scenario("store-out", rate_s=30, seconds=30, window=(6, 30))
+async def store_out(dep: deployment.Deployment) -> None:
+    """The object API is out for 12 s."""
+    await asyncio.sleep(8)
+    await dep.faults("store", outage="abort")
+    await asyncio.sleep(12)
+    await dep.faults("store", outage="")
+
+
+@scenario("instance-loss", rate_s=30, seconds=24, window=(6, 24))
+async def instance_loss(dep: deployment.Deployment) -> None:
+    """Two instances are killed; the balancer stops using them at once."""
+    await asyncio.sleep(8)
+    for name in ("entry-0", "entry-1"):
+        dep.daemons[name].proc.kill()
+
+
+@scenario("flood", rate_s=30, seconds=20, window=(4, 20))
+async def flood(dep: deployment.Deployment) -> None:
+    """One large customer sends four times all others' load."""
+    await asyncio.sleep(5)
+    works = [dep.chat(f"flood {number} [len=40]", customer=0) for number in range(1200)]
+    await deployment.gather_limited(120, works)
+
+
+POLICIES: dict[str, dict[str, str]] = {
+    "ours": {},
+    "best": {"cascade": "best"},
+    "cheapest": {"cascade": "cheapest"},
+    "threshold": {"cascade": "threshold"},
+    "round-robin": {"choice": "round-robin"},
+    "random": {"choice": "random"},
+    "least-outstanding": {"choice": "least-outstanding"},
+    "two-choices": {"choice": "two-choices"},
+}
+
+
+def changes_of(plan: layout.Layout, policy: str) -> dict[str, dict[str, object]]:
+    """Return the changes of the text that make a policy."""
+    names = [name for name, row in plan.services.items() if "levels" in row]
+    return {f"services.{name}": dict(POLICIES[policy]) for name in names}
+
+
+@attrs.frozen(kw_only=True)
+class Ask:
+    """A kind of request of a mix."""
+
+    service: str
+    weight: float
+    words: int
+    hard: float
+    stream: bool = False
+    hint: str = ""
+    manual: bool = False
+
+
+MIXES = {
+    "lineswitch": (
+        Ask(service="setup", weight=0.6, words=20, hard=0.1, stream=True),
+        Ask(
+            service="planner",
+            weight=0.25,
+            words=60,
+            hard=0.8,
+            stream=True,
+            hint="plan",
+            manual=True,
+        ),
+        Ask(service="crews", weight=0.15, words=0, hard=0.0),
+    ),
+    "alharthy": (
+        Ask(service="checks", weight=0.55, words=12, hard=0.2),
+        Ask(service="explain", weight=0.25, words=40, hard=0.4, stream=True),
+        Ask(service="checks", weight=0.08, words=24, hard=0.9, hint="hard"),
+        Ask(service="orders", weight=0.12, words=0, hard=0.0),
+    ),
+}
+LAYOUTS = {"lineswitch": layout.lineswitch, "alharthy": layout.al_harthy}
--- a/libs/masticpost-decide/src/masticpost_decide/cascade.py
+++ b/libs/masticpost-decide/src/masticpost_decide/cascade.py
@@ -12,8 +12,10 @@
 PRIOR_WEIGHT = 4.0
 PRIOR_SCORE = 0.6
 SAMPLE_RATE = 0.05
+EXPLORE_RATE = 0.1
 MIN_RATINGS = 12
 MAX_WEIGHT = 400.0
+MARGIN = 0.005
 RATING_COST_SHARE = 0.05
 CLASS_TOKENS = (64, 512, 2048)
 
@@ -152,12 +154,13 @@
 
 @CASCADES.register("expected-cost")
 class ExpectedCost(Cascade):
-    """Takes the cheapest plan whose expected quality meets the target.
+    """Takes the cheapest plan, or mix of two, whose expected quality meets the target.
 
     The plans are, for each level: answer from it unrated, or rate its answer and
-    escalate to the top when it is not accepted. Ratings decide what to expect. A
-    rating is asked for where the plan needs it, while there are few, and for a small
-    sample, so that a change is noticed.
+    escalate to the top when it is not accepted. Ratings decide what to expect. Where
+    the cheapest good plan is better than asked, a cheaper one takes the share of
+    requests that the target leaves. A rating is asked for where the plan needs it,
+    while there are few, and for a small sample, so that a change is noticed.
     """
 
     def __init__(self, *, seed: int = 0) -> None:
@@ -167,28 +170,55 @@
         )
 
     def start(self, ask: Ask) -> int:
-        """Return the level of the cheapest plan that meets the target."""
+        """Return the level of the cheapest plan that meets the target.
+
+        A level that was hardly rated yet is tried now and then; its answer is rated
+        and escalated if it is not accepted.
+        """
+        if self._random.random() < EXPLORE_RATE:
+            for level in range(ask.top):
+                if self._stats[(ask.request_class, level)].weight < MIN_RATINGS:
+                    return level
         return self._plan(ask).level
 
     def rating_use(self, ask: Ask, level: int) -> RatingUse:
         """Rate where it decides, where little is known, and a small sample."""
         is_new = self._stats[(ask.request_class, level)].weight < MIN_RATINGS
-        if level < ask.top and (is_new or self._plan(ask).rates):
+        if level < ask.top and (is_new or self._is_rated(ask, level)):
             return RatingUse.DECIDE
         if is_new or self._random.random() < SAMPLE_RATE:
             return RatingUse.LEARN
         return RatingUse.NONE
 
+    def _is_rated(self, ask: Ask, level: int) -> bool:
+        """Tell whether the plan that starts at this level escalates by ratings."""
+        plan = self._plan(ask)
+        return plan.level == level and plan.rates
+
     def learn(self, ask: Ask, level: int, score: float) -> None:
         """Add a rating to the class's statistics."""
         self._stats[(ask.request_class, level)].add(score)
 
     def _plan(self, ask: Ask) -> Plan:
         plans = [p for level in range(ask.top + 1) for p in self._plans(ask, level)]
-        good = [plan for plan in plans if plan.quality >= ask.target]
-        if good:
-            return min(good, key=lambda plan: plan.cost)
-        return max(plans, key=lambda plan: plan.quality)
+        wanted = ask.target + MARGIN
+        good = [plan for plan in plans if plan.quality >= wanted]
+        if not good:
+            return max(plans, key=lambda plan: plan.quality)
+        best = min(good, key=lambda plan: plan.cost)
+        cheaper = [plan for plan in plans if plan.cost < best.cost]
+        if not cheaper or not self._knows(ask):
+            return best
+        mix = min(cheaper, key=lambda plan: _mixed_cost(plan, best, wanted))
+        if self._random.random() < _share_of(mix, best, wanted):
+            return mix
+        return best
+
+    def _knows(self, ask: Ask) -> bool:
+        """Tell whether there are enough ratings to answer below the target."""
+        levels = range(ask.top + 1)
+        weights = [self._stats[(ask.request_class, level)].weight for level in levels]
+        return min(weights) >= MIN_RATINGS
 
     def _plans(self, ask: Ask, level: int) -> list[Plan]:
         stats = self._stats[(ask.request_class, level)]
@@ -209,6 +239,17 @@
         return [plain, rated]
 
 
+def _share_of(cheap: Plan, good: Plan, wanted: float) -> float:
+    """Return the share of requests that `cheap` may take beside `good`."""
+    gap = good.quality - cheap.quality
+    return min(1.0, (good.quality - wanted) / gap) if gap > 0 else 0.0
+
+
+def _mixed_cost(cheap: Plan, good: Plan, wanted: float) -> float:
+    share = _share_of(cheap, good, wanted)
+    return share * cheap.cost + (1 - share) * good.cost
+
+
 def request_class(service: str, prompt_tokens: int, hint: str = "") -> str:
     """Return the class of a request: service, size of the prompt, caller's hint."""
     size = sum(prompt_tokens >= bound for bound in CLASS_TOKENS)
--- /dev/null
+++ b/libs/masticpost-decide/testing/test_choice.py
@@ -0,0 +1,101 @@
+"""Choice, share and admission keep their rules."""
+
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+from masticpost_common import errors
+from masticpost_decide import admission, choice, share, tracker
+from masticpost_text import model
+
+candidates = strategies.lists(
+    strategies.builds(
+        choice.Candidate,
+        name=strategies.uuids().map(str),
+        load=strategies.floats(0, 100),
+        outstanding=strategies.integers(0, 100),
+        capacity=strategies.integers(1, 64),
+        ramp=strategies.floats(0.1, 1.0),
+        has_prefix=strategies.booleans(),
+        is_near=strategies.booleans(),
+    ),
+    min_size=1,
+    max_size=8,
+)
+
+
+@hypothesis.given(candidates, strategies.sampled_from(choice.POLICIES.names()))
+@hypothesis.settings(deadline=None, derandomize=True)
+def test_every_policy_returns_a_candidate(rows, name):
+    ctx = choice.Context(random=random.Random(1))
+    assert choice.POLICIES.get(name)(rows, ctx) in rows
+
+
+def test_least_loaded_prefers_room_prefix_and_nearness():
+    ctx = choice.Context(random=random.Random(1))
+    busy = choice.Candidate(name="busy", load=20, capacity=32)
+    idle = choice.Candidate(name="idle", load=2, capacity=32)
+    cached = choice.Candidate(name="cached", load=2, capacity=32, has_prefix=True)
+    near = choice.Candidate(name="near", load=2, capacity=32, is_near=True)
+    slow = choice.Candidate(name="slow", load=0, capacity=32, ramp=0.1)
+    assert choice.least_loaded([busy, idle], ctx) is idle
+    assert choice.least_loaded([idle, cached], ctx) is cached
+    assert choice.least_loaded([idle, near], ctx) is near
+    assert choice.least_loaded([idle, slow], ctx) is idle
+
+
+def text_of(versions=(), customers=()):
+    return model.Text(
+        deployment="d",
+        domains={},
+        versions={ver.name: ver for ver in versions},
+        services={},
+        upstreams={},
+        customers={cust.name: cust for cust in customers},
+    )
+
+
+CUSTOMER = model.Customer(name="c", keys=(), services=(), max_concurrent=4)
+
+
+def test_shares_are_kept_and_keys_are_sticky():
+    a = model.Version(name="a", model="m", share=90.0)
+    b = model.Version(name="b", model="m", share=10.0)
+    text = text_of([a, b])
+    picked = [share.pick(text, CUSTOMER, "m", str(i)).name for i in range(4000)]
+    assert 0.08 < picked.count("b") / len(picked) < 0.12
+    assert picked == [share.pick(text, CUSTOMER, "m", str(i)).name for i in range(4000)]
+
+
+def test_withdrawn_version_may_neither_start_nor_continue():
+    text = text_of([model.Version(name="a", model="m", state="withdrawn")])
+    assert not share.may_start(text, CUSTOMER, "a")
+    assert not share.may_continue(text, CUSTOMER, "a")
+
+
+def test_small_customer_is_admitted_while_a_large_one_fills_the_limit():
+    gate = admission.Admission()
+    gate.limit = 8.0
+    large = model.Customer(name="large", keys=(), services=(), max_concurrent=1000)
+    small = model.Customer(name="small", keys=(), services=(), max_concurrent=1000)
+    text = text_of(customers=[large, small])
+    places = [gate.admit(text, large, 1) for _ in range(8)]
+    for place in places:
+        place.__enter__()
+    with pytest.raises(errors.RefusalError) as caught:
+        gate.admit(text, large, 1).__enter__()
+    assert caught.value.refusal.code == "overloaded"
+    with gate.admit(text, small, 1):
+        assert gate.total == 9
+
+
+def test_failing_upstream_is_blocked_longer_and_longer():
+    track = tracker.Track(name="u")
+    for _ in range(tracker.FAILURES_TO_BLOCK):
+        track.failed(100.0)
+    first = track.blocked_until
+    track.failed(100.0)
+    assert 100.0 < first < track.blocked_until
+    track.succeeded(0.1)
+    assert track.failures_in_row == 0
