Stop a bad version by pooled sequential evidence

Cause: a version that turned bad went on until an operator saw it. Ways weighed: a fixed threshold on the mean (false stops grow with every look), a test per instance (eight times the exposure), a classical test at fixed sizes (no early stop); chosen: a normal-mixture boundary on sums that the owner of the model's evidence adds up over the live instances. A stop is pushed to all, committed, and holds for the version's trial number. With processes: stopped, kept over the loss of an instance, and back in trial 2. Found: evidence of the first trial stopped the second at once; sums belong to a trial now.

--- a/libs/masticpost-cli/src/masticpost_cli/status.py
+++ b/libs/masticpost-cli/src/masticpost_cli/status.py
@@ -87,6 +87,11 @@
     ses.print_table(
         ["INSTANCE", "DOMAIN", "GENERATION", "STATE", "SHARDS", "BILLS WAITING"], rows
     )
+    for stop in overview.instances[0].stops:
+        ses.print(
+            f"version {stop.version} was stopped in trial {stop.trial}: {stop.reason}; "
+            "raise its trial in the text to try it again"
+        )
     ses.print("")
     ses.print_table(["UPSTREAM", "DOMAIN", "STATE"], _upstream_rows(overview))
 
--- a/libs/masticpost-daemon/src/masticpost_daemon/instance.py
+++ b/libs/masticpost-daemon/src/masticpost_daemon/instance.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 from loguru import logger
 from masticpost_confsync import keeper
-from masticpost_entry import app, runtime
+from masticpost_entry import app, guard, runtime
 from masticpost_orders import giver
 from masticpost_peers import hub, keys, membership
 from masticpost_shards import (
@@ -93,6 +93,7 @@
             agreed.sessions,
             agreed.permits,
             agreed.views,
+            agreed.guard,
             self.listing,
             self.orders,
         ]
@@ -182,11 +183,12 @@
 
     desk.listen(became_warm)
     keeper_of_bills = holds.Holds(shards=shards)
+    texts = keeper.Keeper(store=store, peers=peers, members=members)
     return runtime.Agreed(
         store=store,
         peers=peers,
         members=members,
-        keeper=keeper.Keeper(store=store, peers=peers, members=members),
+        keeper=texts,
         shards=shards,
         claims=claims.Claims(shards=shards),
         bills=bills.BillWriter(shards=shards, keeper=keeper_of_bills),
@@ -194,6 +196,7 @@
         sessions=sessions.Sessions(shards=shards),
         permits=permits.Permits(shards=shards, desk=desk),
         views=view,
+        guard=guard.Guard(shards=shards, texts=texts, view=view),
     )
 
 
--- /dev/null
+++ b/libs/masticpost-decide/src/masticpost_decide/evidence.py
@@ -0,0 +1,123 @@
+"""Sequential evidence against a version: when to stop it, however often one looks.
+
+Source: Robbins, "Statistical Methods Related to the Law of the Iterated Logarithm",
+Annals of Mathematical Statistics 41(5), 1970: the normal-mixture boundary, which holds
+at every look at once. Two versions are compared by the difference of their means with
+the effective count ``n1 * n2 / (n1 + n2)``.
+"""
+
+import math
+
+import attrs
+
+ALPHA = 0.002
+MIXTURE_COUNT = 20.0
+MIN_RATINGS = 6
+MIN_CALLS = 20
+RATING_TOLERANCE = 0.02
+ERROR_TOLERANCE = 0.03
+RATING_VARIANCE_FLOOR = 0.0025
+ERROR_VARIANCE_FLOOR = 0.02
+FADE_COUNT = 600.0
+
+
+@attrs.define(kw_only=True)
+class Series:
+    """Count, sum and sum of squares of a quantity; old values fade."""
+
+    count: float = 0.0
+    total: float = 0.0
+    squares: float = 0.0
+
+    def add(self, value: float) -> None:
+        """Add a value."""
+        if self.count >= FADE_COUNT:
+            self.count *= 0.5
+            self.total *= 0.5
+            self.squares *= 0.5
+        self.count += 1.0
+        self.total += value
+        self.squares += value * value
+
+    def mean(self) -> float:
+        """Return the mean, 0 without values."""
+        return self.total / self.count if self.count else 0.0
+
+    def variance(self) -> float:
+        """Return the variance, 0 without values."""
+        if not self.count:
+            return 0.0
+        return max(0.0, self.squares / self.count - self.mean() ** 2)
+
+
+@attrs.define(kw_only=True)
+class Sums:
+    """What is known of one trial of a version: scores, and failed calls as 1."""
+
+    version: str
+    trial: int = 1
+    ratings: Series = attrs.field(factory=Series)
+    errors: Series = attrs.field(factory=Series)
+
+
+@attrs.frozen(kw_only=True)
+class Verdict:
+    """A version that is to be stopped, and why."""
+
+    version: str
+    reason: str
+
+
+def merge(rows: list[Sums]) -> dict[str, Sums]:
+    """Add up the sums of several instances, by version."""
+    merged: dict[str, Sums] = {}
+    for row in rows:
+        known = merged.setdefault(row.version, Sums(version=row.version))
+        for mine, other in (
+            (known.ratings, row.ratings),
+            (known.errors, row.errors),
+        ):
+            mine.count += other.count
+            mine.total += other.total
+            mine.squares += other.squares
+    return merged
+
+
+def judge(versions: list[Sums]) -> Verdict | None:
+    """Return the version that is certainly worse than another one, None without."""
+    for row in versions:
+        for other in versions:
+            if row is other:
+                continue
+            reason = _worse(row, other)
+            if reason:
+                return Verdict(version=row.version, reason=reason)
+    return None
+
+
+def _worse(row: Sums, other: Sums) -> str:
+    gap = _certain_gap(other.ratings, row.ratings, MIN_RATINGS, RATING_VARIANCE_FLOOR)
+    if gap > RATING_TOLERANCE:
+        return (
+            f"mean rating {row.ratings.mean():.3f} against "
+            f"{other.ratings.mean():.3f} of {other.version}"
+        )
+    gap = _certain_gap(row.errors, other.errors, MIN_CALLS, ERROR_VARIANCE_FLOOR)
+    if gap > ERROR_TOLERANCE:
+        return (
+            f"{row.errors.mean():.1%} failed calls against "
+            f"{other.errors.mean():.1%} of {other.version}"
+        )
+    return ""
+
+
+def _certain_gap(high: Series, low: Series, least: int, floor: float) -> float:
+    """Return how much the mean of `high` is certainly above that of `low`."""
+    if min(high.count, low.count) < least:
+        return -math.inf
+    count = high.count * low.count / (high.count + low.count)
+    variance = max(floor, high.variance(), low.variance())
+    time = count * variance
+    prior = MIXTURE_COUNT * variance
+    bound = math.sqrt((time + prior) * math.log((time + prior) / (prior * ALPHA**2)))
+    return high.mean() - low.mean() - bound / count
--- a/libs/masticpost-entry/src/masticpost_entry/admin.py
+++ b/libs/masticpost-entry/src/masticpost_entry/admin.py
@@ -9,7 +9,7 @@
 from masticpost_common import errors
 from masticpost_decide import tracker
 from masticpost_peers import hub, membership
-from masticpost_shards import directory
+from masticpost_shards import directory, records
 from masticpost_store import client
 from masticpost_telemetry import burn, metrics
 
@@ -46,6 +46,7 @@
     members: list[membership.Member]
     shards: list[directory.ShardStatus]
     upstreams: list[UpstreamStatus]
+    stops: list[records.Stop]
 
 
 @attrs.frozen(kw_only=True)
@@ -133,6 +134,7 @@
         members=agreed.members.members(),
         shards=directory.statuses(agreed.shards),
         upstreams=_upstreams(rt),
+        stops=agreed.views.stops(),
     )
 
 
--- a/libs/masticpost-entry/src/masticpost_entry/attempts.py
+++ b/libs/masticpost-entry/src/masticpost_entry/attempts.py
@@ -17,6 +17,12 @@
 POLICY = retry.RetryPolicy(attempts=4, first_pause_s=0.02, max_pause_s=0.4)
 RETRY_AFTER_S = 1.0
 CHARS_PER_TOKEN = 4
+VERSION_FAULTS = (
+    faults.FaultKind.FAILED,
+    faults.FaultKind.SHORT,
+    faults.FaultKind.CUT,
+    faults.FaultKind.TIMEOUT,
+)
 T = typing.TypeVar("T")
 
 
@@ -163,6 +169,7 @@
     if answer.report is not None:
         place.track.report(answer.report.outstanding, time.monotonic())
     routing.succeed(rt, place, time.monotonic() - started)
+    rt.agreed.guard.add_call(version.name, failed=False)
     usage = answer.completion.usage or openai.Usage()
     job.meter.add(version, usage.prompt_tokens, usage.completion_tokens)
     job.ran = errors.RAN_YES
@@ -178,6 +185,8 @@
 ) -> None:
     """Count a failed try; one that never began only returns its permit."""
     if begun:
+        if exc.kind in VERSION_FAULTS:
+            rt.agreed.guard.add_call(need.target, failed=True)
         routing.fail(rt, place, need, exc)
     else:
         give_up(rt, place)
--- a/libs/masticpost-entry/src/masticpost_entry/chat.py
+++ b/libs/masticpost-entry/src/masticpost_entry/chat.py
@@ -194,10 +194,27 @@
         raise
     streams.bill_usage(run)
     job.meter.close(records.ANSWERED)
+    _rate_stream(rt, job, plan, run)
     _observe(rt, job, run.first_token_s or 0.0)
     return run.resp
 
 
+def _rate_stream(
+    rt: runtime.Runtime,
+    job: attempts.Job,
+    plan: levels.Plan,
+    run: streams.Relay,
+) -> None:
+    """Have a stream's answer rated in the background; it is too late to escalate."""
+    if run.version not in plan.versions:
+        return
+    message = openai.Message(role="assistant", content="".join(run.parts))
+    choice = openai.Choice(message=message, finish_reason="stop")
+    completion = openai.Completion(id=run.answer_id, choices=[choice])
+    level = plan.versions.index(run.version)
+    levels.rate_later(rt, job, plan, level, completion)
+
+
 async def _start_stream(
     rt: runtime.Runtime, job: attempts.Job, plan: levels.Plan
 ) -> streams.Relay:
--- a/libs/masticpost-entry/src/masticpost_entry/levels.py
+++ b/libs/masticpost-entry/src/masticpost_entry/levels.py
@@ -33,8 +33,9 @@
         ``no_version`` when there is none.
     """
     svc = job.call.service
+    stopped = rt.agreed.guard.stopped()
     picked = [
-        share.pick(rt.text, job.call.customer, name, job.call.request_id)
+        share.pick(rt.text, job.call.customer, name, job.call.request_id, stopped)
         for name in svc.levels
     ]
     versions = tuple(version for version in picked if version is not None)
@@ -99,7 +100,13 @@
 def _rating_use(rt: runtime.Runtime, plan: Plan, level: int) -> cascade.RatingUse:
     if not rt.text.rating_url:
         return cascade.RatingUse.NONE
-    return plan.cascade.rating_use(plan.ask, level)
+    use = plan.cascade.rating_use(plan.ask, level)
+    if use is not cascade.RatingUse.NONE:
+        return use
+    wanted = rt.agreed.guard.wanted_share(plan.versions[level].name)
+    if rt.choices.random.random() < wanted:
+        return cascade.RatingUse.LEARN
+    return use
 
 
 def rate_later(
@@ -132,6 +139,7 @@
     score = await rt.clients.ratings.rate(rt.text.rating_url, req)
     if score is not None:
         plan.cascade.learn(plan.ask, level, score)
+        rt.agreed.guard.add_rating(plan.versions[level].name, score)
     return score
 
 
@@ -173,7 +181,8 @@
 ) -> model.Version:
     """Return the version that a new session gets: by share of the session's id."""
     name = plan.versions[level].model
-    picked = share.pick(rt.text, job.call.customer, name, job.call.session)
+    stopped = rt.agreed.guard.stopped()
+    picked = share.pick(rt.text, job.call.customer, name, job.call.session, stopped)
     return picked or plan.versions[level]
 
 
--- a/libs/masticpost-entry/src/masticpost_entry/runtime.py
+++ b/libs/masticpost-entry/src/masticpost_entry/runtime.py
@@ -22,6 +22,8 @@
 from masticpost_text import model
 from masticpost_upstream import engine, plain, rating
 
+from masticpost_entry import guard
+
 MAX_BODY_BYTES = 1_000_000
 
 
@@ -55,6 +57,7 @@
     sessions: sessions.Sessions
     permits: permits.Permits
     views: views.Views
+    guard: guard.Guard
 
 
 @attrs.define(kw_only=True)
--- a/libs/masticpost-entry/src/masticpost_entry/streams.py
+++ b/libs/masticpost-entry/src/masticpost_entry/streams.py
@@ -129,6 +129,7 @@
             attempts.give_up(rt, place)
         raise
     routing.succeed(rt, place, first_s or time.monotonic() - started)
+    rt.agreed.guard.add_call(run.version.name, failed=False)
 
 
 def _check_permit_held(place: routing.Place) -> None:
--- a/libs/masticpost-shards/src/masticpost_shards/ops.py
+++ b/libs/masticpost-shards/src/masticpost_shards/ops.py
@@ -147,6 +147,15 @@
     warmth: records.Warmth
 
 
+@messages.message("stop-tell")
+@attrs.frozen(kw_only=True)
+class StopTell:
+    """Tells that a version is to be stopped."""
+
+    shard: int
+    stop: records.Stop
+
+
 IsRunning = collections.abc.Callable[[records.Run], bool]
 
 
@@ -258,3 +267,10 @@
         warmth = attrs.evolve(warmth, at=max(warmth.at, known.at + 1))
     working.warmth[warmth.upstream] = warmth
     return Decision(reply=WarmthReply(warmth=warmth), writes=[warmth])
+
+
+@DECIDERS.register(StopTell.MESSAGE_KIND)
+def decide_stop(working: state.State, op: StopTell, is_running: IsRunning) -> Decision:
+    """Record a stop, once per trial."""
+    writes: list[object] = [op.stop] if working.add_stop(op.stop) else []
+    return Decision(reply=Done(), writes=writes)
--- a/libs/masticpost-shards/src/masticpost_shards/owner.py
+++ b/libs/masticpost-shards/src/masticpost_shards/owner.py
@@ -37,6 +37,7 @@
     records.Pin: "pins",
     records.Crash: "crashes",
     records.Warmth: "warmth",
+    records.Stop: "stops",
 }
 
 
--- a/libs/masticpost-shards/src/masticpost_shards/records.py
+++ b/libs/masticpost-shards/src/masticpost_shards/records.py
@@ -110,6 +110,16 @@
     at: int
 
 
+@attrs.frozen(kw_only=True)
+class Stop:
+    """A version that evidence spoke against, in its trial of that number."""
+
+    version: str
+    trial: int
+    reason: str
+    at: int
+
+
 @attrs.frozen(kw_only=True)
 class Batch:
     """One entry of a shard's log.
@@ -131,3 +141,4 @@
     pins: list[Pin] = attrs.field(factory=list)
     crashes: list[Crash] = attrs.field(factory=list)
     warmth: list[Warmth] = attrs.field(factory=list)
+    stops: list[Stop] = attrs.field(factory=list)
--- a/libs/masticpost-shards/src/masticpost_shards/views.py
+++ b/libs/masticpost-shards/src/masticpost_shards/views.py
@@ -35,6 +35,7 @@
 
     warmth: list[records.Warmth] = attrs.field(factory=list)
     suspects: list[Suspect] = attrs.field(factory=list)
+    stops: list[records.Stop] = attrs.field(factory=list)
 
 
 @messages.message("view-ask")
@@ -60,6 +61,7 @@
         self.is_complete = False
         self._warmth: dict[str, records.Warmth] = {}
         self._suspects: dict[str, int] = {}
+        self._stops: dict[str, records.Stop] = {}
         shards.peers.handle(ViewNews, self._on_news)
         shards.peers.handle(ViewAsk, self._on_ask)
 
@@ -76,6 +78,26 @@
         """Tell whether the request must not run any more."""
         return self.crash_count(fingerprint) >= QUARANTINE_AFTER
 
+    def is_stopped(self, version: str, trial: int) -> bool:
+        """Tell whether evidence stopped a version in this trial or a later one."""
+        known = self._stops.get(version)
+        return known is not None and known.trial >= trial
+
+    def stops(self) -> list[records.Stop]:
+        """Return every stop that is known, sorted by version."""
+        return [self._stops[name] for name in sorted(self._stops)]
+
+    async def tell_stop(self, version: str, trial: int, reason: str) -> None:
+        """Tell every instance at once that a version is stopped, then commit it."""
+        stop = records.Stop(
+            version=version, trial=trial, reason=reason, at=owner.wall_ms()
+        )
+        news = ViewNews(stops=[stop])
+        self._learn(news)
+        await self._push(news)
+        shard = self.shards.shard_of(f"stop:{version}")
+        await self._commit(ops.StopTell(shard=shard, stop=stop))
+
     async def tell_warm(self, upstream: str) -> None:
         """Commit that the upstream is warm, then tell every instance."""
         reply = await self._commit_warmth(upstream, warm=True)
@@ -151,13 +173,20 @@
             Suspect(fingerprint=fingerprint, count=len(rows))
             for fingerprint, rows in own.working.crashes.items()
         ]
-        return ViewNews(warmth=list(own.working.warmth.values()), suspects=suspects)
+        return ViewNews(
+            warmth=list(own.working.warmth.values()),
+            suspects=suspects,
+            stops=list(own.working.stops.values()),
+        )
 
     def _learn(self, news: ViewNews) -> None:
         for warmth in news.warmth:
             known = self._warmth.get(warmth.upstream)
             if known is None or warmth.at > known.at:
                 self._warmth[warmth.upstream] = warmth
+        for stop in news.stops:
+            if not self.is_stopped(stop.version, stop.trial):
+                self._stops[stop.version] = stop
         for suspect in news.suspects:
             known_count = self._suspects.get(suspect.fingerprint, 0)
             self._suspects[suspect.fingerprint] = max(known_count, suspect.count)
--- a/libs/masticpost-text/src/masticpost_text/model.py
+++ b/libs/masticpost-text/src/masticpost_text/model.py
@@ -50,7 +50,8 @@
     """A model version; prices are per million tokens.
 
     `state` is ``active``, ``draining`` (only its sessions) or ``withdrawn``
-    (no new work at all).
+    (no new work at all). A version that was stopped automatically is tried again when
+    `trial` is raised.
     """
 
     name: str
@@ -59,6 +60,7 @@
     state: str = "active"
     input_price: float = 0.0
     output_price: float = 0.0
+    trial: int = 1
 
 
 @attrs.frozen(kw_only=True)
