--- a/libs/masticpost-bench/src/masticpost_bench/main.py
+++ b/libs/masticpost-bench/src/masticpost_bench/main.py
@@ -24,6 +24,7 @@
   masticpost-bench takeover [options]
   masticpost-bench run SCENARIO [options]
   masticpost-bench outage [options]
+  masticpost-bench spread [options]
   masticpost-bench --help
 
 Options:
--- a/libs/masticpost-bench/src/masticpost_bench/recovery.py
+++ b/libs/masticpost-bench/src/masticpost_bench/recovery.py
@@ -12,6 +12,9 @@
 TAKEOVER_ROUNDS = 20
 POLL_S = 0.02
 BEFORE_S = 2.0
+SPREAD_ROUNDS = 12
+OUT_S = 2.0
+BACK_S = 2.0
 ROUND_TIMEOUT_S = 20.0
 SETTLED_TIMEOUT_S = 90.0
 
@@ -69,6 +72,38 @@
     return elapsed
 
 
+@bencharms.ARMS.register("spread")
+async def spread(args: dict[str, object]) -> int:
+    """Time edits until they are in force everywhere, and until new work stops."""
+    in_force, last_work = [], []
+    async with deployment.Deployment(plan=layout.lineswitch()) as dep:
+        task = asyncio.create_task(
+            load.run(dep, rate_s=40, seconds=SPREAD_ROUNDS * 5.5, seed=1)
+        )
+        await asyncio.sleep(BEFORE_S)
+        for number in range(SPREAD_ROUNDS):
+            domain = dep.plan.domains[number % len(dep.plan.domains)]
+            at = time.time()
+            generation = await dep.apply({f"domains.{domain}": {"out": True}})
+            await dep.wait_generation(generation)
+            in_force.append(time.time() - at)
+            await asyncio.sleep(OUT_S)
+            names = [e.name for e in dep.plan.engines if e.domain == domain]
+            rows = [await dep.counts(name) for name in names]
+            late = max(row["last_request_at"] for row in rows) - at
+            last_work.append(max(0.0, late))
+            await dep.apply()
+            await asyncio.sleep(BACK_S)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+    print(
+        f"{SPREAD_ROUNDS} edits: in force everywhere after at most "
+        f"{max(in_force):.2f} s, last new work of a domain taken out at most "
+        f"{max(last_work):.2f} s after the edit"
+    )
+    return 0
+
+
 @bencharms.ARMS.register("outage")
 async def outage(args: dict[str, object]) -> int:
     """Run load over an outage of the object API; compare bills with answers."""
--- a/libs/masticpost-bench/src/masticpost_bench/runs.py
+++ b/libs/masticpost-bench/src/masticpost_bench/runs.py
@@ -184,7 +184,7 @@
     content = b""
     chunks = 0
     try:
-        async with dep._http.post(
+        async with dep.http.post(
             f"{dep.pick().url}{path}", json=body, headers=headers
         ) as resp:
             async for chunk in resp.content.iter_any():
--- a/libs/masticpost-decide/src/masticpost_decide/cascade.py
+++ b/libs/masticpost-decide/src/masticpost_decide/cascade.py
@@ -22,12 +22,16 @@
 
 @attrs.frozen(kw_only=True)
 class Ask:
-    """What a cascade decides on; `costs` is the expected cost of each level."""
+    """What a cascade decides on; `costs` is the expected cost of each level.
+
+    A stream or session cannot escalate: `can_escalate` is False.
+    """
 
     service: str
     request_class: str
     target: float
     costs: tuple[float, ...]
+    can_escalate: bool = True
 
     @property
     def top(self) -> int:
@@ -227,6 +231,8 @@
         if level == ask.top:
             top = max(plain.quality, ask.target if not stats.weight else 0.0)
             return [attrs.evolve(plain, quality=top)]
+        if not ask.can_escalate:
+            return [plain]
         rate = stats.accept_rate()
         best = self._stats[(ask.request_class, ask.top)]
         best_quality = best.mean() if best.weight else 1.0
--- a/libs/masticpost-entry/src/masticpost_entry/attempts.py
+++ b/libs/masticpost-entry/src/masticpost_entry/attempts.py
@@ -10,7 +10,7 @@
 from masticpost_common import errors, retry
 from masticpost_shards import permits
 from masticpost_text import model
-from masticpost_upstream import engine, faults, openai
+from masticpost_upstream import faults, openai, pool
 
 from masticpost_entry import intake, meter, routing, runtime, suspects
 
@@ -80,9 +80,9 @@
     )
 
 
-def target_of(job: Job, place: routing.Place) -> engine.Target:
+def target_of(job: Job, place: routing.Place) -> pool.Target:
     """Return where an attempt goes, under a correlation id of its own."""
-    return engine.Target(
+    return pool.Target(
         upstream=place.upstream.name,
         url=place.upstream.url.rstrip("/"),
         attempt_id=uuid.uuid4().hex,
--- a/libs/masticpost-entry/src/masticpost_entry/levels.py
+++ b/libs/masticpost-entry/src/masticpost_entry/levels.py
@@ -51,6 +51,7 @@
         request_class=cascade.request_class(svc.name, job.prompt_tokens, hint),
         target=svc.quality_target,
         costs=tuple(_expected_cost(version, job) for version in versions),
+        can_escalate=not (job.chat.stream or job.call.session),
     )
     return Plan(versions=versions, ask=ask, cascade=rt.cascade_of(svc))
 
--- a/libs/masticpost-entry/src/masticpost_entry/plain.py
+++ b/libs/masticpost-entry/src/masticpost_entry/plain.py
@@ -13,7 +13,7 @@
 from masticpost_common import errors, retry
 from masticpost_shards import claims, records
 from masticpost_text import model
-from masticpost_upstream import engine, faults, plain
+from masticpost_upstream import faults, plain, pool
 
 from masticpost_entry import intake, meter, routing, runtime
 
@@ -138,12 +138,7 @@
 
 async def _run_idempotent(rt: runtime.Runtime, job: PlainJob) -> plain.PlainAnswer:
     need = routing.Need(target=job.call.service.name, policy=job.call.service.choice)
-    tries = retry.Attempts(
-        policy=POLICY,
-        budget=rt.budgets[job.call.customer.name],
-        idempotent=True,
-        deadline=job.call.deadline,
-    )
+    tries = _new_tries(rt, job)
     try:
         while True:
             job.call.check_deadline(ran=job.ran)
@@ -160,6 +155,15 @@
         job.meter.close(records.FAILED)
 
 
+def _new_tries(rt: runtime.Runtime, job: PlainJob) -> retry.Attempts:
+    return retry.Attempts(
+        policy=POLICY,
+        budget=rt.budgets[job.call.customer.name],
+        idempotent=job.operation.idempotent,
+        deadline=job.call.deadline,
+    )
+
+
 async def _find_place(
     rt: runtime.Runtime, job: PlainJob, need: routing.Need
 ) -> routing.Place:
@@ -236,12 +240,7 @@
 
 async def _dispatch_once(rt: runtime.Runtime, job: PlainJob) -> plain.PlainAnswer:
     need = routing.Need(target=job.call.service.name, policy=job.call.service.choice)
-    tries = retry.Attempts(
-        policy=POLICY,
-        budget=rt.budgets[job.call.customer.name],
-        idempotent=False,
-        deadline=job.call.deadline,
-    )
+    tries = _new_tries(rt, job)
     while True:
         job.call.check_deadline()
         place = await routing.find_place(rt, job.call, need)
@@ -266,7 +265,7 @@
 async def _dispatch(
     rt: runtime.Runtime, job: PlainJob, place: routing.Place, need: routing.Need
 ) -> plain.PlainAnswer:
-    target = engine.Target(
+    target = pool.Target(
         upstream=place.upstream.name,
         url=place.upstream.url.rstrip("/"),
         attempt_id=uuid.uuid4().hex,
--- a/libs/masticpost-entry/src/masticpost_entry/runtime.py
+++ b/libs/masticpost-entry/src/masticpost_entry/runtime.py
@@ -37,8 +37,8 @@
 
     async def close(self) -> None:
         """Close every connection."""
-        await self.engines.close()
-        await self.services.close()
+        await self.engines.pool.close()
+        await self.services.pool.close()
         await self.ratings.close()
 
 
--- a/libs/masticpost-shards/src/masticpost_shards/directory.py
+++ b/libs/masticpost-shards/src/masticpost_shards/directory.py
@@ -61,6 +61,7 @@
         self.settle_after_s = settle_after_s
         self.run = records.Run(instance=peers.name, started=peers.incarnation)
         self.owners: dict[int, owner.ShardOwner] = {}
+        self.held_permits: owner.HeldPermits = owner.no_permits
         self._leaving = False
         self._stops: set[asyncio.Task] = set()
         self._may_own = asyncio.Event()
@@ -166,6 +167,7 @@
             run=self.run,
             is_running=self.is_running,
             settle_after_s=self.settle_after_s,
+            held_permits=self.held_permits,
         )
         self.owners[shard] = started
         await started.start()
--- a/libs/masticpost-shards/src/masticpost_shards/owner.py
+++ b/libs/masticpost-shards/src/masticpost_shards/owner.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import collections.abc
 import copy
 import time
 
@@ -57,6 +58,14 @@
     fut: asyncio.Future
 
 
+HeldPermits = collections.abc.Callable[[int], list[records.HeldPermit]]
+
+
+def no_permits(shard: int) -> list[records.HeldPermit]:
+    """Return no permits; for an owner without a desk."""
+    return []
+
+
 def wall_ms() -> int:
     """Return wall-clock milliseconds."""
     return time.time_ns() // 1_000_000
@@ -77,6 +86,8 @@
         Tells whether a run of an instance may still be at work.
     settle_after_s : float
         Seconds after which the open bill of an ended instance is settled.
+    held_permits : callable, optional
+        Returns the permits of a shard that are in use, for its next owner.
     """
 
     def __init__(
@@ -87,6 +98,7 @@
         run: records.Run,
         is_running: ops.IsRunning,
         settle_after_s: float = SETTLE_AFTER_S,
+        held_permits: "HeldPermits | None" = None,
     ) -> None:
         super().__init__()
         self.store = store
@@ -94,6 +106,7 @@
         self.run = run
         self.is_running = is_running
         self.settle_after_s = settle_after_s
+        self.held_permits = held_permits or no_permits
         self.journal = log.Log(store=store, shard=shard, run=run)
         self.working: state.State | None = None
         self.epoch = -1
@@ -102,6 +115,7 @@
         self.needs_lease = False
         self.is_first_owner = False
         self.was_released = False
+        self.inherited: list[records.HeldPermit] = []
         self._pending: collections.deque[Pending] = collections.deque()
         self._pending_records = 0
         self._wake = asyncio.Event()
@@ -200,6 +214,7 @@
         before = self.journal.committed
         self.is_first_owner = before.seq < 0
         self.was_released = before.released
+        self.inherited = list(before.permits)
         batch = attrs.evolve(self.journal.next_batch(wall_ms()), takeover=True)
         if not await self._write(batch):
             return False
@@ -223,7 +238,11 @@
 
     async def _release(self) -> None:
         """Tell the next owner that this one does nothing more."""
-        batch = attrs.evolve(self.journal.next_batch(wall_ms()), released=True)
+        batch = attrs.evolve(
+            self.journal.next_batch(wall_ms()),
+            released=True,
+            permits=self.held_permits(self.shard),
+        )
         await self._write(batch)
         self._has_released = True
 
--- a/libs/masticpost-shards/src/masticpost_shards/permits.py
+++ b/libs/masticpost-shards/src/masticpost_shards/permits.py
@@ -16,7 +16,7 @@
 import mode
 from masticpost_peers import hub, messages
 
-from masticpost_shards import directory, ops, owner
+from masticpost_shards import directory, ops, owner, records
 
 HOLD_S = 3.0
 RENEW_S = 0.7
@@ -87,6 +87,7 @@
         self._used_at: dict[int, float] = {}
         self._streaks: dict[str, Streak] = {}
         self._on_enough: collections.abc.Callable[[str], None] | None = None
+        shards.held_permits = self.held_of
         shards.peers.handle(PermitAsk, self.on_ask)
         shards.peers.handle(PermitReturn, self.on_return)
 
@@ -152,12 +153,24 @@
         for resource in list(self._held):
             if self.shards.shard_of(resource) == own.shard:
                 del self._held[resource]
+        until = time.monotonic() + HOLD_S
+        for permit in own.inherited:
+            self._held[permit.resource][permit.nonce] = until
+
+    def held_of(self, shard: int) -> list[records.HeldPermit]:
+        """Return the permits of a shard that are in use."""
+        now = time.monotonic()
+        return [
+            records.HeldPermit(resource=resource, nonce=nonce)
+            for resource in list(self._held)
+            if self.shards.shard_of(resource) == shard
+            for nonce in self._live(resource, now)
+        ]
 
     def _is_settling_in(self, own: owner.ShardOwner, now: float) -> bool:
-        if own.is_first_owner:
+        if own.is_first_owner or own.was_released:
             return False
-        settle_s = HOLD_S if own.was_released else SETTLE_IN_S
-        return now < own.owned_since + settle_s
+        return now < own.owned_since + SETTLE_IN_S
 
     def _live(self, resource: str, now: float) -> dict[str, float]:
         held = self._held[resource]
--- a/libs/masticpost-shards/src/masticpost_shards/records.py
+++ b/libs/masticpost-shards/src/masticpost_shards/records.py
@@ -94,10 +94,14 @@
 
 @attrs.frozen(kw_only=True)
 class Crash:
-    """A request with this fingerprint may have crashed an upstream."""
+    """A request with this fingerprint may have crashed an upstream.
+
+    `nonce` tells a crash from another one of the same upstream.
+    """
 
     fingerprint: str
     upstream: str
+    nonce: str
     at: int
 
 
@@ -120,6 +124,14 @@
     at: int
 
 
+@attrs.frozen(kw_only=True)
+class HeldPermit:
+    """A permit that is in use when a shard is handed over."""
+
+    resource: str
+    nonce: str
+
+
 @attrs.frozen(kw_only=True)
 class Batch:
     """One entry of a shard's log.
@@ -142,3 +154,4 @@
     crashes: list[Crash] = attrs.field(factory=list)
     warmth: list[Warmth] = attrs.field(factory=list)
     stops: list[Stop] = attrs.field(factory=list)
+    permits: list[HeldPermit] = attrs.field(factory=list)
--- a/libs/masticpost-shards/src/masticpost_shards/state.py
+++ b/libs/masticpost-shards/src/masticpost_shards/state.py
@@ -37,11 +37,13 @@
 class State:
     """State of a shard after the batch `seq`.
 
-    `released` tells that the last owner has handed the shard over.
+    `released` tells that the last owner has handed the shard over, `permits` which
+    permits were in use then.
     """
 
     seq: int = -1
     released: bool = False
+    permits: list[records.HeldPermit] = attrs.field(factory=list)
     calls: dict[str, Call] = attrs.field(factory=dict)
     open_bills: dict[str, records.BillOpen] = attrs.field(factory=dict)
     closed_bills: dict[str, records.BillClose] = attrs.field(factory=dict)
@@ -57,6 +59,7 @@
             raise ValueError(f"batch {batch.seq} after {self.seq}")
         self.seq = batch.seq
         self.released = batch.released
+        self.permits = batch.permits
         for claim in batch.claims:
             self.add_claim(claim)
         for opened in batch.opens:
@@ -114,9 +117,9 @@
         return True
 
     def add_crash(self, crash: records.Crash) -> bool:
-        """Count a crash, once per upstream."""
+        """Count a crash, once however often it is told."""
         known = self.crashes.setdefault(crash.fingerprint, [])
-        if any(item.upstream == crash.upstream for item in known):
+        if any(item.nonce == crash.nonce for item in known):
             return False
         known.append(crash)
         return True
--- a/libs/masticpost-shards/src/masticpost_shards/views.py
+++ b/libs/masticpost-shards/src/masticpost_shards/views.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import itertools
+import uuid
 
 import attrs
 import mode
@@ -123,7 +124,10 @@
     async def tell_crash(self, fingerprint: str, upstream: str) -> int:
         """Count a crash; returns once every reachable instance knows."""
         crash = records.Crash(
-            fingerprint=fingerprint, upstream=upstream, at=owner.wall_ms()
+            fingerprint=fingerprint,
+            upstream=upstream,
+            nonce=uuid.uuid4().hex,
+            at=owner.wall_ms(),
         )
         shard = self.shards.shard_of(fingerprint)
         reply = await self._commit(ops.CrashTell(shard=shard, crash=crash))
--- /dev/null
+++ b/libs/masticpost-telemetry/testing/test_burn.py
@@ -0,0 +1,48 @@
+"""Burn is merged over instances and windows; logs are JSON lines."""
+
+import io
+import json
+import time
+
+import loguru
+import pytest
+from masticpost_telemetry import burn, logs
+
+SERIES = burn.Series(service="s", customer="c", domain="d")
+
+
+def meter(good, bad, latency_s=0.1):
+    made = burn.BurnMeter()
+    for number in range(good + bad):
+        made.record(SERIES, good=number < good, latency_s=latency_s)
+    return made
+
+
+def merged(*meters):
+    reports = [report for made in meters for report in made.report()]
+    return burn.merge(reports, now_s=time.time())[0]
+
+
+def test_counts_of_instances_add_up():
+    row = merged(meter(90, 10), meter(100, 0, latency_s=0.4))
+    assert (row.good, row.bad) == (190, 10)
+    assert row.burn["5m"] == pytest.approx(0.05 / (1 - burn.OBJECTIVE))
+    assert row.p99_ms >= 390
+
+
+@pytest.mark.parametrize(
+    ("good", "bad", "alert"), [(1000, 0, ""), (960, 40, "ticket"), (500, 500, "page")]
+)
+def test_alert_needs_both_windows(good, bad, alert):
+    assert merged(meter(good, bad)).alert == alert
+
+
+def test_log_lines_are_json_and_carry_the_instance():
+    stream = io.StringIO()
+    logs.configure(instance="entry-0", level="info", stream=stream)
+    loguru.logger.bind(request_id="r").info("hello {}", "there")
+    loguru.logger.debug("hidden")
+    row = json.loads(stream.getvalue())
+    assert (row["message"], row["instance"]) == ("hello there", "entry-0")
+    assert row["request_id"] == "r"
+    loguru.logger.remove()
--- a/libs/masticpost-upstream/src/masticpost_upstream/engine.py
+++ b/libs/masticpost-upstream/src/masticpost_upstream/engine.py
@@ -9,9 +9,8 @@
 import attrs
 from masticpost_common import codec
 
-from masticpost_upstream import faults, load, openai
+from masticpost_upstream import faults, load, openai, pool
 
-CONNECT_TIMEOUT_S = 0.5
 EVENT_TIMEOUT_S = 10.0
 ID_PREFIX = "chatcmpl-"
 MAX_ANSWER_BYTES = 8_000_000
@@ -23,19 +22,6 @@
 NOT_LOADED_STATUS = 404
 
 
-@attrs.frozen(kw_only=True)
-class Target:
-    """Where a call goes and under which correlation id.
-
-    `deadline_s` is what is left for the call, in seconds.
-    """
-
-    upstream: str
-    url: str
-    attempt_id: str
-    deadline_s: float
-
-
 @attrs.frozen(kw_only=True)
 class WholeAnswer:
     """A whole answer and the load report that came with it."""
@@ -54,30 +40,11 @@
     """
 
     def __init__(self, *, tls: ssl.SSLContext | None = None) -> None:
-        self._tls = tls
-        self._http: aiohttp.ClientSession | None = None
-
-    async def close(self) -> None:
-        """Close the connections, which cancels what runs."""
-        if self._http is not None:
-            await self._http.close()
-            self._http = None
-
-    def session(self) -> aiohttp.ClientSession:
-        """Return the connection pool, opened at first use."""
-        if self._http is None:
-            connector = aiohttp.TCPConnector(
-                limit=0, ssl=self._tls if self._tls is not None else True
-            )
-            self._http = aiohttp.ClientSession(
-                connector=connector,
-                read_bufsize=MAX_EVENT_BYTES,
-                auto_decompress=False,
-                cookie_jar=aiohttp.DummyCookieJar(),
-            )
-        return self._http
-
-    async def complete(self, target: Target, req: openai.EngineRequest) -> WholeAnswer:
+        self.pool = pool.Pool(tls=tls, keeps_alive=True)
+
+    async def complete(
+        self, target: pool.Target, req: openai.EngineRequest
+    ) -> WholeAnswer:
         """Return a whole answer; raises `faults.UpstreamError`."""
         async with self._post(target, req) as resp:
             body = await _read_body(resp)
@@ -85,14 +52,14 @@
         try:
             completion = codec.from_json(body, openai.Completion)
         except codec.DecodeError as exc:
-            raise _fault(target, faults.FaultKind.SHORT, exc) from exc
+            raise pool.fault(target, faults.FaultKind.SHORT, exc) from exc
         _check_id(target, completion.id)
         if not completion.choices or completion.choices[0].finish_reason is None:
-            raise _fault(target, faults.FaultKind.SHORT, "no finish reason")
+            raise pool.fault(target, faults.FaultKind.SHORT, "no finish reason")
         return WholeAnswer(completion=completion, report=report)
 
     async def stream(
-        self, target: Target, req: openai.EngineRequest
+        self, target: pool.Target, req: openai.EngineRequest
     ) -> collections.abc.AsyncIterator[openai.Chunk]:
         """Yield the events of a stream up to its end marker.
 
@@ -106,17 +73,17 @@
             while True:
                 data = await self._next_event(target, resp)
                 if data is None:
-                    raise _fault(target, faults.FaultKind.CUT, "stream ended early")
+                    raise pool.fault(target, faults.FaultKind.CUT, "stream ended early")
                 if data == openai.DONE:
                     if not finished:
-                        raise _fault(target, faults.FaultKind.SHORT, "no finish")
+                        raise pool.fault(target, faults.FaultKind.SHORT, "no finish")
                     return
                 chunk = _decode_chunk(target, data)
                 finished = finished or any(c.finish_reason for c in chunk.choices)
                 yield chunk
 
     async def _next_event(
-        self, target: Target, resp: aiohttp.ClientResponse
+        self, target: pool.Target, resp: aiohttp.ClientResponse
     ) -> bytes | None:
         """Return the data of the next event, None at the end of the body."""
         while True:
@@ -129,46 +96,37 @@
 
     @contextlib.asynccontextmanager
     async def _post(
-        self, target: Target, req: openai.EngineRequest
+        self, target: pool.Target, req: openai.EngineRequest
     ) -> collections.abc.AsyncIterator[aiohttp.ClientResponse]:
-        timeout = aiohttp.ClientTimeout(
-            total=target.deadline_s, sock_connect=CONNECT_TIMEOUT_S
-        )
         headers = {
             "Content-Type": "application/json",
             "X-Request-Id": target.attempt_id,
             load.REQUEST_HEADER: "JSON",
         }
-        try:
-            async with self.session().post(
+        with pool.faults_of(target):
+            async with self.pool.session().post(
                 f"{target.url}/v1/chat/completions",
                 data=codec.to_json(req),
                 headers=headers,
-                timeout=timeout,
+                timeout=target.timeout(),
                 allow_redirects=False,
             ) as resp:
                 await _check_status(target, resp)
                 yield resp
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
-            raise _fault(target, faults.FaultKind.REFUSED, exc) from exc
-        except TimeoutError as exc:
-            raise _fault(target, faults.FaultKind.TIMEOUT, exc) from exc
-        except (aiohttp.ClientError, OSError, ValueError) as exc:
-            raise _fault(target, faults.FaultKind.CUT, exc) from exc
 
 
-async def _check_status(target: Target, resp: aiohttp.ClientResponse) -> None:
+async def _check_status(target: pool.Target, resp: aiohttp.ClientResponse) -> None:
     if resp.status < 300:
         return
     body = (await resp.content.read(MAX_EVENT_BYTES))[:MAX_EVENT_BYTES]
     if resp.headers.get(COLD_HEADER) == COLD_VALUE:
-        raise _fault(target, faults.FaultKind.COLD, resp.status)
+        raise pool.fault(target, faults.FaultKind.COLD, resp.status)
     if resp.status in OVERLOAD_STATUSES:
-        raise _fault(target, faults.FaultKind.OVERLOADED, resp.status)
+        raise pool.fault(target, faults.FaultKind.OVERLOADED, resp.status)
     if resp.status == NOT_LOADED_STATUS:
-        raise _fault(target, faults.FaultKind.NOT_LOADED, resp.status)
+        raise pool.fault(target, faults.FaultKind.NOT_LOADED, resp.status)
     if resp.status >= 500:
-        raise _fault(target, faults.FaultKind.FAILED, resp.status)
+        raise pool.fault(target, faults.FaultKind.FAILED, resp.status)
     raise faults.UpstreamError(
         kind=faults.FaultKind.REJECTED,
         upstream=target.upstream,
@@ -189,21 +147,15 @@
     return b"".join(chunks)
 
 
-def _decode_chunk(target: Target, data: bytes) -> openai.Chunk:
+def _decode_chunk(target: pool.Target, data: bytes) -> openai.Chunk:
     try:
         chunk = codec.from_json(data, openai.Chunk)
     except codec.DecodeError as exc:
-        raise _fault(target, faults.FaultKind.SHORT, exc) from exc
+        raise pool.fault(target, faults.FaultKind.SHORT, exc) from exc
     _check_id(target, chunk.id)
     return chunk
 
 
-def _check_id(target: Target, answer_id: str) -> None:
+def _check_id(target: pool.Target, answer_id: str) -> None:
     if answer_id != ID_PREFIX + target.attempt_id:
-        raise _fault(target, faults.FaultKind.CROSSED, answer_id)
-
-
-def _fault(
-    target: Target, kind: faults.FaultKind, cause: object
-) -> faults.UpstreamError:
-    return faults.UpstreamError(kind=kind, upstream=target.upstream, message=str(cause))
+        raise pool.fault(target, faults.FaultKind.CROSSED, answer_id)
--- a/libs/masticpost-upstream/src/masticpost_upstream/plain.py
+++ b/libs/masticpost-upstream/src/masticpost_upstream/plain.py
@@ -6,7 +6,7 @@
 import aiohttp
 import attrs
 
-from masticpost_upstream import engine, faults
+from masticpost_upstream import faults, pool
 
 MAX_ANSWER_BYTES = 1_000_000
 ECHO_HEADER = "X-Request-Id"
@@ -47,16 +47,9 @@
     """
 
     def __init__(self, *, tls: ssl.SSLContext | None = None) -> None:
-        self._tls = tls
-        self._http: aiohttp.ClientSession | None = None
+        self.pool = pool.Pool(tls=tls, keeps_alive=False)
 
-    async def close(self) -> None:
-        """Close the connections."""
-        if self._http is not None:
-            await self._http.close()
-            self._http = None
-
-    async def call(self, target: engine.Target, req: PlainRequest) -> PlainAnswer:
+    async def call(self, target: pool.Target, req: PlainRequest) -> PlainAnswer:
         """Pass the request on and return the whole answer.
 
         Every HTTP answer below 500 but 429 is the service's answer. A non-idempotent
@@ -71,44 +64,22 @@
         url = f"{target.url}{req.path}"
         if req.query:
             url += f"?{req.query}"
-        timeout = aiohttp.ClientTimeout(
-            total=target.deadline_s, sock_connect=engine.CONNECT_TIMEOUT_S
-        )
-        headers = _headers(target, req)
-        try:
-            async with self._session().request(
+        with pool.faults_of(target):
+            async with self.pool.session().request(
                 req.method,
                 url,
                 data=req.body,
-                headers=headers,
-                timeout=timeout,
+                headers=_headers(target, req),
+                timeout=target.timeout(),
                 allow_redirects=False,
             ) as resp:
                 body = await resp.content.read(MAX_ANSWER_BYTES + 1)
                 while len(body) <= MAX_ANSWER_BYTES and not resp.content.at_eof():
                     body += await resp.content.read(MAX_ANSWER_BYTES)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
-            raise _fault(target, faults.FaultKind.REFUSED, exc) from exc
-        except TimeoutError as exc:
-            raise _fault(target, faults.FaultKind.TIMEOUT, exc) from exc
-        except (aiohttp.ClientError, OSError, ValueError) as exc:
-            raise _fault(target, faults.FaultKind.CUT, exc) from exc
         return _judge(target, resp, body)
 
-    def _session(self) -> aiohttp.ClientSession:
-        if self._http is None:
-            connector = aiohttp.TCPConnector(
-                limit=0,
-                force_close=True,
-                ssl=self._tls if self._tls is not None else True,
-            )
-            self._http = aiohttp.ClientSession(
-                connector=connector, cookie_jar=aiohttp.DummyCookieJar()
-            )
-        return self._http
-
 
-def _headers(target: engine.Target, req: PlainRequest) -> dict[str, str]:
+def _headers(target: pool.Target, req: PlainRequest) -> dict[str, str]:
     headers = {
         name: value
         for name, value in req.headers.items()
@@ -121,25 +92,19 @@
 
 
 def _judge(
-    target: engine.Target, resp: aiohttp.ClientResponse, body: bytes
+    target: pool.Target, resp: aiohttp.ClientResponse, body: bytes
 ) -> PlainAnswer:
     if len(body) > MAX_ANSWER_BYTES:
-        raise _fault(target, faults.FaultKind.SHORT, "answer too large")
+        raise pool.fault(target, faults.FaultKind.SHORT, "answer too large")
     echoed = resp.headers.get(ECHO_HEADER)
     if echoed is not None and echoed != target.attempt_id:
-        raise _fault(target, faults.FaultKind.CROSSED, echoed)
+        raise pool.fault(target, faults.FaultKind.CROSSED, echoed)
     if resp.status == 429:
-        raise _fault(target, faults.FaultKind.OVERLOADED, resp.status)
+        raise pool.fault(target, faults.FaultKind.OVERLOADED, resp.status)
     if resp.status >= 500:
-        raise _fault(target, faults.FaultKind.FAILED, resp.status)
+        raise pool.fault(target, faults.FaultKind.FAILED, resp.status)
     return PlainAnswer(
         status=resp.status,
         content_type=resp.headers.get("Content-Type", "application/octet-stream"),
         body=body,
     )
-
-
-def _fault(
-    target: engine.Target, kind: faults.FaultKind, cause: object
-) -> faults.UpstreamError:
-    return faults.UpstreamError(kind=kind, upstream=target.upstream, message=str(cause))
