--- a/libs/masticpost-peers/testing/test_hub.py
+++ b/libs/masticpost-peers/testing/test_hub.py
@@ -3,7 +3,9 @@
 import asyncio
 
 import attrs
+import hypothesis
 import pytest
+from hypothesis import strategies
 from masticpost_bench import procs
 from masticpost_peers import hub, keys, membership, messages
 
@@ -103,6 +105,15 @@
     made.context.destroy()
 
 
+@hypothesis.given(strategies.binary(max_size=60), strategies.binary(max_size=60))
+@hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
+def test_signed_junk_is_dropped(envelope, body):
+    ring = keys.KeyRing(secrets=[KEY])
+    made = hub.Hub(name="one", incarnation=1, address="127.0.0.1:1", ring=ring)
+    assert made.open([envelope, body, ring.sign(envelope + body)]) is None
+    made.context.destroy()
+
+
 def member(name="m", incarnation=1, state=membership.ALIVE, generation=0):
     return membership.Member(
         name=name,
--- a/libs/masticpost-shards/src/masticpost_shards/claims.py
+++ b/libs/masticpost-shards/src/masticpost_shards/claims.py
@@ -86,7 +86,7 @@
             if reply.verdict == ops.GRANTED:
                 return Granted(key=key, nonce=claim.nonce)
             if reply.verdict == ops.RECORDED and reply.answer is not None:
-                return reply.answer
+                return _kept(reply.answer)
             if reply.verdict != ops.PENDING:
                 raise _refusal(reply.verdict)
             if time.monotonic() + PENDING_POLL_S >= deadline:
@@ -114,7 +114,7 @@
     ) -> None:
         """Record answer and bill; waits a little for the commit, then goes on."""
         if len(answer.body) > ops.MAX_ANSWER_BYTES:
-            answer = attrs.evolve(answer, status=200, body=b"")
+            answer = attrs.evolve(answer, body=b"", is_kept=False)
         task = self._tell(granted, records.DONE, answer, bill)
         await asyncio.wait([task], timeout=OUTCOME_WAIT_S)
 
@@ -166,6 +166,17 @@
             task.cancel()
 
 
+def _kept(answer: records.Answer) -> records.Answer:
+    if answer.is_kept:
+        return answer
+    raise errors.refuse(
+        409,
+        "answer_not_kept",
+        "The call ran and was answered; its answer was too large to be kept.",
+        ran=errors.RAN_YES,
+    )
+
+
 def _unavailable() -> errors.RefusalError:
     return errors.refuse(
         503,
--- a/libs/masticpost-shards/src/masticpost_shards/log.py
+++ b/libs/masticpost-shards/src/masticpost_shards/log.py
@@ -17,7 +17,7 @@
 from masticpost_common import codec
 from masticpost_store import client, objects
 
-from masticpost_shards import records, state
+from masticpost_shards import records, snapshots, state
 
 RING_SLOTS = 32
 SNAPSHOT_EVERY = 12
@@ -66,11 +66,6 @@
     return codec.from_wire(zlib.decompress(data), records.Batch)
 
 
-def unpack_state(data: bytes) -> state.State:
-    """Decode a snapshot."""
-    return codec.from_wire(zlib.decompress(data), state.State)
-
-
 @attrs.define(kw_only=True)
 class Loaded:
     """What one list call of a shard's objects told."""
@@ -79,6 +74,7 @@
     slot_versions: dict[int, str]
     snapshot_version: str | None
     snapshot_seq: int
+    parts: set[str] = attrs.field(factory=set)
 
 
 def fold(listing: objects.Listing, shard: int) -> Loaded:
@@ -91,7 +87,7 @@
     """
     by_name = {obj.name: obj for obj in listing.objects}
     snapshot = by_name.get(snapshot_name(shard))
-    base = unpack_state(snapshot.value) if snapshot else state.State()
+    base = snapshots.join(snapshot, by_name) if snapshot else state.State()
     snapshot_seq = base.seq
     batches: dict[int, records.Batch] = {}
     slot_versions: dict[int, str] = {}
@@ -111,6 +107,7 @@
         state=base,
         slot_versions=slot_versions,
         snapshot_version=snapshot.version if snapshot else None,
+        parts={name for name in by_name if snapshots.is_part(name)},
         snapshot_seq=snapshot_seq,
     )
 
@@ -217,13 +214,16 @@
         the check in `_reread_snapshot` keep it from going back.
         """
         self.committed.prune(now_ms)
-        value = pack(self.committed)
         seq = self.committed.seq
-        if len(value) > objects.MAX_VALUE_BYTES:
-            logger.error("shard {}: snapshot of {} bytes", self.shard, len(value))
-            return False
         name = snapshot_name(self.shard)
         labels = labels_of(self.shard, SNAPSHOT_KIND)
+        split = snapshots.split(self.committed, name, self.run)
+        for part, content in split.parts.items():
+            made = await self.store.create(part, content, labels)
+            if made.is_err():
+                return False
+            self.loaded.parts.add(part)
+        value = split.head
         version = self.loaded.snapshot_version
         if version is None:
             written = await self.store.create(name, value, labels)
@@ -233,8 +233,15 @@
             return await self._reread_snapshot(name)
         self.loaded.snapshot_version = written.unwrap().version
         self.loaded.snapshot_seq = seq
+        await self._delete_parts(set(split.parts))
         return True
 
+    async def _delete_parts(self, kept: set[str]) -> None:
+        """Delete the parts of earlier snapshots; what fails is tried next time."""
+        for part in sorted(self.loaded.parts - kept):
+            if (await self.store.delete(part)).is_ok():
+                self.loaded.parts.discard(part)
+
     def snapshot_is_due(self) -> bool:
         """Tell whether enough batches were written since the last snapshot."""
         return self.committed.seq - self.loaded.snapshot_seq >= SNAPSHOT_EVERY
@@ -244,12 +251,12 @@
         found = await self.store.get(name)
         if found.is_err():
             return False
-        stored = unpack_state(found.unwrap().value)
-        if stored.seq > self.committed.seq:
+        stored_seq = snapshots.read_head(found.unwrap()).seq
+        if stored_seq > self.committed.seq:
             return False
         self.loaded.snapshot_version = found.unwrap().version
-        self.loaded.snapshot_seq = stored.seq
-        return stored.seq == self.committed.seq
+        self.loaded.snapshot_seq = stored_seq
+        return stored_seq == self.committed.seq
 
     async def _write_slot(self, seq: int, value: bytes) -> client.Outcome:
         name = slot_name(self.shard, seq)
--- a/libs/masticpost-shards/src/masticpost_shards/records.py
+++ b/libs/masticpost-shards/src/masticpost_shards/records.py
@@ -36,11 +36,12 @@
 
 @attrs.frozen(kw_only=True)
 class Answer:
-    """An upstream's answer that repeats of a call get."""
+    """An upstream's answer that repeats of a call get, unless it was too large."""
 
     status: int
     content_type: str
     body: bytes
+    is_kept: bool = True
 
 
 @attrs.frozen(kw_only=True)
--- a/libs/masticpost-shards/testing/test_log.py
+++ b/libs/masticpost-shards/testing/test_log.py
@@ -8,7 +8,7 @@
 import pytest
 import result
 from hypothesis import strategies
-from masticpost_shards import log, records
+from masticpost_shards import log, records, snapshots
 from support import fakestore
 
 STEPS = 60
@@ -154,7 +154,8 @@
 
     async def write_snapshot(self, now_ms):
         found = self.store.server.objects.get(log.snapshot_name(self.shard))
-        value = log.pack(self.committed)
+        name = log.snapshot_name(self.shard)
+        value = snapshots.split(self.committed, name, self.run).head
         version = found.version if found else None
         name = log.snapshot_name(self.shard)
         labels = log.labels_of(self.shard, log.SNAPSHOT_KIND)
@@ -197,6 +198,37 @@
     check(server, committed)
 
 
+def test_large_snapshot_is_split_and_old_parts_are_deleted(monkeypatch):
+    monkeypatch.setattr(snapshots, "PART_BYTES", 200)
+
+    async def work(server):
+        writer = Writer(server, "w")
+        await writer.take_over()
+        for number in range(3 * log.RING_SLOTS):
+            await writer.append(number)
+        return writer.committed
+
+    server = fakestore.Server()
+    committed = asyncio.run(work(server))
+    parts = [name for name in server.objects if snapshots.is_part(name)]
+    assert len(parts) > 3
+    assert len({name.rsplit("-", 1)[0] for name in parts}) == 1
+    check(server, committed)
+
+
+@hypothesis.given(seed=strategies.integers(0, 10_000))
+@hypothesis.settings(
+    max_examples=40,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=[hypothesis.HealthCheck.function_scoped_fixture],
+)
+def test_split_snapshots_keep_committed_batches(seed, monkeypatch):
+    monkeypatch.setattr(snapshots, "PART_BYTES", 200)
+    monkeypatch.setattr(log, "SNAPSHOT_EVERY", 3)
+    loop_run(seed, attrs.evolve(FAULTY, seed=seed))
+
+
 def test_paused_owner_learns_that_it_is_fenced():
     async def work():
         server = fakestore.Server()
--- a/libs/masticpost-standins/src/masticpost_standins/objectapi.py
+++ b/libs/masticpost-standins/src/masticpost_standins/objectapi.py
@@ -120,6 +120,7 @@
         app.router.add_get(PREFIX + "/{name}", self.get)
         app.router.add_post(PREFIX, self.create)
         app.router.add_put(PREFIX + "/{name}", self.update)
+        app.router.add_delete(PREFIX + "/{name}", self.delete)
         return app
 
     async def _enter(self, req: web.Request, kind: str) -> web.Response | None:
@@ -223,6 +224,17 @@
             return web.Response(status=409, text="the object has been modified")
         return await self._store(req, item)
 
+    async def delete(self, req: web.Request) -> web.StreamResponse:
+        """Delete an object."""
+        refused = await self._enter(req, "writes")
+        if refused is not None:
+            return refused
+        if self.items.pop(req.match_info["name"], None) is None:
+            return web.Response(status=404, text="not found")
+        self.version += 1
+        self._remember()
+        return web.json_response({"kind": "Status", "status": "Success"})
+
     async def _store(self, req: web.Request, item: Item) -> web.Response:
         size = sum(len(value) * 3 // 4 for value in item.binaryData.values())
         if size > 1_048_576:
--- a/libs/masticpost-standins/src/masticpost_standins/plainsvc.py
+++ b/libs/masticpost-standins/src/masticpost_standins/plainsvc.py
@@ -38,6 +38,7 @@
     cut_after: int = 0
     delay_s: float = 0.0
     cross_answers: int = 0
+    pad_bytes: int = 0
 
 
 @attrs.define(kw_only=True)
@@ -104,4 +105,6 @@
             return web.Response(status=500)
         await asyncio.sleep(self.cfg.work_s)
         body = {"key": key, "run": self.counts.runs[key]}
+        if self.faults.pad_bytes:
+            body["pad"] = "x" * self.faults.pad_bytes
         return web.json_response(body, status=201, headers=self._headers(req))
--- a/libs/masticpost-store/src/masticpost_store/client.py
+++ b/libs/masticpost-store/src/masticpost_store/client.py
@@ -97,6 +97,16 @@
         answer = await self._call("PUT", f"{self.base}/{name}", body=body)
         return answer.and_then(_decode_object)
 
+    async def delete(self, name: str) -> result.Result[None, objects.Fault]:
+        """Delete an object; one that is gone already counts as deleted."""
+        self.counts.writes += 1
+        answer = await self._call("DELETE", f"{self.base}/{name}")
+        if answer.is_ok():
+            return result.Ok(None)
+        if answer.unwrap_err().kind is objects.FaultKind.MISSING:
+            return result.Ok(None)
+        return result.Err(answer.unwrap_err())
+
     async def watch(
         self, name: str, version: str
     ) -> collections.abc.AsyncIterator[objects.Obj]:
--- a/testing/support/fakestore.py
+++ b/testing/support/fakestore.py
@@ -126,6 +126,15 @@
         """Replace an object."""
         return await self._write(name, value, version, labels)
 
+    async def delete(self, name: str) -> result.Result[None, objects.Fault]:
+        """Delete an object."""
+        if not await self._enter():
+            return _refused()
+        kept = {key: obj for key, obj in self.server.objects.items() if key != name}
+        self.server.objects = kept
+        self.server.past.append(kept)
+        return result.Ok(None)
+
     async def _write(
         self, name: str, value: bytes, version: str | None, labels: dict[str, str]
     ) -> client.Outcome:
--- a/testing/test_entry.py
+++ b/testing/test_entry.py
@@ -133,6 +133,18 @@
     assert (await dep.booking_runs())["once"] == 1
 
 
+async def test_large_answer_is_given_once_and_never_run_again(dep):
+    for spec in dep.plan.plains:
+        await dep.faults(spec.name, pad_bytes=100_000)
+    first = await dep.book("large")
+    again = await dep.book("large")
+    for spec in dep.plan.plains:
+        await dep.faults(spec.name, pad_bytes=0)
+    assert (first.status, len(first.body) > 100_000) == (201, True)
+    assert (again.status, again.code, again.ran) == (409, "answer_not_kept", "yes")
+    assert (await dep.booking_runs())["large"] == 1
+
+
 async def test_same_key_with_another_body_is_refused(dep):
     await dep.book("mixed", "crew a")
     reply = await dep.book("mixed", "crew b")
