Never confirm before the batch on its way is committed; send a bill once per owner

Causes: (1) a call that wrote nothing, such as a claim told again under the same nonce, was answered while the batch with its claim was still being written, so that it could be dispatched before its claim was committed; found by reading, test first. (2) Over 600 s of outage at 50/s every instance sent its whole backlog again each 2.5 s: 21,249 records at the end; the members lost each other, 9,256 of 30,378 requests were refused as not_current, and 18 of 17,850 bills were settled in place of billed. Ruled out: a loss in the log. Changes: a call waits for the batch on its way too; closed records are sent once per epoch of the owner, then an empty call waits for the commit.

--- a/libs/masticpost-shards/src/masticpost_shards/bills.py
+++ b/libs/masticpost-shards/src/masticpost_shards/bills.py
@@ -35,6 +35,14 @@
     safe: asyncio.Future
 
 
+@attrs.frozen(kw_only=True)
+class Sent:
+    """How many of a shard's closed records its owner holds, and in which epoch."""
+
+    epoch: int = -1
+    count: int = 0
+
+
 class BillWriter(mode.Service):
     """Keeps the records of bills until their shards' owners committed them.
 
@@ -57,6 +65,7 @@
         self.waiting = 0
         self._opens: dict[int, list[Opening]] = collections.defaultdict(list)
         self._closes: dict[int, list[records.BillClose]] = collections.defaultdict(list)
+        self._sent: dict[int, Sent] = {}
         self._telling: set[tuple[str, int]] = set()
         self._has_opens = asyncio.Event()
 
@@ -142,11 +151,28 @@
                 row.safe.set_result(None)
 
     async def _tell_closes(self, shard: int) -> None:
-        rows = self._closes[shard][:MAX_PER_TELL]
-        tell = ops.BillsTell(shard=shard, closes=list(rows))
-        await self.shards.call(tell, timeout_s=TELL_TIMEOUT_S)
-        del self._closes[shard][: len(rows)]
-        self.waiting -= len(rows)
+        """Send what the owner does not hold yet, then wait for the commit of all.
+
+        In an outage of the object API the wait fails and only new records are sent
+        the next time, as long as the owner's epoch is the same.
+        """
+        rows = self._closes[shard]
+        sent = self._sent.get(shard, Sent())
+        fresh = rows[sent.count : sent.count + MAX_PER_TELL]
+        if fresh:
+            tell = ops.BillsTell(shard=shard, closes=fresh, held=True)
+            held = await self.shards.call(tell, timeout_s=TELL_TIMEOUT_S)
+            if sent.count and held.epoch != sent.epoch:
+                self._sent[shard] = Sent()
+                return
+            sent = Sent(epoch=held.epoch, count=sent.count + len(fresh))
+            self._sent[shard] = sent
+        barrier = ops.BillsTell(shard=shard)
+        done = await self.shards.call(barrier, timeout_s=TELL_TIMEOUT_S)
+        self._sent[shard] = Sent()
+        if done.epoch == sent.epoch:
+            del rows[: sent.count]
+            self.waiting -= sent.count
 
     async def flush(self, timeout_s: float) -> None:
         """Wait until everything is committed, for at most `timeout_s`."""
--- a/libs/masticpost-shards/src/masticpost_shards/ops.py
+++ b/libs/masticpost-shards/src/masticpost_shards/ops.py
@@ -38,7 +38,12 @@
 @messages.message("done")
 @attrs.frozen(kw_only=True)
 class Done:
-    """Reply: what was told is committed."""
+    """Reply: what was told is committed, or held where the call asked for that.
+
+    `epoch` is the owner's; records that were held in another epoch may be lost.
+    """
+
+    epoch: int = -1
 
 
 @messages.message("claim-ask")
@@ -80,7 +85,8 @@
     """Tells of dispatched and of billed requests; may be repeated.
 
     With `held` the reply does not wait for the commit: it tells that the owner
-    holds the records in memory.
+    holds the records in memory. A call without records and without `held` waits for
+    the commit of all that the owner holds.
     """
 
     shard: int
--- a/libs/masticpost-shards/src/masticpost_shards/owner.py
+++ b/libs/masticpost-shards/src/masticpost_shards/owner.py
@@ -122,6 +122,7 @@
         self._gone_since: dict[str, float] = {}
         self._handing_over = False
         self._has_released = False
+        self._is_committing = False
 
     @property
     def is_serving(self) -> bool:
@@ -151,15 +152,22 @@
         if self._pending_records >= PENDING_MAX_RECORDS:
             raise StoreDownError
         decision = ops.decide(self.working, op, self.is_running)
-        if not decision.writes and not (decision.waits and self._pending):
-            return decision.reply
+        reply = self._with_epoch(decision.reply)
+        is_behind = bool(self._pending) or self._is_committing
+        if not decision.writes and not (decision.waits and is_behind):
+            return reply
         fut = asyncio.get_running_loop().create_future()
         self._enqueue(Pending(writes=decision.writes, fut=fut))
         if not decision.waits:
             fut.add_done_callback(_ignore_result)
-            return decision.reply
+            return reply
         await fut
-        return decision.reply
+        return reply
+
+    def _with_epoch(self, reply: object) -> object:
+        if isinstance(reply, ops.Done):
+            return attrs.evolve(reply, epoch=self.epoch)
+        return reply
 
     def _decide_without_store(self, op: ops.ClaimAsk) -> object:
         """Answer a claim from what is known; a new claim cannot be committed."""
@@ -260,10 +268,15 @@
     async def _commit_pending(self) -> bool:
         """Write one batch; False when the shard is lost."""
         items = self._take_items()
-        if not items and not self._renewal_is_due():
-            return True
-        batch = _fill(self.journal.next_batch(wall_ms()), items)
-        if not await self._write(batch):
+        has_writes = any(item.writes for item in items)
+        if has_writes or self._renewal_is_due():
+            batch = _fill(self.journal.next_batch(wall_ms()), items)
+            self._is_committing = True
+            is_written = await self._write(batch)
+            self._is_committing = False
+        else:
+            is_written = True
+        if not is_written:
             for item in items:
                 if not item.fut.done():
                     item.fut.set_exception(NotOwnerError())
--- a/libs/masticpost-shards/testing/test_owner.py
+++ b/libs/masticpost-shards/testing/test_owner.py
@@ -112,6 +112,26 @@
     await own.stop()
 
 
+async def test_nothing_is_confirmed_while_its_batch_is_being_written():
+    """A repeat of a claim whose batch is on its way must wait for that batch."""
+    server = fakestore.Server()
+    own = await serving(make_owner(server))
+    server.is_down = True
+    first = asyncio.create_task(own.submit(claim_ask(nonce="a")))
+    while not own._is_committing:
+        await asyncio.sleep(0.001)
+    own.store._failures_in_row = 0
+    again = asyncio.create_task(own.submit(claim_ask(nonce="a")))
+    barrier = asyncio.create_task(own.submit(ops.BillsTell(shard=0)))
+    await asyncio.sleep(0.05)
+    assert not (first.done() or again.done() or barrier.done())
+    server.is_down = False
+    assert (await again).verdict == ops.GRANTED
+    assert (await first).verdict == ops.GRANTED
+    assert (await barrier).epoch == own.epoch
+    await own.stop()
+
+
 async def test_superseded_owner_drops_what_it_had_not_committed():
     server = fakestore.Server()
     old = await serving(make_owner(server, "old"))
