Judge a minority by the members of the last proof; give each bench deployment its key

Causes: (1) an instance that cannot reach the object API compared those it hears with the members it knows, and forgets dead ones after 60 s: a minority would have taken itself for the whole and served an old text again; found by reading. (2) A takeover bench failed with 'another process runs as instance entry-6': two benches at work at once drew ports from one range with one peer key, and their members mixed. Changes: the members at the last proof are the whole; each deployment of the harness has a key of its own.

--- a/libs/masticpost-bench/src/masticpost_bench/deployment.py
+++ b/libs/masticpost-bench/src/masticpost_bench/deployment.py
@@ -108,6 +108,7 @@
         self.daemon_args = daemon_args or []
         self.daemon_program = daemon_program or [procs.program("masticpostd")]
         self.dir = pathlib.Path(tempfile.mkdtemp(prefix="masticpost-"))
+        self.peer_key = f"{layout.PEER_KEY}-{self.dir.name}"
         self.standins: dict[str, StandIn] = {}
         self.daemons: dict[str, Daemon] = {}
         self.generation = 0
@@ -192,7 +193,7 @@
             *extra,
         ]
         env = {
-            "MASTICPOST_PEER_KEYS": layout.PEER_KEY,
+            "MASTICPOST_PEER_KEYS": self.peer_key,
             "MASTICPOST_ADMIN_KEY": layout.ADMIN_KEY,
         }
         starts = len(list(self.dir.glob(f"{name}.*.log")))
--- a/libs/masticpost-confsync/src/masticpost_confsync/keeper.py
+++ b/libs/masticpost-confsync/src/masticpost_confsync/keeper.py
@@ -95,6 +95,7 @@
         self.rejected_generation = 0
         self._listeners: list[Listener] = []
         self._last_proof = time.monotonic()
+        self._members_at_proof: set[str] = set()
         self._asking = False
         self._random = random.Random(peers.name)
         peers.handle(TextAsk, self._on_ask)
@@ -114,9 +115,10 @@
         """Tell whether this instance may rely on its text being in force.
 
         It may while it reached the object API within the bound, or while it hears
-        from at least half of the members: then the object API itself is out and no
-        edit can have been accepted. A minority that cannot reach the object API may
-        have been cut off from edits, and takes no new work.
+        from at least half of the members that there were when it last did: then the
+        object API itself is out and no edit can have been accepted. A minority that
+        cannot reach the object API may have been cut off from edits, and takes no new
+        work, however long ago it gave the others up.
         """
         if not self.is_compared or self.in_force is None:
             return False
@@ -124,7 +126,8 @@
             return True
         if time.monotonic() - self.store.last_success < FRESH_BOUND_S:
             return True
-        return self.members.reachable_share(FRESH_BOUND_S) >= REACHABLE_SHARE
+        heard = self.members.heard(FRESH_BOUND_S) & self._members_at_proof
+        return len(heard) >= REACHABLE_SHARE * len(self._members_at_proof)
 
     def offer(self, stored: head.Stored) -> bool:
         """Put a text in force if its generation is higher; False otherwise."""
@@ -163,6 +166,7 @@
         while not self.should_stop and not self.is_compared:
             if await self._read_head() or await self._compare_with_peers():
                 self.is_compared = self.in_force is not None
+                self._note_members()
             await asyncio.sleep(START_PAUSE_S)
 
     async def _compare_with_peers(self) -> bool:
@@ -218,6 +222,10 @@
 
     def _note_proof(self) -> None:
         self._last_proof = time.monotonic()
+        self._note_members()
+
+    def _note_members(self) -> None:
+        self._members_at_proof = {member.name for member in self.members.alive()}
 
     def _on_member(self, member: membership.Member) -> None:
         if member.generation > self.generation and not self._asking:
--- a/libs/masticpost-peers/src/masticpost_peers/membership.py
+++ b/libs/masticpost-peers/src/masticpost_peers/membership.py
@@ -194,16 +194,11 @@
             return False
         return member.state != DEAD
 
-    def reachable_share(self, within_s: float) -> float:
-        """Return the share of members, this one too, heard from lately."""
-        members = [m for m in self._members.values() if m.state != LEAVING]
+    def heard(self, within_s: float) -> set[str]:
+        """Return the names of those heard from lately, this instance included."""
         since = time.monotonic() - within_s
-        heard = sum(
-            1
-            for m in members
-            if m.name == self.me.name or self._reached_at.get(m.name, -math.inf) > since
-        )
-        return heard / max(1, len(members))
+        lately = {name for name, at in self._reached_at.items() if at > since}
+        return lately | {self.me.name}
 
     def set_generation(self, generation: int) -> None:
         """Tell the others which configuration is in force here."""
--- a/testing/test_config.py
+++ b/testing/test_config.py
@@ -76,17 +76,16 @@
 
 
 class FakeMembers:
-    """Members of whom a share is heard."""
+    """Ten members, some of which are heard; the others may be forgotten."""
 
-    def __init__(self, share):
-        self.share = share
-        self.me = None
+    def __init__(self, heard):
+        self.heard_count = heard
 
     def listen(self, listener):
         pass
 
-    def reachable_share(self, within_s):
-        return self.share
+    def heard(self, within_s):
+        return {f"m{i}" for i in range(self.heard_count)}
 
 
 class FakePeers:
@@ -102,15 +101,16 @@
 
 
 @pytest.mark.parametrize(
-    ("store_age_s", "share", "is_current"),
-    [(1, 0.1, True), (60, 0.9, True), (60, 0.5, True), (60, 0.4, False)],
+    ("store_age_s", "heard", "is_current"),
+    [(1, 1, True), (60, 9, True), (60, 5, True), (60, 4, False)],
 )
 def test_minority_that_cannot_reach_the_store_takes_no_work(
-    store_age_s, share, is_current
+    store_age_s, heard, is_current
 ):
     kept = keeper.Keeper(
-        store=FakeStore(store_age_s), peers=FakePeers(), members=FakeMembers(share)
+        store=FakeStore(store_age_s), peers=FakePeers(), members=FakeMembers(heard)
     )
+    kept._members_at_proof = {f"m{i}" for i in range(10)}
     kept.in_force = object()
     kept.is_compared = True
     kept._last_proof = time.monotonic() - 60
