--- a/libs/masticpost-decide/src/masticpost_decide/choice.py
+++ b/libs/masticpost-decide/src/masticpost_decide/choice.py
@@ -78,12 +78,16 @@
 
 @POLICIES.register("least-loaded")
 def least_loaded(candidates: list[Candidate], ctx: Context) -> Candidate:
-    """Take the one with the least corrected load for its capacity.
+    """Take the one with the least corrected load among two and the prefix's holders.
 
-    A cached prefix counts as less work, another failure domain as a little more;
-    a returning upstream counts as smaller than it is.
+    Reports lag and every instance sees the same ones, so that all would send to the
+    same upstream if each looked at every one. A cached prefix counts as less work,
+    another failure domain as a little more; a returning upstream counts as smaller
+    than it is.
     """
-    scored = [(_score(c), ctx.random.random(), c) for c in candidates]
+    drawn = ctx.random.sample(candidates, min(2, len(candidates)))
+    drawn += [c for c in candidates if c.has_prefix and c not in drawn]
+    scored = [(_score(c), ctx.random.random(), c) for c in drawn]
     return min(scored, key=lambda row: row[:2])[2]
 
 
--- a/libs/masticpost-shards/src/masticpost_shards/owner.py
+++ b/libs/masticpost-shards/src/masticpost_shards/owner.py
@@ -98,7 +98,7 @@
         run: records.Run,
         is_running: ops.IsRunning,
         settle_after_s: float = SETTLE_AFTER_S,
-        held_permits: "HeldPermits | None" = None,
+        held_permits: HeldPermits | None = None,
     ) -> None:
         super().__init__()
         self.store = store
