Serve probes whatever else waits, and let an owner's handlers end with their callers

Calls that wait for a commit stayed as handlers at the owner after their callers had given up: about 5 a second, until 2,000 handlers were at work and every further message was dropped, probes included. Change: probes are served whatever the number of handlers, and an owner's handler ends when its caller's time is up.

--- a/libs/masticpost-peers/src/masticpost_peers/hub.py
+++ b/libs/masticpost-peers/src/masticpost_peers/hub.py
@@ -160,13 +160,19 @@
         self.traffic = Traffic()
         self.context = zmq.asyncio.Context()
         self._handlers: dict[str, Handler] = {}
+        self._urgent: set[str] = set()
         self._conns: dict[str, PeerConn] = {}
         self._handling: set[asyncio.Task] = set()
         self._sock: zmq.asyncio.Socket | None = None
 
-    def handle(self, kind: type, handler: Handler) -> None:
-        """Serve messages of an attrs class; the handler's result is the reply."""
+    def handle(self, kind: type, handler: Handler, *, is_urgent: bool = False) -> None:
+        """Serve messages of an attrs class; the handler's result is the reply.
+
+        Urgent ones are served even when too many handlers are at work.
+        """
         self._handlers[kind.MESSAGE_KIND] = handler
+        if is_urgent:
+            self._urgent.add(kind.MESSAGE_KIND)
 
     async def on_start(self) -> None:
         """Listen."""
@@ -252,12 +258,15 @@
         while not self.should_stop:
             route, *frames = await self._sock.recv_multipart()
             incoming = self.open(frames)
-            if incoming is None or len(self._handling) >= MAX_HANDLERS:
+            if incoming is None or not self._has_room(incoming.envelope.kind):
                 continue
             task = asyncio.create_task(self._serve(route, incoming))
             self._handling.add(task)
             task.add_done_callback(self._handling.discard)
 
+    def _has_room(self, kind: str) -> bool:
+        return len(self._handling) < MAX_HANDLERS or kind in self._urgent
+
     async def _serve(self, route: bytes, incoming: messages.Incoming) -> None:
         envelope = incoming.envelope
         handler = self._handlers.get(envelope.kind)
--- a/libs/masticpost-peers/src/masticpost_peers/membership.py
+++ b/libs/masticpost-peers/src/masticpost_peers/membership.py
@@ -167,9 +167,9 @@
         self._order: list[str] = []
         self._listeners: list[Listener] = []
         self._last_tick = time.monotonic()
-        peers.handle(Probe, self._on_probe)
-        peers.handle(ProbeThrough, self._on_probe_through)
-        peers.handle(MembersAsk, self._on_members_ask)
+        peers.handle(Probe, self._on_probe, is_urgent=True)
+        peers.handle(ProbeThrough, self._on_probe_through, is_urgent=True)
+        peers.handle(MembersAsk, self._on_members_ask, is_urgent=True)
 
     def listen(self, listener: Listener) -> None:
         """Call `listener` with each member whose news changed."""
--- a/libs/masticpost-peers/testing/test_hub.py
+++ b/libs/masticpost-peers/testing/test_hub.py
@@ -64,6 +64,26 @@
     await two.stop()
 
 
+async def test_hanging_handlers_do_not_keep_probes_from_being_served(monkeypatch):
+    monkeypatch.setattr(hub, "MAX_HANDLERS", 5)
+
+    async def hang(envelope, body):
+        await asyncio.Event().wait()
+
+    one, two = await make_hub("one"), await make_hub("two")
+    two.handle(Echo, hang)
+    members = membership.Membership(
+        peers=two, domain="d", advertise=two.address, seed=1
+    )
+    calls = [one.call(two.address, Echo(text="x"), 0.3) for _ in range(8)]
+    await asyncio.gather(*calls, return_exceptions=True)
+    assert len(two._handling) == 5
+    ack = await one.call(two.address, membership.Probe(), 5.0)
+    assert members.me in ack.news
+    await one.stop()
+    await two.stop()
+
+
 async def test_rotated_keys_overlap():
     old, new = KEY, "the-next-key-of-the-tests"
     one, two = await make_hub("one", [old, new]), await make_hub("two", [new, old])
--- a/libs/masticpost-shards/src/masticpost_shards/directory.py
+++ b/libs/masticpost-shards/src/masticpost_shards/directory.py
@@ -117,7 +117,12 @@
             return None
 
     async def _on_op(self, envelope: messages.Envelope, op: typing.Any) -> object:
-        return await self._decide_here(op)
+        """Decide an operation of a peer, for as long as the peer waits."""
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                return await self._decide_here(op)
+        except TimeoutError:
+            return ops.NotOwner()
 
     async def _decide_here(self, op: typing.Any) -> object:
         shard_owner = self.owners.get(op.shard)
--- a/testing/test_config.py
+++ b/testing/test_config.py
@@ -91,7 +91,7 @@
 class FakePeers:
     name = "entry-0"
 
-    def handle(self, kind, handler):
+    def handle(self, kind, handler, is_urgent=False):
         pass
 
 
