--- a/testing/test_cli.py
+++ b/testing/test_cli.py
@@ -58,27 +58,33 @@
 async def test_apply_show_history_and_diff(dep, tmp_path):
     path = tmp_path / "text.yaml"
     path.write_text(dep.text({"versions.small-1": {"input_price": 7.5}}))
+    await dep.refresh_generation()
+    before, after = dep.generation, dep.generation + 1
     code, out, _ = await tool(dep, "diff", str(path))
     assert code == 1
     assert "+    input_price: 7.5" in out
     code, out, _ = await tool(dep, "apply", str(path), "--note", "dearer")
-    assert (code, out) == (0, "generation 2 accepted\n")
-    await dep.wait_generation(2)
+    assert (code, out) == (0, f"generation {after} accepted\n")
+    await dep.wait_generation(after)
     code, out, _ = await tool(dep, "show")
     assert out.strip() == path.read_text().strip()
     code, out, _ = await tool(dep, "history")
     assert code == 0
     assert "dearer" in out
-    code, out, _ = await tool(dep, "diff", "--from", "1", "--to", "2")
+    span = ("--from", str(before), "--to", str(after))
+    code, out, _ = await tool(dep, "diff", *span)
     assert "+    input_price: 7.5" in out
 
 
 async def test_conflicting_apply_is_refused_with_the_difference(dep, tmp_path):
     path = tmp_path / "text.yaml"
     path.write_text(dep.text({"versions.small-1": {"input_price": 8.5}}))
-    code, out, err = await tool(dep, "apply", str(path), "--seen", "1")
+    await dep.refresh_generation()
+    seen = dep.generation
+    await dep.apply()
+    code, out, err = await tool(dep, "apply", str(path), "--seen", str(seen))
     assert code == 1
-    assert "made from generation 1" in err
+    assert f"made from generation {seen}" in err
     assert "+    input_price: 8.5" in out
 
 
@@ -135,6 +141,7 @@
 
 async def test_burn_report_counts_requests(dep, tmp_path):
     page = tmp_path / "burn.html"
+    assert (await dep.book("burned", via="entry-1")).status == 201
     code, out, _ = await tool(dep, "report", "burn", "--html", str(page), "--json")
     rows = json.loads(out)
     assert code == 0
