--- a/libs/masticpost-shards/src/masticpost_shards/bills.py
+++ b/libs/masticpost-shards/src/masticpost_shards/bills.py
@@ -12,7 +12,7 @@
 from masticpost_shards import directory, holds, ops, records
 
 FLUSH_S = 0.05
-OPEN_FLUSH_S = 0.004
+OPEN_FLUSH_S = 0.0005
 TELL_TIMEOUT_S = 2.5
 TELL_PAUSE_S = 0.2
 MAX_WAITING = 200_000
