Have the cold-upstream mutant noticed every time

Change: every engine is made cold, then 24 requests are sent at once, where the engines bear 4 together. The check and its bound are the same.

--- a/testing/test_mutants.py
+++ b/testing/test_mutants.py
@@ -9,6 +9,7 @@
 from masticpost_bench import deployment
 from support import oracle, workload
 
+COLD_BURST = 24
 BROKEN = str(pathlib.Path(__file__).parent / "support" / "broken.py")
 CASES = [
     ("claims are always granted", "repeat", "at most once"),
@@ -16,7 +17,7 @@
     ("calls in doubt are said not to have run", "cut bookings", "is true"),
     ("ids of answers are not compared", "answers crossed", "whole"),
     ("a cut stream just ends", "cut streams", "whole"),
-    ("cold upstreams are taken for warm", "engine cold again", "cold"),
+    ("cold upstreams are taken for warm", "cold burst", "cold"),
     ("sessions are not pinned", "shares move", "keeps its version"),
     ("bills are lost on the way", "none", "billed exactly once"),
     ("any generation is put in force", "object API reads are stale", "reverts"),
@@ -85,6 +86,15 @@
     return oracle.violations(await oracle.collect(dep, load))
 
 
+async def cold_burst(dep):
+    """Make every engine cold and send far more at once than they bear together."""
+    for spec in dep.plan.engines:
+        await dep.act(spec.name, "make-cold")
+    works = [dep.chat(f"burst {i} [len=20]") for i in range(COLD_BURST)]
+    await asyncio.gather(*works)
+    return await judged(dep)
+
+
 async def judged(dep):
     load = workload.Workload(dep=dep, seed=0)
     return oracle.violations(await oracle.collect(dep, load))
@@ -95,4 +105,5 @@
     "cut bookings": cut_bookings,
     "cut streams": cut_streams,
     "shares move": shares_move,
+    "cold burst": cold_burst,
 }
