Forget in the owner what the log forgets; never guess a session's version

Ruled out: watermarks per writer in place of keys (a repeat by key comes through another instance), segments of keys by minute (hundreds of objects to list at a takeover). The property tests of the log keep their ring of 32, so that it wraps as often as before.

--- a/libs/masticpost-entry/src/masticpost_entry/levels.py
+++ b/libs/masticpost-entry/src/masticpost_entry/levels.py
@@ -164,7 +164,7 @@
     key = sessions.session_key(call.customer.name, call.service.name, call.session)
     level = plan.cascade.start(plan.ask)
     proposed = _proposal(rt, job, plan, level)
-    pinned = await rt.agreed.sessions.pin(key, proposed.name)
+    pinned = await rt.agreed.sessions.pin(key, proposed.name, call.deadline)
     if share.may_continue(rt.text, call.customer, pinned.version):
         return _session_version(rt, pinned)
     if call.service.on_withdrawn == "refuse":
@@ -173,7 +173,9 @@
             "session_version_withdrawn",
             "The version of this session was withdrawn. It was not run.",
         )
-    moved = await rt.agreed.sessions.pin(key, proposed.name, pinned.version)
+    moved = await rt.agreed.sessions.pin(
+        key, proposed.name, call.deadline, pinned.version
+    )
     return _session_version(rt, moved)
 
 
--- a/libs/masticpost-shards/src/masticpost_shards/log.py
+++ b/libs/masticpost-shards/src/masticpost_shards/log.py
@@ -19,8 +19,9 @@
 
 from masticpost_shards import records, snapshots, state
 
-RING_SLOTS = 32
-SNAPSHOT_EVERY = 12
+RING_SLOTS = 128
+SNAPSHOT_EVERY = 48
+SNAPSHOT_AFTER_BYTES = 1_000_000
 SHARD_LABEL = "masticpost-shard"
 KIND_LABEL = "masticpost-kind"
 SLOT_KIND = "log"
@@ -68,13 +69,17 @@
 
 @attrs.define(kw_only=True)
 class Loaded:
-    """What one list call of a shard's objects told."""
+    """What one list call of a shard's objects told.
+
+    `bytes_since` counts the bytes appended since the last snapshot.
+    """
 
     state: state.State
     slot_versions: dict[int, str]
     snapshot_version: str | None
     snapshot_seq: int
     parts: set[str] = attrs.field(factory=set)
+    bytes_since: int = 0
 
 
 def fold(listing: objects.Listing, shard: int) -> Loaded:
@@ -170,6 +175,7 @@
             return result.Err(AppendFault.TOO_LARGE)
         written = await self._write_slot(batch.seq, value)
         if written.is_ok():
+            self.loaded.bytes_since += len(value)
             return self._committed(batch, written.unwrap())
         fault = _append_fault(written.unwrap_err())
         if fault is AppendFault.FENCED:
@@ -217,7 +223,7 @@
         seq = self.committed.seq
         name = snapshot_name(self.shard)
         labels = labels_of(self.shard, SNAPSHOT_KIND)
-        split = snapshots.split(self.committed, name, self.run)
+        split = await snapshots.split(self.committed, name, self.run)
         for part, content in split.parts.items():
             made = await self.store.create(part, content, labels)
             if made.is_err():
@@ -233,6 +239,7 @@
             return await self._reread_snapshot(name)
         self.loaded.snapshot_version = written.unwrap().version
         self.loaded.snapshot_seq = seq
+        self.loaded.bytes_since = 0
         await self._delete_parts(set(split.parts))
         return True
 
@@ -243,7 +250,9 @@
                 self.loaded.parts.discard(part)
 
     def snapshot_is_due(self) -> bool:
-        """Tell whether enough batches were written since the last snapshot."""
+        """Tell whether enough was written since the last snapshot."""
+        if self.loaded.bytes_since >= SNAPSHOT_AFTER_BYTES:
+            return True
         return self.committed.seq - self.loaded.snapshot_seq >= SNAPSHOT_EVERY
 
     async def _reread_snapshot(self, name: str) -> bool:
--- a/libs/masticpost-shards/src/masticpost_shards/ops.py
+++ b/libs/masticpost-shards/src/masticpost_shards/ops.py
@@ -223,7 +223,7 @@
 ) -> Decision:
     """Record the outcome of the attempt that holds the claim."""
     writes: list[object] = [op.outcome] if working.add_outcome(op.outcome) else []
-    if op.bill is not None and working.close_bill(op.bill):
+    if op.bill is not None and working.close_bill(op.bill, op.bill.at):
         writes.append(op.bill)
     return Decision(reply=Done(), writes=writes)
 
@@ -233,7 +233,7 @@
     working: state.State, op: BillsTell, is_running: IsRunning
 ) -> Decision:
     """Record what is new; an open record whose bill is known is left out."""
-    closes = [row for row in op.closes if working.close_bill(row)]
+    closes = [row for row in op.closes if working.close_bill(row, row.at)]
     opens = [row for row in op.opens if working.open_bill(row)]
     return Decision(reply=Done(), writes=[*opens, *closes], waits=not op.held)
 
--- a/libs/masticpost-shards/src/masticpost_shards/owner.py
+++ b/libs/masticpost-shards/src/masticpost_shards/owner.py
@@ -242,6 +242,7 @@
                 return
             if self.journal.snapshot_is_due():
                 await self.journal.write_snapshot(wall_ms())
+                self.working.prune(wall_ms())
             await asyncio.sleep(COMMIT_INTERVAL_S)
 
     async def _release(self) -> None:
@@ -274,6 +275,7 @@
             self._is_committing = True
             is_written = await self._write(batch)
             self._is_committing = False
+            self._note_commit(batch)
         else:
             is_written = True
         if not is_written:
@@ -286,6 +288,13 @@
                 item.fut.set_result(None)
         return True
 
+    def _note_commit(self, batch: records.Batch) -> None:
+        """Keep the bills of a batch from its commit on, as the log's state does."""
+        if self.working is None:
+            return
+        for closed in batch.closes:
+            self.working.closed_bills[closed.key] = batch.at
+
     def _renewal_is_due(self) -> bool:
         left = self.lease_until - time.monotonic()
         return self.needs_lease and left < LEASE_S - RENEW_AFTER_S
--- a/libs/masticpost-shards/src/masticpost_shards/snapshots.py
+++ b/libs/masticpost-shards/src/masticpost_shards/snapshots.py
@@ -5,6 +5,7 @@
 that a reader finds the parts of the snapshot that its head names, or of none.
 """
 
+import asyncio
 import uuid
 import zlib
 
@@ -45,18 +46,23 @@
     return PART_MARK in name
 
 
-def split(snapshot: state.State, name: str, writer: records.Run) -> Split:
-    """Encode, compress and split a snapshot."""
-    data = zlib.compress(codec.to_wire(snapshot), 1)
+async def split(snapshot: state.State, name: str, writer: records.Run) -> Split:
+    """Encode, compress and split a snapshot.
+
+    The state is encoded at once; a thread compresses the bytes, so that a large
+    snapshot does not hold up the requests of this process.
+    """
+    seq = snapshot.seq
+    data = await asyncio.to_thread(zlib.compress, codec.to_wire(snapshot), 1)
     if len(data) <= PART_BYTES:
-        head = Head(seq=snapshot.seq, writer=writer, inline=data)
+        head = Head(seq=seq, writer=writer, inline=data)
         return Split(parts={}, head=codec.to_wire(head))
     unique = uuid.uuid4().hex[:12]
     parts = {
         f"{name}{PART_MARK}{unique}-{number:03d}": data[start : start + PART_BYTES]
         for number, start in enumerate(range(0, len(data), PART_BYTES))
     }
-    head = Head(seq=snapshot.seq, writer=writer, parts=list(parts))
+    head = Head(seq=seq, writer=writer, parts=list(parts))
     return Split(parts=parts, head=codec.to_wire(head))
 
 
--- a/libs/masticpost-shards/src/masticpost_shards/state.py
+++ b/libs/masticpost-shards/src/masticpost_shards/state.py
@@ -38,7 +38,8 @@
     """State of a shard after the batch `seq`.
 
     `released` tells that the last owner has handed the shard over, `permits` which
-    permits were in use then.
+    permits were in use then. `closed_bills` maps the key of each bill that may be told
+    again to the time of its commit.
     """
 
     seq: int = -1
@@ -46,7 +47,7 @@
     permits: list[records.HeldPermit] = attrs.field(factory=list)
     calls: dict[str, Call] = attrs.field(factory=dict)
     open_bills: dict[str, records.BillOpen] = attrs.field(factory=dict)
-    closed_bills: dict[str, records.BillClose] = attrs.field(factory=dict)
+    closed_bills: dict[str, int] = attrs.field(factory=dict)
     totals: dict[str, Total] = attrs.field(factory=dict)
     pins: dict[str, records.Pin] = attrs.field(factory=dict)
     crashes: dict[str, list[records.Crash]] = attrs.field(factory=dict)
@@ -67,7 +68,7 @@
         for outcome in batch.outcomes:
             self.add_outcome(outcome)
         for closed in batch.closes:
-            self.close_bill(closed)
+            self.close_bill(closed, batch.at)
         for pin in batch.pins:
             self.pins[pin.key] = pin
         for crash in batch.crashes:
@@ -107,12 +108,12 @@
         self.open_bills[opened.key] = opened
         return True
 
-    def close_bill(self, closed: records.BillClose) -> bool:
+    def close_bill(self, closed: records.BillClose, committed_at: int) -> bool:
         """Bill a request, once."""
         if closed.key in self.closed_bills:
             return False
         self.open_bills.pop(closed.key, None)
-        self.closed_bills[closed.key] = closed
+        self.closed_bills[closed.key] = committed_at
         self._add_to_total(closed)
         return True
 
@@ -133,12 +134,16 @@
         return True
 
     def prune(self, now_ms: int) -> None:
-        """Forget what is older than it is kept; open bills stay."""
+        """Forget what is older than it is kept; open bills stay.
+
+        A bill is kept from its commit on, not from its request: the repeats of one
+        that waited for the object API come after that.
+        """
         self.calls = {
             k: c for k, c in self.calls.items() if now_ms - c.claim.at < CLAIM_KEPT_MS
         }
         self.closed_bills = {
-            k: b for k, b in self.closed_bills.items() if now_ms - b.at < BILL_KEPT_MS
+            k: at for k, at in self.closed_bills.items() if now_ms - at < BILL_KEPT_MS
         }
         self.pins = {k: p for k, p in self.pins.items() if now_ms - p.at < PIN_KEPT_MS}
         self.crashes = {
--- a/libs/masticpost-shards/testing/test_log.py
+++ b/libs/masticpost-shards/testing/test_log.py
@@ -15,6 +15,15 @@
 MAX_TRIES = 200
 
 
+@pytest.fixture(autouse=True, scope="module")
+def small_ring():
+    """Have the ring wrap, and snapshots come, several times within a test."""
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(log, "RING_SLOTS", 32)
+        patch.setattr(log, "SNAPSHOT_EVERY", 12)
+        yield
+
+
 def claim(number: int) -> records.Claim:
     run = records.Run(instance="i", started=1)
     key = f"k{number}"
@@ -155,7 +164,7 @@
     async def write_snapshot(self, now_ms):
         found = self.store.server.objects.get(log.snapshot_name(self.shard))
         name = log.snapshot_name(self.shard)
-        value = snapshots.split(self.committed, name, self.run).head
+        value = (await snapshots.split(self.committed, name, self.run)).head
         version = found.version if found else None
         name = log.snapshot_name(self.shard)
         labels = log.labels_of(self.shard, log.SNAPSHOT_KIND)
--- a/libs/masticpost-shards/testing/test_owner.py
+++ b/libs/masticpost-shards/testing/test_owner.py
@@ -18,6 +18,8 @@
     for name in ("COMMIT_INTERVAL_S", "RETRY_PAUSE_S", "RETRY_MAX_PAUSE_S"):
         monkeypatch.setattr(owner, name, 0.001)
     monkeypatch.setattr(owner, "LOST_PAUSE_S", 0.008)
+    monkeypatch.setattr(log, "RING_SLOTS", 32)
+    monkeypatch.setattr(log, "SNAPSHOT_EVERY", 12)
 
 
 def make_owner(server, name="o", running=lambda run: True):
@@ -180,6 +182,57 @@
     await own.stop()
 
 
+def close_of(key, at):
+    return records.BillClose(
+        key=key,
+        customer="c",
+        service="s",
+        version="v",
+        state=records.ANSWERED,
+        at=at,
+        cost=1.0,
+    )
+
+
+async def snapshot_behind(own):
+    """Wait until the owner's last batch is covered by a snapshot."""
+    async with asyncio.timeout(20):
+        while own.journal.loaded.snapshot_seq < own.journal.committed.seq:
+            await asyncio.sleep(0.002)
+
+
+async def test_bill_that_waited_for_long_is_not_counted_again(monkeypatch):
+    """An outage longer than bills are kept ends; the next owner hears it again."""
+    monkeypatch.setattr(log, "SNAPSHOT_EVERY", 1)
+    server = fakestore.Server()
+    own = await serving(make_owner(server))
+    old = owner.wall_ms() - 2 * state.BILL_KEPT_MS
+    tell = ops.BillsTell(shard=0, closes=[close_of("b", old)])
+    await own.submit(tell)
+    await snapshot_behind(own)
+    await own.stop()
+    other = await serving(make_owner(server, "p"))
+    await other.submit(tell)
+    assert other.journal.committed.totals["c\0s\0v\0answered"].requests == 1
+    await other.stop()
+
+
+async def test_owner_forgets_what_is_not_kept_any_more(monkeypatch):
+    """An owner that serves for days must not remember every bill of them."""
+    monkeypatch.setattr(log, "SNAPSHOT_EVERY", 1)
+    own = await serving(make_owner(fakestore.Server()))
+    await own.submit(ops.BillsTell(shard=0, closes=[close_of("b", owner.wall_ms())]))
+    await own.submit(claim_ask())
+    for kept in ("BILL_KEPT_MS", "CLAIM_KEPT_MS"):
+        monkeypatch.setattr(state, kept, 0)
+    await own.submit(outcome_tell())
+    await snapshot_behind(own)
+    async with asyncio.timeout(20):
+        while own.working.closed_bills or own.working.calls:
+            await asyncio.sleep(0.002)
+    await own.stop()
+
+
 @attrs.define(kw_only=True)
 class Ledger:
     """What callers were told."""
@@ -306,8 +359,8 @@
 def test_bills_counted_twice_are_caught(monkeypatch):
     """Mutation: a bill that is known is counted again."""
 
-    def close_bill(self, closed):
-        self.closed_bills[closed.key] = closed
+    def close_bill(self, closed, committed_at):
+        self.closed_bills[closed.key] = committed_at
         self._add_to_total(closed)
         return True
 
