Settle calls in doubt by asking the service; keep customers' keys apart

Causes: (1) a booking whose connection was cut stayed in doubt for 24 h, and its caller had to ask the service by hand; (2) while the instance that sent it lived, its repeats waited until their deadline and were told in_progress, which was not true: nothing was at work (found by reading); (3) services got the caller's key as it is, so that a service which looks calls up by key would mix two customers' calls. Ruled out: asking any one upstream (states may differ), 'never ran' settled for an ended instance (one that is paused may still send), sending again. Change: status_path and final_after_s in the text; a doubt is committed as such; the instance asks for 2 s while the caller waits, then the shard's owner does, with pauses of 1 to 60 s. A call that ran is recorded and billed; 'not run' only after the instance's own word, 404 from every upstream that the claim names, and the service's promise. Keys go to services as customer:key. The stand-in runs a booking to its end when its caller goes away (it stopped with it, which hid such runs), and can run one late.

--- a/libs/masticpost-bench/src/masticpost_bench/layout.py
+++ b/libs/masticpost-bench/src/masticpost_bench/layout.py
@@ -6,6 +6,7 @@
 import yaml
 
 ADMIN_KEY = "admin-key-of-the-bench"
+FINAL_AFTER_S = 1.0
 PEER_KEY = "peer-key-of-the-bench-0001"
 
 
@@ -175,7 +176,13 @@
         "deadline_s": 10,
         "operations": [
             {"path": "/stock"},
-            {"path": f"/{name}", "idempotent": False, "price": price},
+            {
+                "path": f"/{name}",
+                "idempotent": False,
+                "price": price,
+                "status_path": f"/{name}/by-key/{{key}}",
+                "final_after_s": FINAL_AFTER_S,
+            },
         ],
     }
 
--- a/libs/masticpost-cli/src/masticpost_cli/bills.py
+++ b/libs/masticpost-cli/src/masticpost_cli/bills.py
@@ -34,11 +34,17 @@
 
 @attrs.frozen(kw_only=True)
 class Doubt:
-    """A claimed call without a known outcome."""
+    """A claimed call without a known outcome.
+
+    `is_at_work` until its instance told a doubt; `is_asked` when the service can be
+    asked about it.
+    """
 
     key: str
     instance: str
     claimed_at: int
+    is_at_work: bool
+    is_asked: bool
 
 
 async def read_states(ses: session.Session) -> list[state.State]:
@@ -144,14 +150,26 @@
             key=call.claim.key,
             instance=call.claim.run.instance,
             claimed_at=call.claim.at,
+            is_at_work=call.outcome is None,
+            is_asked=call.claim.inquiry is not None,
         )
         for found in await read_states(ses)
         for call in found.calls.values()
-        if call.outcome is None
+        if not state.is_final(call)
     ]
     if ses.wants_json:
         ses.print_json(rows)
         return commands.EXIT_OK
-    table = [[row.key, row.instance, row.claimed_at] for row in rows]
-    ses.print_table(["CALL", "INSTANCE", "CLAIMED AT (MS)"], table)
+    table = [
+        [
+            row.key,
+            row.instance,
+            row.claimed_at,
+            "claimed" if row.is_at_work else "in doubt",
+            "yes" if row.is_asked else "no",
+        ]
+        for row in rows
+    ]
+    header = ["CALL", "INSTANCE", "CLAIMED AT (MS)", "STATE", "SERVICE IS ASKED"]
+    ses.print_table(header, table)
     return commands.EXIT_OK
--- a/libs/masticpost-common/src/masticpost_common/retry.py
+++ b/libs/masticpost-common/src/masticpost_common/retry.py
@@ -6,6 +6,7 @@
 docs/design/retries.md). Back-off and jitter are tenacity's.
 """
 
+import collections.abc
 import enum
 import time
 
@@ -35,6 +36,20 @@
             multiplier=self.first_pause_s, max=self.max_pause_s
         )
 
+    def pauses_of(self) -> collections.abc.Iterator[float]:
+        """Yield the pauses between the tries of one call, in seconds."""
+        state = new_call_state()
+        while True:
+            yield self.pauses()(state)
+            state.attempt_number += 1
+
+
+def new_call_state() -> tenacity.RetryCallState:
+    """Return tenacity's state of a call that was tried once."""
+    return tenacity.RetryCallState(
+        retry_object=tenacity.Retrying(), fn=None, args=(), kwargs={}
+    )
+
 
 class RetryBudget:
     """Limits retries to a share of the first tries, so that they cannot multiply.
@@ -92,9 +107,7 @@
         self.idempotent = idempotent
         self.deadline = deadline
         self.made = 0
-        self._state = tenacity.RetryCallState(
-            retry_object=tenacity.Retrying(), fn=None, args=(), kwargs={}
-        )
+        self._state = new_call_state()
         budget.first_try()
 
     def pause_after(self, verdict: Verdict) -> float | None:
--- a/libs/masticpost-daemon/src/masticpost_daemon/instance.py
+++ b/libs/masticpost-daemon/src/masticpost_daemon/instance.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 from loguru import logger
 from masticpost_confsync import keeper
-from masticpost_entry import app, guard, runtime
+from masticpost_entry import app, doubts, guard, runtime
 from masticpost_orders import giver
 from masticpost_peers import hub, keys, membership
 from masticpost_shards import (
@@ -54,6 +54,7 @@
         self.orders = giver.OrderGiver(
             shards=self.rt.agreed.shards, texts=self.rt.agreed.keeper
         )
+        self.doubts = doubts.Doubts(rt=self.rt)
         self._runner: web.AppRunner | None = None
 
     async def on_start(self) -> None:
@@ -96,6 +97,7 @@
             agreed.guard,
             self.listing,
             self.orders,
+            self.doubts,
         ]
 
     @property
--- a/libs/masticpost-entry/src/masticpost_entry/routing.py
+++ b/libs/masticpost-entry/src/masticpost_entry/routing.py
@@ -33,12 +33,15 @@
         Digest of the prompt's beginning, empty for none.
     tried : set of str
         Upstreams that failed this request already.
+    among : frozenset of str or None
+        The only upstreams that may be chosen; None for no such bound.
     """
 
     target: str
     policy: str
     prefix: str = ""
     tried: set[str] = attrs.field(factory=set)
+    among: frozenset[str] | None = None
 
 
 @attrs.define(kw_only=True)
@@ -114,20 +117,30 @@
     upstreams = _open_upstreams(rt, need)
     while upstreams:
         chosen = _choose(rt, need, upstreams)
-        if rt.agreed.views.is_warm(chosen.name):
-            return Place(upstream=chosen, track=rt.tracks.get(chosen.name))
-        permit = await rt.agreed.permits.acquire(
-            views.warmth_key(chosen.name), chosen.cold.max_concurrent
-        )
-        if permit is not None:
-            track = rt.tracks.get(chosen.name)
-            return Place(upstream=chosen, track=track, permit=permit)
+        place = await place_on(rt, chosen)
+        if place is not None:
+            return place
         upstreams = [up for up in upstreams if up.name != chosen.name]
     return None
 
 
+async def place_on(rt: runtime.Runtime, up: model.Upstream) -> Place | None:
+    """Return a place on an upstream, None when it is cold and has no permit left."""
+    track = rt.tracks.get(up.name)
+    if rt.agreed.views.is_warm(up.name):
+        return Place(upstream=up, track=track)
+    permit = await rt.agreed.permits.acquire(
+        views.warmth_key(up.name), up.cold.max_concurrent
+    )
+    if permit is None:
+        return None
+    return Place(upstream=up, track=track, permit=permit)
+
+
 def _open_upstreams(rt: runtime.Runtime, need: Need) -> list[model.Upstream]:
     usable = usable_upstreams(rt, need.target)
+    if need.among is not None:
+        usable = [up for up in usable if up.name in need.among]
     fresh = [up for up in usable if up.name not in need.tried]
     if not fresh:
         raise errors.refuse(
--- a/libs/masticpost-shards/src/masticpost_shards/claims.py
+++ b/libs/masticpost-shards/src/masticpost_shards/claims.py
@@ -17,6 +17,7 @@
 TELL_PAUSE_S = 0.5
 PENDING_POLL_S = 0.1
 RETRY_AFTER_S = 2.0
+DOUBT_RETRY_S = 5.0
 
 
 @attrs.frozen(kw_only=True)
@@ -63,10 +64,12 @@
         fingerprint: str,
         deadline: float,
         bill: records.BillOpen | None = None,
+        inquiry: records.Inquiry | None = None,
     ) -> Granted | records.Answer:
         """Return the right to dispatch, or the recorded answer of the call.
 
-        The bill is opened in the commit that grants the claim.
+        The bill is opened in the commit that grants the claim; `inquiry` is kept
+        with it for a doubt.
 
         Raises
         ------
@@ -80,6 +83,7 @@
             nonce=uuid.uuid4().hex,
             run=self.shards.run,
             at=owner.wall_ms(),
+            inquiry=inquiry,
         )
         while True:
             reply = await self._ask(claim, bill)
@@ -88,7 +92,7 @@
             if reply.verdict == ops.RECORDED and reply.answer is not None:
                 return _kept(reply.answer)
             if reply.verdict != ops.PENDING:
-                raise _refusal(reply.verdict)
+                raise _refusal(reply.verdict, reply.is_asked)
             if time.monotonic() + PENDING_POLL_S >= deadline:
                 raise _refusal(ops.PENDING)
             await asyncio.sleep(PENDING_POLL_S)
@@ -118,6 +122,10 @@
         task = self._tell(granted, records.DONE, answer, bill)
         await asyncio.wait([task], timeout=OUTCOME_WAIT_S)
 
+    def doubt(self, granted: Granted) -> None:
+        """Tell that the call may have run and is not sent any more."""
+        self._tell(granted, records.DOUBTFUL, None, None)
+
     def release(self, granted: Granted) -> None:
         """Tell that the call was not and will not be dispatched by this attempt."""
         self._tell(granted, records.RELEASED, None, None)
@@ -186,7 +194,7 @@
     )
 
 
-def _refusal(verdict: str) -> errors.RefusalError:
+def _refusal(verdict: str, is_asked: bool = False) -> errors.RefusalError:
     if verdict == ops.MISMATCH:
         return errors.refuse(
             422,
@@ -194,12 +202,7 @@
             "This Idempotency-Key was used for a different request. It was not run.",
         )
     if verdict == ops.IN_DOUBT:
-        return errors.refuse(
-            409,
-            "in_doubt",
-            "This call may have run; it will not be run again. Ask the service.",
-            ran=errors.RAN_MAYBE,
-        )
+        return in_doubt(409, "This call may have run", is_asked)
     return errors.refuse(
         409,
         "in_progress",
@@ -207,3 +210,21 @@
         ran=errors.RAN_MAYBE,
         retry_after_s=RETRY_AFTER_S,
     )
+
+
+def in_doubt(status: int, what: str, is_asked: bool) -> errors.RefusalError:
+    """Return the refusal of a call that may have run.
+
+    With `is_asked` the service is asked what became of it, and a repeat with the same
+    key gets the answer.
+    """
+    advice = "Ask the service."
+    if is_asked:
+        advice = "The service is being asked; come back with the same key."
+    return errors.refuse(
+        status,
+        "in_doubt",
+        f"{what}; it will not be run again while that is not known. {advice}",
+        ran=errors.RAN_MAYBE,
+        retry_after_s=DOUBT_RETRY_S if is_asked else None,
+    )
--- a/libs/masticpost-shards/src/masticpost_shards/ops.py
+++ b/libs/masticpost-shards/src/masticpost_shards/ops.py
@@ -62,11 +62,15 @@
 @messages.message("claim-reply")
 @attrs.frozen(kw_only=True)
 class ClaimReply:
-    """Whether the call may be dispatched, or what became of it."""
+    """Whether the call may be dispatched, or what became of it.
+
+    `is_asked` tells of a call in doubt that the service is asked about it.
+    """
 
     verdict: str
     nonce: str = ""
     answer: records.Answer | None = None
+    is_asked: bool = False
 
 
 @messages.message("outcome-tell")
@@ -206,17 +210,26 @@
     known = working.calls[claim.key]
     if known.claim.fingerprint != claim.fingerprint:
         return Decision(reply=ClaimReply(verdict=MISMATCH), waits=False)
-    if known.outcome is not None:
+    if state.is_final(known):
         reply = ClaimReply(verdict=RECORDED, answer=known.outcome.answer)
         return Decision(reply=reply, waits=False)
-    if known.claim.nonce == claim.nonce:
+    if known.outcome is None and known.claim.nonce == claim.nonce:
         return Decision(reply=ClaimReply(verdict=GRANTED, nonce=claim.nonce))
-    alive = is_running(known.claim.run)
-    verdict = PENDING if alive else IN_DOUBT
-    reply = ClaimReply(verdict=verdict, nonce=known.claim.nonce)
+    reply = ClaimReply(
+        verdict=IN_DOUBT if is_in_doubt(known, is_running) else PENDING,
+        nonce=known.claim.nonce,
+        is_asked=known.claim.inquiry is not None,
+    )
     return Decision(reply=reply, waits=False)
 
 
+def is_in_doubt(call: state.Call, is_running: IsRunning) -> bool:
+    """Tell whether a call without a final outcome is at work no more."""
+    if state.is_final(call):
+        return False
+    return call.outcome is not None or not is_running(call.claim.run)
+
+
 @DECIDERS.register(OutcomeTell.MESSAGE_KIND)
 def decide_outcome(
     working: state.State, op: OutcomeTell, is_running: IsRunning
--- a/libs/masticpost-shards/src/masticpost_shards/owner.py
+++ b/libs/masticpost-shards/src/masticpost_shards/owner.py
@@ -363,6 +363,13 @@
             return
         logger.info("shard {}: settled {} bills", self.shard, len(tell.closes))
 
+    def _may_settle(self, key: str) -> bool:
+        """Tell whether a call's bill waits until its service says if it ran."""
+        call = self.working.calls.get(key)
+        if call is None or call.claim.inquiry is None:
+            return False
+        return not state.is_final(call)
+
     def _abandoned_bills(self, now: float) -> list[records.BillClose]:
         """Return the bills, by the rule of docs/design/bills.md: input tokens only."""
         found = []
@@ -370,7 +377,7 @@
         for key in [key for key in self._gone_since if key not in opens]:
             del self._gone_since[key]
         for opened in opens.values():
-            if self.is_running(opened.run):
+            if self.is_running(opened.run) or self._may_settle(opened.key):
                 self._gone_since.pop(opened.key, None)
                 continue
             since = self._gone_since.setdefault(opened.key, now)
--- a/libs/masticpost-shards/src/masticpost_shards/records.py
+++ b/libs/masticpost-shards/src/masticpost_shards/records.py
@@ -10,6 +10,7 @@
 
 RELEASED = "released"
 DONE = "done"
+DOUBTFUL = "doubtful"
 
 
 @attrs.frozen(kw_only=True)
@@ -20,6 +21,33 @@
     started: int
 
 
+@attrs.frozen(kw_only=True)
+class Inquiry:
+    """How to ask a service whether a call ran.
+
+    Attributes
+    ----------
+    urls : list of str
+        Base URLs of the only upstreams that the call may be sent to.
+    path : str
+        Path that answers with the call's outcome, or 404 where it is not known.
+    idempotency_key : str
+        The key as the service has it.
+    price : float
+        What the call costs if it ran.
+    final_after_ms : int
+        The service's promise: a call that it does not know so long after it was sent
+        never runs. 0 for no promise.
+    """
+
+    service: str
+    urls: list[str]
+    path: str
+    idempotency_key: str
+    price: float = 0.0
+    final_after_ms: int = 0
+
+
 @attrs.frozen(kw_only=True)
 class Claim:
     """The right to dispatch a non-idempotent call, given at most once.
@@ -32,6 +60,7 @@
     nonce: str
     run: Run
     at: int
+    inquiry: Inquiry | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -46,7 +75,11 @@
 
 @attrs.frozen(kw_only=True)
 class Outcome:
-    """How a claimed call ended: ``done`` with an answer, or ``released``, not run."""
+    """How a claimed call ended.
+
+    ``done`` with an answer; ``released``, not run; or ``doubtful``: it may have run,
+    and its instance will not send it any more. A doubt may still be settled.
+    """
 
     key: str
     nonce: str
--- a/libs/masticpost-shards/src/masticpost_shards/state.py
+++ b/libs/masticpost-shards/src/masticpost_shards/state.py
@@ -92,9 +92,9 @@
         The bill of a call that was released, which did not run, is taken back.
         """
         call = self.calls.get(outcome.key)
-        if call is None or call.outcome is not None:
+        if call is None or is_final(call) or call.claim.nonce != outcome.nonce:
             return False
-        if call.claim.nonce != outcome.nonce:
+        if call.outcome is not None and outcome.kind == records.DOUBTFUL:
             return False
         call.outcome = outcome
         if outcome.kind == records.RELEASED:
@@ -169,6 +169,11 @@
         total.cost += bill.cost
 
 
+def is_final(call: Call) -> bool:
+    """Tell whether it is known for good if the call ran."""
+    return call.outcome is not None and call.outcome.kind != records.DOUBTFUL
+
+
 def is_released(call: Call) -> bool:
     """Tell whether the call is known not to have run."""
     return call.outcome is not None and call.outcome.kind == records.RELEASED
--- a/libs/masticpost-shards/testing/test_owner.py
+++ b/libs/masticpost-shards/testing/test_owner.py
@@ -89,6 +89,31 @@
     await own.stop()
 
 
+async def test_doubt_is_told_although_its_instance_lives():
+    own = await serving(make_owner(fakestore.Server()))
+    await own.submit(claim_ask(nonce="a"))
+    await own.submit(outcome_tell(nonce="a", kind=records.DOUBTFUL))
+    assert (await own.submit(claim_ask(nonce="b"))).verdict == ops.IN_DOUBT
+    assert (await own.submit(claim_ask(nonce="a"))).verdict == ops.IN_DOUBT
+    await own.stop()
+
+
+@pytest.mark.parametrize("settled", [records.DONE, records.RELEASED])
+async def test_settled_doubt_stays_settled(settled):
+    """A doubt that is told late, or twice, does not undo what was found out."""
+    server = fakestore.Server()
+    own = await serving(make_owner(server))
+    await own.submit(claim_ask(nonce="a"))
+    for kind in (records.DOUBTFUL, settled, records.DOUBTFUL):
+        await own.submit(outcome_tell(nonce="a", kind=kind))
+    await own.stop()
+    other = await serving(make_owner(server, "p"))
+    reply = await other.submit(claim_ask(nonce="b"))
+    wanted = {records.DONE: ops.RECORDED, records.RELEASED: ops.GRANTED}
+    assert reply.verdict == wanted[settled]
+    await other.stop()
+
+
 async def test_released_claim_may_be_granted_again():
     server = fakestore.Server()
     own = await serving(make_owner(server))
--- a/libs/masticpost-standins/src/masticpost_standins/plainsvc.py
+++ b/libs/masticpost-standins/src/masticpost_standins/plainsvc.py
@@ -27,6 +27,8 @@
         Empty, ``abort``, ``hang`` or ``error``.
     cut_before, cut_after : int
         So many of the next bookings are cut before or after they ran.
+    cut_late : int
+        So many of the next bookings are cut and run `late_s` seconds later.
     delay_s : float
         Added before a booking runs.
     cross_answers : int
@@ -36,6 +38,8 @@
     outage: str = ""
     cut_before: int = 0
     cut_after: int = 0
+    cut_late: int = 0
+    late_s: float = 0.5
     delay_s: float = 0.0
     cross_answers: int = 0
     pad_bytes: int = 0
@@ -46,6 +50,7 @@
     """What ran: lookups, and runs of bookings and payments by key."""
 
     lookups: int = 0
+    asked: int = 0
     runs: dict[str, int] = attrs.field(factory=dict)
     last_request_at: float = 0.0
 
@@ -55,6 +60,7 @@
 
     def __init__(self, *, cfg: Config) -> None:
         super().__init__(cfg=cfg, faults=Faults(), counts=Counts())
+        self._late: set[asyncio.Future] = set()
 
     def make_app(self) -> web.Application:
         """Return the service's application."""
@@ -62,6 +68,8 @@
         app.router.add_get("/stock/{sku}", self.stock)
         app.router.add_post("/bookings", self.book)
         app.router.add_post("/payments", self.book)
+        app.router.add_get("/bookings/by-key/{key}", self.by_key)
+        app.router.add_get("/payments/by-key/{key}", self.by_key)
         return app
 
     async def _enter(self, req: web.Request) -> None:
@@ -96,8 +104,12 @@
         if self.faults.cut_before > 0:
             self.faults.cut_before -= 1
             control.abort(req)
-        await asyncio.shield(asyncio.sleep(self.faults.delay_s))
-        self.counts.runs[key] = self.counts.runs.get(key, 0) + 1
+        if self.faults.cut_late > 0:
+            self.faults.cut_late -= 1
+            late_s = self.faults.late_s
+            self._late.add(asyncio.ensure_future(self._run_after(late_s, key)))
+            control.abort(req)
+        await asyncio.shield(self._run_after(self.faults.delay_s, key))
         if self.faults.cut_after > 0:
             self.faults.cut_after -= 1
             control.abort(req)
@@ -108,3 +120,21 @@
         if self.faults.pad_bytes:
             body["pad"] = "x" * self.faults.pad_bytes
         return web.json_response(body, status=201, headers=self._headers(req))
+
+    async def _run_after(self, delay_s: float, key: str) -> None:
+        """Run a booking; it goes on when its caller goes away."""
+        await asyncio.sleep(delay_s)
+        self.counts.runs[key] = self.counts.runs.get(key, 0) + 1
+
+    async def by_key(self, req: web.Request) -> web.Response:
+        """Tell what became of a booking or payment; 404 where it never ran."""
+        await self._enter(req)
+        self.counts.asked += 1
+        if self.faults.outage == "error":
+            return web.Response(status=500)
+        key = req.match_info["key"]
+        runs = self.counts.runs.get(key, 0)
+        headers = self._headers(req)
+        if not runs:
+            return web.Response(status=404, headers=headers)
+        return web.json_response({"key": key, "run": runs}, headers=headers)
--- a/libs/masticpost-text/src/masticpost_text/model.py
+++ b/libs/masticpost-text/src/masticpost_text/model.py
@@ -65,11 +65,23 @@
 
 @attrs.frozen(kw_only=True)
 class Operation:
-    """A path prefix of a plain service and whether its calls may be repeated."""
+    """A path prefix of a plain service and whether its calls may be repeated.
+
+    Attributes
+    ----------
+    status_path : str
+        Path, with ``{key}`` for the Idempotency-Key, that tells whether a call that may
+        not be repeated ran; empty where the service has none.
+    final_after_s : float
+        The service's promise: a call that it does not know so many seconds after it
+        was sent never runs. 0 for no promise.
+    """
 
     path: str
     idempotent: bool = True
     price: float = 0.0
+    status_path: str = ""
+    final_after_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/libs/masticpost-text/src/masticpost_text/rules.py
+++ b/libs/masticpost-text/src/masticpost_text/rules.py
@@ -182,6 +182,29 @@
                 message=f"path {op.path!r} must begin with /",
                 remedy=f"write /{op.path}",
             )
+        yield from _status_values(f"{base}.operations[{i}]", op)
+
+
+def _status_values(base: str, op: model.Operation) -> collections.abc.Iterator[Problem]:
+    path = op.status_path
+    if path and (not path.startswith("/") or path.count("{key}") != 1):
+        yield Problem(
+            path=f"{base}.status_path",
+            message=f"status path {path!r} must begin with / and have {{key}} once",
+            remedy="write it as /bookings/by-key/{key}",
+        )
+    if path and op.idempotent:
+        yield Problem(
+            path=f"{base}.status_path",
+            message="only a call that may not be repeated is asked about",
+            remedy="remove it, or set `idempotent: false`",
+        )
+    if op.final_after_s < 0 or (op.final_after_s and not path):
+        yield Problem(
+            path=f"{base}.final_after_s",
+            message="final_after_s must be 0 or more and goes with status_path",
+            remedy="give the seconds that the service promises, or remove it",
+        )
 
 
 def _upstream_values(up: model.Upstream) -> collections.abc.Iterator[Problem]:
--- a/libs/masticpost-text/testing/test_parse.py
+++ b/libs/masticpost-text/testing/test_parse.py
@@ -82,6 +82,9 @@
         ("model: large}", "model: large, state: gone}", ("gone",)),
         ("  plant:\n", "  plant:\n    max_concurrent: 0\n", ("1 or more",)),
         ("levels: [small, large]", "levels: []", ("no levels",)),
+        ("/bookings,", "/bookings, status_path: /by-key,", ("{key} once",)),
+        ("/bookings,", "/bookings, final_after_s: 5,", ("goes with status_path",)),
+        ("path: /stock", "path: /stock, status_path: '/{key}'", ("not be repeated",)),
     ],
 )
 def test_mistakes_are_found(old, new, words):
--- a/testing/support/broken.py
+++ b/testing/support/broken.py
@@ -8,7 +8,7 @@
 from masticpost_common import errors, registry
 from masticpost_confsync import keeper
 from masticpost_daemon import main
-from masticpost_entry import plain, routing, streams
+from masticpost_entry import doubts, plain, routing, streams
 from masticpost_shards import bills, ops, sessions, state, views
 from masticpost_text import parse
 from masticpost_upstream import engine, faults
@@ -33,12 +33,17 @@
 
 @MUTATIONS.register("calls in doubt are said not to have run")
 def deny_runs():
-    def in_doubt(exc):
+    def in_doubt(exc, is_asked):
         return errors.refuse(502, "in_doubt", "It was not run.", ran=errors.RAN_NO)
 
     plain._in_doubt = in_doubt
 
 
+@MUTATIONS.register("an unseen call is taken for one that never runs")
+def believe_at_once():
+    doubts._is_final = lambda inquiry, since: True
+
+
 @MUTATIONS.register("ids of answers are not compared")
 def skip_ids():
     engine._check_id = lambda target, answer_id: None
--- a/testing/support/faults.py
+++ b/testing/support/faults.py
@@ -274,12 +274,12 @@
 @fault("upstreams cut connections")
 def cut_upstreams():
     async def strike(dep):
-        await each(dep, "plain", cut_before=3, cut_after=3)
+        await each(dep, "plain", cut_before=3, cut_after=3, cut_late=2)
         await each(dep, "engine", cut_streams_after=1, cut_count=3)
         await asyncio.sleep(1.0)
 
     async def heal(dep):
-        await each(dep, "plain", cut_before=0, cut_after=0)
+        await each(dep, "plain", cut_before=0, cut_after=0, cut_late=0)
         await each(dep, "engine", cut_count=0)
 
     return strike, heal
