Roll versions out in stages that begin by themselves

Cause: the share of a new version was the operator's alone, so that a roll-out at 20% exposed a fifth of all requests from its first second, and a better version went no further by itself; latency was no evidence. Ways weighed: time alone (a bad version goes on when nobody rates), a threshold on the mean (false steps grow with every look), a stage per instance (eight answers); chosen: stages in the text, judged by the owner of the model's evidence by the same boundary that stops versions, turned round: certainly not worse than the other by 0.05. A stage is committed before any instance knows it and never goes back in a trial; a new judge counts from when it first sees the stage; a stop holds over every stage. Change: stages, stage_s, stage_samples; one record for stops and stages; first-token time as evidence (certainly twice the other's); status shows where a roll-out stands.

--- a/libs/masticpost-cli/src/masticpost_cli/status.py
+++ b/libs/masticpost-cli/src/masticpost_cli/status.py
@@ -4,7 +4,7 @@
 
 import attrs
 from masticpost_confsync import head
-from masticpost_entry import admin
+from masticpost_entry import admin, stages
 
 from masticpost_cli import commands, session
 
@@ -87,15 +87,38 @@
     ses.print_table(
         ["INSTANCE", "DOMAIN", "GENERATION", "STATE", "SHARDS", "BILLS WAITING"], rows
     )
-    for stop in overview.instances[0].stops:
-        ses.print(
-            f"version {stop.version} was stopped in trial {stop.trial}: {stop.reason}; "
-            "raise its trial in the text to try it again"
-        )
+    _print_trials(ses, overview)
     ses.print("")
     ses.print_table(["UPSTREAM", "DOMAIN", "STATE"], _upstream_rows(overview))
 
 
+def _print_trials(ses: session.Session, overview: Overview) -> None:
+    for row in overview.instances[0].trials:
+        if row.is_stopped:
+            ses.print(
+                f"version {row.version} was stopped in trial {row.trial}: "
+                f"{row.reason}; raise its trial in the text to try it again"
+            )
+    for roll in _rollouts(overview):
+        ses.print(
+            f"version {roll.version} is rolled out: stage {roll.stage + 1} of "
+            f"{roll.stages}, {roll.share:g}% of {roll.target:g}%, for "
+            f"{roll.seconds:.0f} of at least {roll.needed_s:g} s, "
+            f"{roll.samples} of at least {roll.needed_samples} samples"
+        )
+
+
+def _rollouts(overview: Overview) -> list[stages.RolloutStatus]:
+    """Return each roll-out once, from its newest judge."""
+    found: dict[str, stages.RolloutStatus] = {}
+    for instance in overview.instances:
+        for roll in instance.rollouts:
+            known = found.get(roll.version)
+            if known is None or roll.seconds < known.seconds:
+                found[roll.version] = roll
+    return [found[name] for name in sorted(found)]
+
+
 def _health(row: admin.Status) -> str:
     if row.is_draining:
         return "stopping"
--- a/libs/masticpost-decide/src/masticpost_decide/evidence.py
+++ b/libs/masticpost-decide/src/masticpost_decide/evidence.py
@@ -16,6 +16,9 @@
 MIN_CALLS = 20
 RATING_TOLERANCE = 0.02
 ERROR_TOLERANCE = 0.03
+ADVANCE_MARGIN = 0.05
+DELAY_TOLERANCE = math.log(2.0)
+DELAY_VARIANCE_FLOOR = 0.1
 RATING_VARIANCE_FLOOR = 0.0025
 ERROR_VARIANCE_FLOOR = 0.02
 FADE_COUNT = 600.0
@@ -23,11 +26,15 @@
 
 @attrs.define(kw_only=True)
 class Series:
-    """Count, sum and sum of squares of a quantity; old values fade."""
+    """Count, sum and sum of squares of a quantity; old values fade.
+
+    `seen` counts every value there ever was.
+    """
 
     count: float = 0.0
     total: float = 0.0
     squares: float = 0.0
+    seen: int = 0
 
     def add(self, value: float) -> None:
         """Add a value."""
@@ -36,6 +43,7 @@
             self.total *= 0.5
             self.squares *= 0.5
         self.count += 1.0
+        self.seen += 1
         self.total += value
         self.squares += value * value
 
@@ -52,12 +60,23 @@
 
 @attrs.define(kw_only=True)
 class Sums:
-    """What is known of one trial of a version: scores, and failed calls as 1."""
+    """What is known of one trial of a version.
+
+    Attributes
+    ----------
+    ratings : Series
+        Scores of answers.
+    errors : Series
+        1 for a failed call, 0 for a good one.
+    delays : Series
+        Natural logarithm of the time to the first token, in seconds.
+    """
 
     version: str
     trial: int = 1
     ratings: Series = attrs.field(factory=Series)
     errors: Series = attrs.field(factory=Series)
+    delays: Series = attrs.field(factory=Series)
 
 
 @attrs.frozen(kw_only=True)
@@ -76,8 +95,10 @@
         for mine, other in (
             (known.ratings, row.ratings),
             (known.errors, row.errors),
+            (known.delays, row.delays),
         ):
             mine.count += other.count
+            mine.seen += other.seen
             mine.total += other.total
             mine.squares += other.squares
     return merged
@@ -108,9 +129,29 @@
             f"{row.errors.mean():.1%} failed calls against "
             f"{other.errors.mean():.1%} of {other.version}"
         )
+    gap = _certain_gap(row.delays, other.delays, MIN_CALLS, DELAY_VARIANCE_FLOOR)
+    if gap > DELAY_TOLERANCE:
+        return (
+            f"first token after {math.exp(row.delays.mean()):.3f} s against "
+            f"{math.exp(other.delays.mean()):.3f} s of {other.version}"
+        )
     return ""
 
 
+def is_as_good(row: Sums, base: Sums, *, is_rated: bool) -> bool:
+    """Tell whether a version is certainly not much worse than another one.
+
+    Its mean rating must be certainly above the other's less `ADVANCE_MARGIN`; its share
+    of failed calls must not look higher by more than `ERROR_TOLERANCE`.
+    """
+    if row.errors.mean() > base.errors.mean() + ERROR_TOLERANCE:
+        return False
+    if not is_rated:
+        return True
+    gap = _certain_gap(row.ratings, base.ratings, MIN_RATINGS, RATING_VARIANCE_FLOOR)
+    return gap > -ADVANCE_MARGIN
+
+
 def _certain_gap(high: Series, low: Series, least: int, floor: float) -> float:
     """Return how much the mean of `high` is certainly above that of `low`."""
     if min(high.count, low.count) < least:
--- a/libs/masticpost-decide/src/masticpost_decide/share.py
+++ b/libs/masticpost-decide/src/masticpost_decide/share.py
@@ -5,6 +5,8 @@
 from masticpost_common import rendezvous
 from masticpost_text import model, rules
 
+from masticpost_decide import rollout
+
 
 def pick(
     text: model.Text,
@@ -12,6 +14,7 @@
     model_name: str,
     key: str,
     stopped: collections.abc.Container[str] = (),
+    stage_of: rollout.StageOf = rollout.first_stage,
 ) -> model.Version | None:
     """Return a version by share; the same key gets the same one.
 
@@ -27,18 +30,21 @@
         Session or request id.
     stopped : container of str
         Versions that were stopped automatically.
+    stage_of : callable
+        Returns the stage of a version's roll-out.
     """
     usable = [
         ver
         for ver in rules.allowed_versions(text, cust, model_name)
         if ver.name not in stopped
     ]
-    total = sum(ver.share for ver in usable)
+    parts = rollout.shares(usable, stage_of)
+    total = sum(parts.values())
     if total <= 0:
         return usable[0] if usable else None
     point = rendezvous.unit(f"{model_name}\0{key}") * total
     for ver in usable:
-        point -= ver.share
+        point -= parts[ver.name]
         if point < 0:
             return ver
     return usable[-1]
--- a/libs/masticpost-entry/src/masticpost_entry/admin.py
+++ b/libs/masticpost-entry/src/masticpost_entry/admin.py
@@ -13,7 +13,7 @@
 from masticpost_store import client
 from masticpost_telemetry import burn, metrics
 
-from masticpost_entry import intake, reply, runtime
+from masticpost_entry import intake, reply, runtime, stages
 
 
 @attrs.frozen(kw_only=True)
@@ -46,7 +46,8 @@
     members: list[membership.Member]
     shards: list[directory.ShardStatus]
     upstreams: list[UpstreamStatus]
-    stops: list[records.Stop]
+    trials: list[records.Trial]
+    rollouts: list[stages.RolloutStatus]
 
 
 @attrs.frozen(kw_only=True)
@@ -134,7 +135,8 @@
         members=agreed.members.members(),
         shards=directory.statuses(agreed.shards),
         upstreams=_upstreams(rt),
-        stops=agreed.views.stops(),
+        trials=agreed.views.trials(),
+        rollouts=agreed.guard.stages.statuses(),
     )
 
 
--- a/libs/masticpost-entry/src/masticpost_entry/attempts.py
+++ b/libs/masticpost-entry/src/masticpost_entry/attempts.py
@@ -168,8 +168,9 @@
         raise
     if answer.report is not None:
         place.track.report(answer.report.outstanding, time.monotonic())
-    routing.succeed(rt, place, time.monotonic() - started)
-    rt.agreed.guard.add_call(version.name, failed=False)
+    elapsed_s = time.monotonic() - started
+    routing.succeed(rt, place, elapsed_s)
+    rt.agreed.guard.add_call(version.name, failed=False, first_token_s=elapsed_s)
     usage = answer.completion.usage or openai.Usage()
     job.meter.add(version, usage.prompt_tokens, usage.completion_tokens)
     job.ran = errors.RAN_YES
--- a/libs/masticpost-entry/src/masticpost_entry/guard.py
+++ b/libs/masticpost-entry/src/masticpost_entry/guard.py
@@ -8,19 +8,24 @@
 
 import asyncio
 import collections
+import math
 
 import attrs
 import mode
 from loguru import logger
 from masticpost_confsync import keeper
-from masticpost_decide import evidence
+from masticpost_decide import evidence, rollout
 from masticpost_peers import hub, messages
 from masticpost_shards import directory, ops, views
+from masticpost_text import model
+
+from masticpost_entry import stages
 
 ROUND_S = 1.0
 TELL_TIMEOUT_S = 0.5
 RATED_SHARE_MINOR = 0.5
 RATED_SHARE_MAJOR = 0.1
+MIN_DELAY_S = 0.0001
 
 
 @messages.message("evidence-tell")
@@ -57,6 +62,7 @@
         self.shards = shards
         self.texts = texts
         self.view = view
+        self.stages = stages.Stages(texts=texts, view=view)
         self.sums: dict[str, evidence.Sums] = {}
         self._told: dict[str, dict[str, list[evidence.Sums]]] = collections.defaultdict(
             dict
@@ -67,9 +73,14 @@
         """Note a rating of an answer."""
         self._of(version).ratings.add(score)
 
-    def add_call(self, version: str, *, failed: bool) -> None:
-        """Note how a call on a version ended."""
-        self._of(version).errors.add(1.0 if failed else 0.0)
+    def add_call(
+        self, version: str, *, failed: bool, first_token_s: float | None = None
+    ) -> None:
+        """Note how a call on a version ended, and how long its first token took."""
+        row = self._of(version)
+        row.errors.add(1.0 if failed else 0.0)
+        if first_token_s is not None:
+            row.delays.add(math.log(max(MIN_DELAY_S, first_token_s)))
 
     def _of(self, version: str) -> evidence.Sums:
         row = self.texts.in_force.text.versions.get(version)
@@ -85,7 +96,11 @@
         if self.texts.in_force is None:
             return set()
         rows = self.texts.in_force.text.versions.values()
-        return {v.name for v in rows if self.view.is_stopped(v.name, v.trial)}
+        return {v.name for v in rows if self.view.trial_of(v.name, v.trial).is_stopped}
+
+    def stage_of(self, ver: model.Version) -> int:
+        """Return the stage of a version's roll-out, as far as is known here."""
+        return self.view.trial_of(ver.name, ver.trial).stage
 
     def wanted_share(self, version: str) -> float:
         """Return the share of a version's answers that should be rated for evidence."""
@@ -94,7 +109,8 @@
         rivals = [v for v in text.versions_of(row.model) if v.state == "active"]
         if len(rivals) < 2:
             return 0.0
-        is_major = row.share >= max(v.share for v in rivals)
+        parts = rollout.shares(rivals, self.stage_of)
+        is_major = parts.get(version, 0.0) >= max(parts.values())
         return RATED_SHARE_MAJOR if is_major else RATED_SHARE_MINOR
 
     @mode.Service.task
@@ -160,8 +176,11 @@
         rows = [row for name, part in told.items() if name in alive for row in part]
         merged = evidence.merge([row for row in rows if self._is_of_trial(row)])
         names = self._active(tell.model)
+        if len(names) < 2:
+            return
         verdict = evidence.judge([merged[name] for name in names if name in merged])
-        if verdict is None or len(names) < 2:
+        if verdict is None:
+            self.stages.judge(names, merged)
             return
         trial = self.texts.in_force.text.versions[verdict.version].trial
         found = logger.bind(version=verdict.version, trial=trial, reason=verdict.reason)
--- a/libs/masticpost-entry/src/masticpost_entry/levels.py
+++ b/libs/masticpost-entry/src/masticpost_entry/levels.py
@@ -34,10 +34,7 @@
     """
     svc = job.call.service
     stopped = rt.agreed.guard.stopped()
-    picked = [
-        share.pick(rt.text, job.call.customer, name, job.call.request_id, stopped)
-        for name in svc.levels
-    ]
+    picked = [_pick(rt, job, name, job.call.request_id, stopped) for name in svc.levels]
     versions = tuple(version for version in picked if version is not None)
     if not versions:
         raise errors.refuse(
@@ -56,6 +53,13 @@
     return Plan(versions=versions, ask=ask, cascade=rt.cascade_of(svc))
 
 
+def _pick(
+    rt: runtime.Runtime, job: attempts.Job, name: str, key: str, stopped: set[str]
+) -> model.Version | None:
+    stage_of = rt.agreed.guard.stage_of
+    return share.pick(rt.text, job.call.customer, name, key, stopped, stage_of)
+
+
 def _expected_cost(version: model.Version, job: attempts.Job) -> float:
     outputs = job.max_tokens or EXPECTED_OUTPUT_TOKENS
     cost = job.prompt_tokens * version.input_price + outputs * version.output_price
@@ -185,8 +189,7 @@
     """Return the version that a new session gets: by share of the session's id."""
     name = plan.versions[level].model
     stopped = rt.agreed.guard.stopped()
-    picked = share.pick(rt.text, job.call.customer, name, job.call.session, stopped)
-    return picked or plan.versions[level]
+    return _pick(rt, job, name, job.call.session, stopped) or plan.versions[level]
 
 
 def _session_version(rt: runtime.Runtime, pinned: sessions.Pinned) -> SessionVersion:
--- a/libs/masticpost-entry/src/masticpost_entry/streams.py
+++ b/libs/masticpost-entry/src/masticpost_entry/streams.py
@@ -128,8 +128,9 @@
         else:
             attempts.give_up(rt, place)
         raise
-    routing.succeed(rt, place, first_s or time.monotonic() - started)
-    rt.agreed.guard.add_call(run.version.name, failed=False)
+    first_s = first_s or time.monotonic() - started
+    routing.succeed(rt, place, first_s)
+    rt.agreed.guard.add_call(run.version.name, failed=False, first_token_s=first_s)
 
 
 def _check_permit_held(place: routing.Place) -> None:
--- a/libs/masticpost-shards/src/masticpost_shards/ops.py
+++ b/libs/masticpost-shards/src/masticpost_shards/ops.py
@@ -157,13 +157,13 @@
     warmth: records.Warmth
 
 
-@messages.message("stop-tell")
+@messages.message("trial-tell")
 @attrs.frozen(kw_only=True)
-class StopTell:
-    """Tells that a version is to be stopped."""
+class TrialTell:
+    """Tells that a version is stopped, or goes on to a stage of its roll-out."""
 
     shard: int
-    stop: records.Stop
+    trial: records.Trial
 
 
 IsRunning = collections.abc.Callable[[records.Run], bool]
@@ -288,8 +288,10 @@
     return Decision(reply=WarmthReply(warmth=warmth), writes=[warmth])
 
 
-@DECIDERS.register(StopTell.MESSAGE_KIND)
-def decide_stop(working: state.State, op: StopTell, is_running: IsRunning) -> Decision:
-    """Record a stop, once per trial."""
-    writes: list[object] = [op.stop] if working.add_stop(op.stop) else []
+@DECIDERS.register(TrialTell.MESSAGE_KIND)
+def decide_trial(
+    working: state.State, op: TrialTell, is_running: IsRunning
+) -> Decision:
+    """Record a stop or a stage, once."""
+    writes: list[object] = [op.trial] if working.add_trial(op.trial) else []
     return Decision(reply=Done(), writes=writes)
--- a/libs/masticpost-shards/src/masticpost_shards/owner.py
+++ b/libs/masticpost-shards/src/masticpost_shards/owner.py
@@ -38,7 +38,7 @@
     records.Pin: "pins",
     records.Crash: "crashes",
     records.Warmth: "warmth",
-    records.Stop: "stops",
+    records.Trial: "trials",
 }
 
 
--- a/libs/masticpost-shards/src/masticpost_shards/records.py
+++ b/libs/masticpost-shards/src/masticpost_shards/records.py
@@ -149,13 +149,32 @@
 
 
 @attrs.frozen(kw_only=True)
-class Stop:
-    """A version that evidence spoke against, in its trial of that number."""
+class Trial:
+    """How far a trial of a version has come.
+
+    Attributes
+    ----------
+    trial : int
+        Number of the trial, as in the text.
+    stage : int
+        Stage of its roll-out, 0 for the first.
+    is_stopped : bool
+        Whether evidence spoke against the version, for the `reason` given.
+    """
 
     version: str
     trial: int
-    reason: str
-    at: int
+    stage: int = 0
+    is_stopped: bool = False
+    reason: str = ""
+    at: int = 0
+
+    def is_after(self, other: "Trial | None") -> bool:
+        """Tell whether this one replaces `other`: a stop and a stage never go back."""
+        return other is None or self._rank() > other._rank()
+
+    def _rank(self) -> tuple[int, bool, int]:
+        return (self.trial, self.is_stopped, self.stage)
 
 
 @attrs.frozen(kw_only=True)
@@ -187,5 +206,5 @@
     pins: list[Pin] = attrs.field(factory=list)
     crashes: list[Crash] = attrs.field(factory=list)
     warmth: list[Warmth] = attrs.field(factory=list)
-    stops: list[Stop] = attrs.field(factory=list)
+    trials: list[Trial] = attrs.field(factory=list)
     permits: list[HeldPermit] = attrs.field(factory=list)
--- a/libs/masticpost-shards/src/masticpost_shards/state.py
+++ b/libs/masticpost-shards/src/masticpost_shards/state.py
@@ -52,7 +52,7 @@
     pins: dict[str, records.Pin] = attrs.field(factory=dict)
     crashes: dict[str, list[records.Crash]] = attrs.field(factory=dict)
     warmth: dict[str, records.Warmth] = attrs.field(factory=dict)
-    stops: dict[str, records.Stop] = attrs.field(factory=dict)
+    trials: dict[str, records.Trial] = attrs.field(factory=dict)
 
     def apply(self, batch: records.Batch) -> None:
         """Fold in the next batch; raises `ValueError` if it is not the next."""
@@ -75,8 +75,8 @@
             self.add_crash(crash)
         for warmth in batch.warmth:
             self.warmth[warmth.upstream] = warmth
-        for stop in batch.stops:
-            self.add_stop(stop)
+        for trial in batch.trials:
+            self.add_trial(trial)
 
     def add_claim(self, claim: records.Claim) -> bool:
         """Record a claim; False if the call is claimed and was not released."""
@@ -125,12 +125,11 @@
         known.append(crash)
         return True
 
-    def add_stop(self, stop: records.Stop) -> bool:
-        """Record a stop, unless that trial or a later one is stopped already."""
-        known = self.stops.get(stop.version)
-        if known is not None and known.trial >= stop.trial:
+    def add_trial(self, trial: records.Trial) -> bool:
+        """Record a stop or a stage, unless what is known is as far."""
+        if not trial.is_after(self.trials.get(trial.version)):
             return False
-        self.stops[stop.version] = stop
+        self.trials[trial.version] = trial
         return True
 
     def prune(self, now_ms: int) -> None:
--- a/libs/masticpost-shards/src/masticpost_shards/views.py
+++ b/libs/masticpost-shards/src/masticpost_shards/views.py
@@ -32,11 +32,11 @@
 @messages.message("view-news")
 @attrs.frozen(kw_only=True)
 class ViewNews:
-    """Changes of warmth and suspicion."""
+    """Changes of warmth, suspicion and trials."""
 
     warmth: list[records.Warmth] = attrs.field(factory=list)
     suspects: list[Suspect] = attrs.field(factory=list)
-    stops: list[records.Stop] = attrs.field(factory=list)
+    trials: list[records.Trial] = attrs.field(factory=list)
 
 
 @messages.message("view-ask")
@@ -62,7 +62,7 @@
         self.is_complete = False
         self._warmth: dict[str, records.Warmth] = {}
         self._suspects: dict[str, int] = {}
-        self._stops: dict[str, records.Stop] = {}
+        self._trials: dict[str, records.Trial] = {}
         shards.peers.handle(ViewNews, self._on_news)
         shards.peers.handle(ViewAsk, self._on_ask)
 
@@ -79,25 +79,43 @@
         """Tell whether the request must not run any more."""
         return self.crash_count(fingerprint) >= QUARANTINE_AFTER
 
-    def is_stopped(self, version: str, trial: int) -> bool:
-        """Tell whether evidence stopped a version in this trial or a later one."""
-        known = self._stops.get(version)
-        return known is not None and known.trial >= trial
+    def trial_of(self, version: str, trial: int) -> records.Trial:
+        """Return how far a version's trial has come, as far as is known here."""
+        known = self._trials.get(version)
+        if known is not None and known.trial >= trial:
+            return known
+        return records.Trial(version=version, trial=trial)
 
-    def stops(self) -> list[records.Stop]:
-        """Return every stop that is known, sorted by version."""
-        return [self._stops[name] for name in sorted(self._stops)]
+    def trials(self) -> list[records.Trial]:
+        """Return every trial that is known, sorted by version."""
+        return [self._trials[name] for name in sorted(self._trials)]
 
     async def tell_stop(self, version: str, trial: int, reason: str) -> None:
         """Tell every instance at once that a version is stopped, then commit it."""
-        stop = records.Stop(
-            version=version, trial=trial, reason=reason, at=owner.wall_ms()
+        stop = attrs.evolve(
+            self.trial_of(version, trial),
+            is_stopped=True,
+            reason=reason,
+            at=owner.wall_ms(),
         )
-        news = ViewNews(stops=[stop])
+        news = ViewNews(trials=[stop])
         self._learn(news)
         await self._push(news)
-        shard = self.shards.shard_of(f"stop:{version}")
-        await self._commit(ops.StopTell(shard=shard, stop=stop))
+        await self._commit_trial(stop)
+
+    async def tell_stage(self, version: str, trial: int, stage: int) -> None:
+        """Commit that a version goes on to a stage, then tell every instance."""
+        row = records.Trial(
+            version=version, trial=trial, stage=stage, at=owner.wall_ms()
+        )
+        if isinstance(await self._commit_trial(row), ops.Done):
+            news = ViewNews(trials=[row])
+            self._learn(news)
+            await self._push(news)
+
+    async def _commit_trial(self, row: records.Trial) -> object:
+        shard = self.shards.shard_of(f"trial:{row.version}")
+        return await self._commit(ops.TrialTell(shard=shard, trial=row))
 
     async def tell_warm(self, upstream: str) -> None:
         """Commit that the upstream is warm, then tell every instance."""
@@ -180,7 +198,7 @@
         return ViewNews(
             warmth=list(own.working.warmth.values()),
             suspects=suspects,
-            stops=list(own.working.stops.values()),
+            trials=list(own.working.trials.values()),
         )
 
     def _learn(self, news: ViewNews) -> None:
@@ -188,9 +206,9 @@
             known = self._warmth.get(warmth.upstream)
             if known is None or warmth.at > known.at:
                 self._warmth[warmth.upstream] = warmth
-        for stop in news.stops:
-            if not self.is_stopped(stop.version, stop.trial):
-                self._stops[stop.version] = stop
+        for trial in news.trials:
+            if trial.is_after(self._trials.get(trial.version)):
+                self._trials[trial.version] = trial
         for suspect in news.suspects:
             known_count = self._suspects.get(suspect.fingerprint, 0)
             self._suspects[suspect.fingerprint] = max(known_count, suspect.count)
--- a/libs/masticpost-text/src/masticpost_text/model.py
+++ b/libs/masticpost-text/src/masticpost_text/model.py
@@ -49,9 +49,21 @@
 class Version:
     """A model version; prices are per million tokens.
 
-    `state` is ``active``, ``draining`` (only its sessions) or ``withdrawn``
-    (no new work at all). A version that was stopped automatically is tried again when
-    `trial` is raised.
+    Attributes
+    ----------
+    share : float
+        Percent of the model's new work, at the end of a roll-out.
+    state : str
+        ``active``, ``draining`` (only its sessions) or ``withdrawn`` (no new work).
+    trial : int
+        Raised to try a version again that was stopped automatically.
+    stages : tuple of float
+        Shares of a roll-out before `share`, rising; empty to begin with `share`.
+    stage_s : float
+        Least time in a stage, in seconds.
+    stage_samples : int
+        Least ratings of answers (failed or good calls, without a rating service) in a
+        stage.
     """
 
     name: str
@@ -61,6 +73,9 @@
     input_price: float = 0.0
     output_price: float = 0.0
     trial: int = 1
+    stages: tuple[float, ...] = ()
+    stage_s: float = 300.0
+    stage_samples: int = 60
 
 
 @attrs.frozen(kw_only=True)
--- a/libs/masticpost-text/src/masticpost_text/rules.py
+++ b/libs/masticpost-text/src/masticpost_text/rules.py
@@ -1,6 +1,7 @@
 """Checks over a whole text. Each rule is an entry of a registry."""
 
 import collections.abc
+import itertools
 import urllib.parse
 
 import attrs
@@ -279,6 +280,51 @@
         )
 
 
+@RULES.register("stages")
+def check_stages(text: model.Text) -> collections.abc.Iterator[Problem]:
+    """A roll-out's stages must rise to its share and leave the rest to another one."""
+    for ver in text.versions.values():
+        if not ver.stages:
+            continue
+        base = f"versions.{ver.name}.stages"
+        steps = (0.0, *ver.stages, ver.share)
+        if any(low >= high for low, high in itertools.pairwise(steps)):
+            yield Problem(
+                path=base,
+                message="stages must rise from above 0 to below the share",
+                remedy=f"write for example [1, 5, 20] below share {ver.share:g}",
+            )
+        if ver.stage_s < 0 or ver.stage_samples < 1:
+            yield Problem(
+                path=base,
+                message="stage_s must be 0 or more, stage_samples 1 or more",
+                remedy="remove them for the defaults",
+            )
+        yield from _check_rest(text, ver, base)
+
+
+def _check_rest(
+    text: model.Text, ver: model.Version, base: str
+) -> collections.abc.Iterator[Problem]:
+    others = [
+        other
+        for other in text.versions_of(ver.model)
+        if other.state == "active" and other.name != ver.name
+    ]
+    if any(other.stages for other in others):
+        yield Problem(
+            path=base,
+            message=f"two versions of {ver.model!r} are rolled out at once",
+            remedy="remove the stages of one of them",
+        )
+    elif ver.state == "active" and not others:
+        yield Problem(
+            path=base,
+            message=f"no other active version of {ver.model!r} takes the rest",
+            remedy="keep the old version active with share 0 until the end",
+        )
+
+
 @RULES.register("cycles")
 def check_cycles(text: model.Text) -> collections.abc.Iterator[Problem]:
     """No service may depend on itself, directly or through others."""
--- a/testing/test_rollout.py
+++ b/testing/test_rollout.py
@@ -21,7 +21,8 @@
 
 
 async def stops(dep, via):
-    return [row["version"] for row in (await dep.status(via))["stops"]]
+    rows = (await dep.status(via))["trials"]
+    return [row["version"] for row in rows if row["is_stopped"]]
 
 
 async def served(dep, count):
@@ -58,3 +59,91 @@
             return await served(dep, 20) > 0
 
         await procs.wait_for(is_back, "the version's second trial")
+
+
+def staged_plan(quality, stage_s=0.3, samples=8):
+    plan = rollout_plan()
+    qualities = {**QUALITIES, "small-2": quality}
+    engines = tuple(attrs.evolve(e, qualities=qualities) for e in plan.engines)
+    versions = {
+        **plan.versions,
+        "small-1": {**plan.versions["small-1"], "share": 0},
+        "small-2": {
+            "model": "small",
+            "share": 100,
+            "stages": [10.0, 40.0],
+            "stage_s": stage_s,
+            "stage_samples": samples,
+        },
+    }
+    return attrs.evolve(plan, engines=engines, versions=versions)
+
+
+async def stages(dep):
+    """Return the stage of the new version on every running instance."""
+    found = {}
+    for name in dep.daemons:
+        rows = (await dep.status(name))["trials"]
+        known = [row["stage"] for row in rows if row["version"] == "small-2"]
+        found[name] = known[0] if known else 0
+    return found
+
+
+async def until_stage(dep, number):
+    """Send requests until every instance knows a stage; they never go back."""
+    last = {}
+
+    async def is_reached():
+        await served(dep, 20)
+        now = await stages(dep)
+        for name, stage in now.items():
+            assert stage >= last.get(name, 0)
+        last.update(now)
+        return min(now.values()) >= number
+
+    await procs.wait_for(is_reached, f"stage {number}", 60.0)
+
+
+async def test_good_version_goes_through_its_stages_to_its_share():
+    async with deployment.Deployment(plan=staged_plan(0.80)) as dep:
+        await until_stage(dep, 1)
+        for name in ("entry-0", "entry-1"):
+            dep.daemons.pop(name).proc.kill()
+            dep.start_daemon(f"{name}0", "north")
+            await dep.list_all()
+            await dep.wait_ready()
+        assert min((await stages(dep)).values()) >= 1
+        await until_stage(dep, 2)
+        assert await served(dep, 40) == 40
+
+
+async def test_bad_version_is_stopped_in_its_first_stage():
+    async with deployment.Deployment(plan=staged_plan(0.45, samples=40)) as dep:
+        while "small-2" not in await stops(dep, "entry-0"):
+            await served(dep, 30)
+            assert max((await stages(dep)).values()) == 0
+        assert await served(dep, 40) == 0
+
+
+async def test_no_stage_begins_while_it_cannot_be_committed():
+    async with deployment.Deployment(plan=staged_plan(0.80)) as dep:
+        await served(dep, 20)
+        before = await stages(dep)
+        await dep.faults("store", outage="abort")
+        for _ in range(8):
+            await served(dep, 20)
+        assert await stages(dep) == before
+        await dep.faults("store", outage="")
+        await until_stage(dep, 2)
+
+
+async def test_halted_rollout_is_shown():
+    async with deployment.Deployment(plan=staged_plan(0.80, samples=5000)) as dep:
+
+        async def is_shown():
+            await served(dep, 20)
+            rows = [r for n in dep.daemons for r in (await dep.status(n))["rollouts"]]
+            return any(0 < row["samples"] < row["needed_samples"] for row in rows)
+
+        await procs.wait_for(is_shown, "the roll-out in the status")
+        assert max((await stages(dep)).values()) == 0
