Refuse a text whose policies do not exist; judges as a registry

Cause: an unknown cascade or choice passed check and apply and then failed every request of the service with 500 (found by reading). What stops a version is an entry of a registry now (sequential, mean-threshold, never), so that baselines can be measured.

--- a/libs/masticpost-bench/src/masticpost_bench/layout.py
+++ b/libs/masticpost-bench/src/masticpost_bench/layout.py
@@ -237,7 +237,7 @@
             },
             "setup": {
                 "levels": ["small", "large"],
-                "cascade": "threshold",
+                "cascade": "expected-cost",
                 "quality_target": 0.75,
                 "deadline_s": 20,
                 "depends_on": [],
@@ -281,7 +281,7 @@
             },
             "explain": {
                 "levels": ["small", "large"],
-                "cascade": "threshold",
+                "cascade": "expected-cost",
                 "quality_target": 0.75,
                 "deadline_s": 20,
             },
--- a/libs/masticpost-decide/src/masticpost_decide/evidence.py
+++ b/libs/masticpost-decide/src/masticpost_decide/evidence.py
@@ -6,9 +6,11 @@
 the effective count ``n1 * n2 / (n1 + n2)``.
 """
 
+import collections.abc
 import math
 
 import attrs
+from masticpost_common import registry
 
 ALPHA = 0.002
 MIXTURE_COUNT = 20.0
@@ -104,19 +106,49 @@
     return merged
 
 
-def judge(versions: list[Sums]) -> Verdict | None:
-    """Return the version that is certainly worse than another one, None without."""
+Judge = collections.abc.Callable[[Sums, Sums], str]
+JUDGES: registry.Registry[Judge] = registry.Registry(kind="judge")
+
+
+def judge(
+    versions: list[Sums], judges: collections.abc.Mapping[str, str] | None = None
+) -> Verdict | None:
+    """Return a version that its judge finds worse than another one, None without.
+
+    Parameters
+    ----------
+    versions : list of Sums
+        Evidence on the versions of one model.
+    judges : mapping, optional
+        Names of the versions' judges; ``sequential`` for one that is not there.
+    """
     for row in versions:
+        find = JUDGES.get((judges or {}).get(row.version, "sequential"))
         for other in versions:
-            if row is other:
-                continue
-            reason = _worse(row, other)
+            reason = find(row, other) if row is not other else ""
             if reason:
                 return Verdict(version=row.version, reason=reason)
     return None
 
 
-def _worse(row: Sums, other: Sums) -> str:
+@JUDGES.register("never")
+def never(row: Sums, other: Sums) -> str:
+    """Stop nothing."""
+    return ""
+
+
+@JUDGES.register("mean-threshold")
+def mean_threshold(row: Sums, other: Sums) -> str:
+    """Stop on the mean rating alone, from a few ratings on."""
+    if min(row.ratings.count, other.ratings.count) < MIN_RATINGS:
+        return ""
+    gap = other.ratings.mean() - row.ratings.mean()
+    return f"mean rating lower by {gap:.3f}" if gap > RATING_TOLERANCE else ""
+
+
+@JUDGES.register("sequential")
+def sequential(row: Sums, other: Sums) -> str:
+    """Stop what is certainly worse than another version, however often one looks."""
     gap = _certain_gap(other.ratings, row.ratings, MIN_RATINGS, RATING_VARIANCE_FLOOR)
     if gap > RATING_TOLERANCE:
         return (
--- a/libs/masticpost-decide/testing/test_rollout.py
+++ b/libs/masticpost-decide/testing/test_rollout.py
@@ -106,6 +106,13 @@
     assert max(out.exposed for out in found) <= MAX_EXPOSED_SHARE * REQUESTS
 
 
+def test_slightly_worse_version_never_gets_far():
+    """Too little worse to be stopped soon, too much worse to go on."""
+    found = [replay(seed, 0.75, requests=REQUESTS // 2) for seed in range(50)]
+    assert max(out.stage for out in found) == 0
+    assert max(out.exposed for out in found) <= 2 * MAX_EXPOSED_SHARE * REQUESTS // 2
+
+
 def test_failing_versions_do_not_go_on():
     found = [replay(seed, 0.8, error_rate=0.3) for seed in range(20)]
     assert all(out.is_stopped and out.stage < len(STAGES) for out in found)
--- a/libs/masticpost-entry/src/masticpost_entry/guard.py
+++ b/libs/masticpost-entry/src/masticpost_entry/guard.py
@@ -178,11 +178,14 @@
         names = self._active(tell.model)
         if len(names) < 2:
             return
-        verdict = evidence.judge([merged[name] for name in names if name in merged])
+        versions = self.texts.in_force.text.versions
+        judges = {name: versions[name].judge for name in names}
+        rows = [merged[name] for name in names if name in merged]
+        verdict = evidence.judge(rows, judges)
         if verdict is None:
             self.stages.judge(names, merged)
             return
-        trial = self.texts.in_force.text.versions[verdict.version].trial
+        trial = versions[verdict.version].trial
         found = logger.bind(version=verdict.version, trial=trial, reason=verdict.reason)
         found.warning("version stopped")
         self.add_future(self.view.tell_stop(verdict.version, trial, verdict.reason))
--- a/libs/masticpost-text/src/masticpost_text/model.py
+++ b/libs/masticpost-text/src/masticpost_text/model.py
@@ -64,6 +64,8 @@
     stage_samples : int
         Least ratings of answers (failed or good calls, without a rating service) in a
         stage.
+    judge : str
+        Registry entry that decides from evidence whether to stop the version.
     """
 
     name: str
@@ -76,6 +78,7 @@
     stages: tuple[float, ...] = ()
     stage_s: float = 300.0
     stage_samples: int = 60
+    judge: str = "sequential"
 
 
 @attrs.frozen(kw_only=True)
--- a/testing/test_cli.py
+++ b/testing/test_cli.py
@@ -55,6 +55,24 @@
     assert all(row["place"]["line"] > 1 for row in rows)
 
 
+@pytest.mark.parametrize(
+    ("path", "field"),
+    [
+        ("services.setup", "cascade"),
+        ("services.setup", "choice"),
+        ("versions.small-1", "judge"),
+    ],
+)
+async def test_policy_that_does_not_exist_is_found(dep, tmp_path, path, field):
+    """In force, it would fail every request of the service."""
+    file = tmp_path / "text.yaml"
+    file.write_text(dep.text({path: {field: "bset"}}))
+    code, _, err = await tool(dep, "check", str(file))
+    assert code == 1
+    assert "'bset' is not known" in err
+    assert "use one of:" in err
+
+
 async def test_apply_show_history_and_diff(dep, tmp_path):
     path = tmp_path / "text.yaml"
     path.write_text(dep.text({"versions.small-1": {"input_price": 7.5}}))
--- a/testing/test_config.py
+++ b/testing/test_config.py
@@ -115,3 +115,15 @@
     kept.is_compared = True
     kept._last_proof = time.monotonic() - 60
     assert kept.is_current() is is_current
+
+
+async def test_instance_refuses_a_text_whose_policy_does_not_exist():
+    """As from a tool that is newer than the instances."""
+    async with deployment.Deployment(plan=layout.small(instances=2)) as dep:
+        generation = await dep.apply({"services.setup": {"cascade": "bset"}})
+
+        async def is_rejected():
+            return (await dep.status("entry-0"))["rejected_generation"] == generation
+
+        await procs.wait_for(is_rejected, "the rejection")
+        assert (await dep.chat("x [len=2]", via="entry-0")).status == 200
