Bench roll-outs of four qualities, cold restart and a crashing request

Change: a scenario may prepare its deployment; policies may change versions too (fixed share, no stop).

--- a/libs/masticpost-bench/src/masticpost_bench/layout.py
+++ b/libs/masticpost-bench/src/masticpost_bench/layout.py
@@ -290,6 +290,29 @@
     )
 
 
+NEW_VERSION = "small-2"
+
+
+def with_rollout(plan: Layout, quality: float) -> Layout:
+    """Return a deployment that rolls a new version of the cheap model out."""
+    engines = tuple(
+        attrs.evolve(e, qualities={**e.qualities, NEW_VERSION: quality})
+        for e in plan.engines
+    )
+    versions = {
+        **plan.versions,
+        "small-1": {**plan.versions["small-1"], "share": 0},
+        NEW_VERSION: {
+            **plan.versions["small-1"],
+            "share": 100,
+            "stages": [5.0, 20.0, 50.0],
+            "stage_s": 3.0,
+            "stage_samples": 20,
+        },
+    }
+    return attrs.evolve(plan, engines=engines, versions=versions)
+
+
 def small(instances: int = 3, engines: int = 2, plains: int = 2) -> Layout:
     """Return a small deployment for tests."""
     domains = ("north", "south")
--- a/libs/masticpost-bench/src/masticpost_bench/runs.py
+++ b/libs/masticpost-bench/src/masticpost_bench/runs.py
@@ -35,6 +35,7 @@
     total_s: float = 0.0
     gap_s: float = 0.0
     quality: float = -1.0
+    version: str = ""
     cost: float = 0.0
     prompt_tokens: int = 0
     output_tokens: int = 0
@@ -47,7 +48,11 @@
 
 @attrs.define(kw_only=True)
 class Row:
-    """Summary of a run under one policy; times in milliseconds."""
+    """Summary of a run under one policy; times in milliseconds.
+
+    `exposed` counts the answers of a version that is rolled out, the last one of a
+    request that was due after `exposed_until_s` seconds.
+    """
 
     scenario: str
     policy: str
@@ -66,6 +71,8 @@
     total_p99: float
     window_answered: float
     window_total_p99: float
+    exposed: int
+    exposed_until_s: float
     codes: dict[str, int]
 
 
@@ -93,7 +100,7 @@
     plan: layout.Layout, chosen: scenarios.Scenario, policy: str, seed: int
 ) -> list[Shot]:
     """Run a scenario once and return every request."""
-    plan = attrs.evolve(plan, services=_with_policy(plan, policy))
+    plan = scenarios.under_policy(chosen.prepare(plan), policy)
     async with deployment.Deployment(plan=plan) as dep:
         await _warm_up(dep)
         timeline = asyncio.create_task(chosen.timeline(dep))
@@ -103,14 +110,6 @@
     return shots
 
 
-def _with_policy(plan: layout.Layout, policy: str) -> dict[str, dict[str, object]]:
-    changes = scenarios.changes_of(plan, policy)
-    return {
-        name: {**row, **changes.get(f"services.{name}", {})}
-        for name, row in plan.services.items()
-    }
-
-
 async def _warm_up(dep: deployment.Deployment) -> None:
     """Let upstreams get warm and cascades learn, under the same mix."""
     draw = random.Random(0)
@@ -195,6 +194,7 @@
         shot.status = resp.status
         shot.ran = resp.headers.get("X-Request-Ran", "")
         shot.cost = float(resp.headers.get("X-Request-Cost", 0.0))
+        shot.version = resp.headers.get("X-Model-Version", "")
     except (aiohttp.ClientError, TimeoutError, OSError):
         shot.status = 0
     shot.total_s = time.monotonic() - started
@@ -236,6 +236,7 @@
     inside = [s for s in shots if low <= s.due < high]
     inside_good = [s for s in inside if s.is_good]
     firsts = [s.first_s for s in models]
+    exposed = [s for s in good if s.version == layout.NEW_VERSION]
     return Row(
         scenario=chosen.name,
         policy=policy,
@@ -254,6 +255,8 @@
         total_p99=_percentile([s.total_s for s in good], 0.99),
         window_answered=len(inside_good) / max(1, len(inside)),
         window_total_p99=_percentile([s.total_s for s in inside_good], 0.99),
+        exposed=len(exposed),
+        exposed_until_s=max((s.due for s in exposed), default=0.0),
         codes=dict(collections.Counter(s.code for s in shots if s.code)),
     )
 
@@ -299,6 +302,7 @@
         f"first {row.first_p50:.0f}/{row.first_p95:.0f}/{row.first_p99:.0f} ms "
         f"gap p95 {row.gap_p95:.1f}  total p99 {row.total_p99:.0f}  "
         f"window {row.window_answered:.4f} p99 {row.window_total_p99:.0f}  "
+        f"exposed {row.exposed} until {row.exposed_until_s:.0f} s  "
         f"{row.codes or ''}"
     )
 
--- a/libs/masticpost-bench/src/masticpost_bench/scenarios.py
+++ b/libs/masticpost-bench/src/masticpost_bench/scenarios.py
@@ -13,11 +13,20 @@
 ]
 
 
+Prepare = collections.abc.Callable[[layout.Layout], layout.Layout]
+
+
+def as_it_is(plan: layout.Layout) -> layout.Layout:
+    """Change nothing."""
+    return plan
+
+
 @attrs.frozen(kw_only=True)
 class Scenario:
     """A load and what happens during it; times in seconds.
 
     `window` is the part that is reported on its own, such as the time around a change.
+    `prepare` changes the deployment before it starts.
     """
 
     name: str
@@ -25,6 +34,7 @@
     seconds: float
     timeline: Timeline
     window: tuple[float, float]
+    prepare: Prepare = as_it_is
 
 
 SCENARIOS: registry.Registry[Scenario] = registry.Registry(kind="scenario")
@@ -104,22 +114,92 @@
     await deployment.gather_limited(120, works)
 
 
-POLICIES: dict[str, dict[str, str]] = {
-    "ours": {},
-    "best": {"cascade": "best"},
-    "cheapest": {"cascade": "cheapest"},
-    "threshold": {"cascade": "threshold"},
-    "round-robin": {"choice": "round-robin"},
-    "random": {"choice": "random"},
-    "least-outstanding": {"choice": "least-outstanding"},
-    "two-choices": {"choice": "two-choices"},
+@scenario("cold-restart", rate_s=30, seconds=30, window=(6, 30))
+async def cold_restart(dep: deployment.Deployment) -> None:
+    """Every engine crashes at once and comes back cold a second later."""
+    await asyncio.sleep(8)
+    for engine in dep.plan.engines:
+        await dep.faults(engine.name, down_s=1.0)
+    works = [dep.act(engine.name, "crash") for engine in dep.plan.engines]
+    await asyncio.gather(*works)
+
+
+@scenario("crashing", rate_s=30, seconds=24, window=(6, 24))
+async def crashing(dep: deployment.Deployment) -> None:
+    """A caller sends a request again and again that crashes the engine it runs on."""
+    await asyncio.sleep(8)
+    for _ in range(20):
+        await dep.chat("please [crash]")
+        await asyncio.sleep(0.5)
+
+
+def _rollout(name: str, quality: float) -> None:
+    """Register the roll-out of a version of the cheap model with that quality."""
+
+    def prepare(plan: layout.Layout) -> layout.Layout:
+        return layout.with_rollout(plan, quality)
+
+    async def timeline(dep: deployment.Deployment) -> None:
+        """Nothing else happens."""
+
+    SCENARIOS.register(name)(
+        Scenario(
+            name=name,
+            rate_s=90,
+            seconds=40,
+            timeline=timeline,
+            window=(0, 40),
+            prepare=prepare,
+        )
+    )
+
+
+for _name, _quality in (("good", 0.8), ("mild", 0.74), ("medium", 0.65), ("bad", 0.4)):
+    _rollout(f"rollout-{_name}", _quality)
+
+
+@attrs.frozen(kw_only=True)
+class Policy:
+    """Fields of the model services, and of the versions, that make a policy."""
+
+    services: dict[str, str] = attrs.field(factory=dict)
+    versions: dict[str, dict[str, object]] = attrs.field(factory=dict)
+
+
+FIXED_SHARES: dict[str, dict[str, object]] = {
+    "small-1": {"share": 80},
+    layout.NEW_VERSION: {"share": 20, "stages": []},
+}
+NO_STOP = {
+    **FIXED_SHARES,
+    layout.NEW_VERSION: {**FIXED_SHARES[layout.NEW_VERSION], "judge": "never"},
+}
+POLICIES: dict[str, Policy] = {
+    "ours": Policy(),
+    "best": Policy(services={"cascade": "best"}),
+    "cheapest": Policy(services={"cascade": "cheapest"}),
+    "threshold": Policy(services={"cascade": "threshold"}),
+    "round-robin": Policy(services={"choice": "round-robin"}),
+    "random": Policy(services={"choice": "random"}),
+    "least-outstanding": Policy(services={"choice": "least-outstanding"}),
+    "two-choices": Policy(services={"choice": "two-choices"}),
+    "fixed-share": Policy(versions=FIXED_SHARES),
+    "no-stop": Policy(versions=NO_STOP),
 }
 
 
-def changes_of(plan: layout.Layout, policy: str) -> dict[str, dict[str, object]]:
-    """Return the changes of the text that make a policy."""
-    names = [name for name, row in plan.services.items() if "levels" in row]
-    return {f"services.{name}": dict(POLICIES[policy]) for name in names}
+def under_policy(plan: layout.Layout, policy: str) -> layout.Layout:
+    """Return the deployment under a policy."""
+    chosen = POLICIES[policy]
+    services = {
+        name: {**row, **chosen.services} if "levels" in row else row
+        for name, row in plan.services.items()
+    }
+    versions = {
+        name: {**row, **chosen.versions.get(name, {})}
+        for name, row in plan.versions.items()
+    }
+    return attrs.evolve(plan, services=services, versions=versions)
 
 
 @attrs.frozen(kw_only=True)
