Bound what a customer is billed in a window, over all instances

A repeat of a known call still gets its answer: a claim may now be asked for without being granted. What may be exceeded is not measured.

--- a/libs/masticpost-bench/src/masticpost_bench/layout.py
+++ b/libs/masticpost-bench/src/masticpost_bench/layout.py
@@ -42,6 +42,8 @@
     weight: float = 1.0
     models: tuple[str, ...] = ()
     versions: tuple[str, ...] = ()
+    budget: float = 0.0
+    budget_s: float = 86_400.0
 
 
 @attrs.frozen(kw_only=True)
@@ -150,6 +152,8 @@
         "versions": list(spec.versions),
         "max_concurrent": spec.max_concurrent,
         "weight": spec.weight,
+        "budget": spec.budget,
+        "budget_s": spec.budget_s,
     }
 
 
--- a/libs/masticpost-cli/src/masticpost_cli/bills.py
+++ b/libs/masticpost-cli/src/masticpost_cli/bills.py
@@ -1,14 +1,18 @@
-"""Commands on what the shards hold: bills, audit, doubts."""
+"""Commands on what the shards hold: bills, audit, doubts, budgets."""
 
 import collections
+import time
 
 import attrs
 from masticpost_common import codec
+from masticpost_confsync import head
 from masticpost_shards import log, state
+from masticpost_text import model, parse
 
 from masticpost_cli import commands, session
 
 MAX_SHARDS_READ = 1024
+NS_PER_MS = 1_000_000
 
 
 @attrs.define(kw_only=True)
@@ -32,6 +36,16 @@
     ran: int
 
 
+@attrs.frozen(kw_only=True)
+class Spent:
+    """What a customer spent of its budget; `until` ends the window (ms)."""
+
+    customer: str
+    spent: float
+    budget: float
+    until: int
+
+
 @attrs.frozen(kw_only=True)
 class Doubt:
     """A claimed call without a known outcome.
@@ -173,3 +187,44 @@
     header = ["CALL", "INSTANCE", "CLAIMED AT (MS)", "STATE", "SERVICE IS ASKED"]
     ses.print_table(header, table)
     return commands.EXIT_OK
+
+
+@commands.COMMANDS.register("budgets")
+async def budgets(ses: session.Session) -> int:
+    """Print spending in the present windows; exit 1 when a budget is spent."""
+    found = await head.read(ses.store)
+    if found.is_err() or found.unwrap() is None:
+        raise session.UnreachableError("object API: no text can be read")
+    text = parse.parse(found.unwrap().stored.raw).text
+    rows = _spent(await read_states(ses), text, time.time_ns() // NS_PER_MS)
+    if ses.wants_json:
+        ses.print_json(rows)
+    else:
+        table = [
+            [row.customer, f"{row.spent:.6f}", f"{row.budget:.6f}", row.until]
+            for row in rows
+        ]
+        ses.print_table(["CUSTOMER", "SPENT", "BUDGET", "UNTIL (MS)"], table)
+    is_spent = any(row.spent >= row.budget for row in rows)
+    return commands.EXIT_NO if is_spent else commands.EXIT_OK
+
+
+def _spent(states: list[state.State], text: model.Text, now_ms: int) -> list[Spent]:
+    amounts: collections.Counter[str] = collections.Counter()
+    ends: dict[str, int] = {}
+    for found in states:
+        for key, runs in found.spends.items():
+            first = next(iter(runs.values()))
+            if first.window <= now_ms < first.until:
+                amounts[first.customer] += found.spent(key)
+                ends[first.customer] = first.until
+    return [
+        Spent(
+            customer=cust.name,
+            spent=amounts[cust.name],
+            budget=cust.budget,
+            until=ends.get(cust.name, 0),
+        )
+        for cust in text.customers.values()
+        if cust.budget > 0
+    ]
--- a/libs/masticpost-cli/src/masticpost_cli/main.py
+++ b/libs/masticpost-cli/src/masticpost_cli/main.py
@@ -32,6 +32,7 @@
   masticpost bills [options]
   masticpost audit FILE [options]
   masticpost doubts [options]
+  masticpost budgets [options]
   masticpost report burn [--html OUT] [options]
   masticpost --help
 
@@ -48,6 +49,7 @@
   bills     Total the bills by customer, service and version.
   audit     Compare the bills with a file of what upstreams ran.
   doubts    List non-idempotent calls whose outcome is not known.
+  budgets   Show what customers with a budget spent in its present window.
   report    Show how fast the error budget is spent.
 
 Options:
--- a/libs/masticpost-daemon/src/masticpost_daemon/instance.py
+++ b/libs/masticpost-daemon/src/masticpost_daemon/instance.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 from loguru import logger
 from masticpost_confsync import keeper
-from masticpost_entry import app, doubts, guard, learning, runtime
+from masticpost_entry import app, budgets, doubts, guard, learning, runtime
 from masticpost_orders import giver
 from masticpost_peers import hub, keys, membership
 from masticpost_shards import (
@@ -92,6 +92,7 @@
             agreed.claims,
             agreed.holds,
             agreed.bills,
+            agreed.budgets,
             agreed.sessions,
             agreed.permits,
             agreed.views,
@@ -120,6 +121,7 @@
         await hand_over
         await agreed.claims.flush(FLUSH_LIMIT_S)
         await agreed.bills.flush(FLUSH_LIMIT_S)
+        await agreed.budgets.flush(FLUSH_LIMIT_S)
         logger.bind(bills_waiting=agreed.bills.waiting).info("drained")
 
     async def _wait_idle(self) -> None:
@@ -196,6 +198,7 @@
         shards=shards,
         claims=claims.Claims(shards=shards),
         bills=bills.BillWriter(shards=shards, keeper=keeper_of_bills),
+        budgets=budgets.Budgets(shards=shards, texts=texts),
         holds=keeper_of_bills,
         sessions=sessions.Sessions(shards=shards),
         permits=permits.Permits(shards=shards, desk=desk),
--- a/libs/masticpost-entry/src/masticpost_entry/chat.py
+++ b/libs/masticpost-entry/src/masticpost_entry/chat.py
@@ -66,6 +66,7 @@
     hint = intake.check_id(req, HINT_HEADER)
     job = _make_job(rt, call, parsed)
     suspects.check(rt, job.fingerprint)
+    rt.agreed.budgets.check(call.customer)
     call.check_deadline()
     instances = len(rt.agreed.members.alive())
     with rt.gate.admit(rt.text, call.customer, instances):
--- a/libs/masticpost-entry/src/masticpost_entry/doubts.py
+++ b/libs/masticpost-entry/src/masticpost_entry/doubts.py
@@ -161,6 +161,7 @@
         told = await ask(rt, inquiry)
         if told.finding is Finding.RAN:
             bill = bill_of(opened, inquiry)
+            rt.agreed.budgets.add(opened.customer, bill.cost)
             await rt.agreed.claims.finish(granted, told.answer, bill)
             return told.answer
         if told.finding is Finding.NOT_SEEN and _is_final(inquiry, since):
@@ -253,6 +254,8 @@
         told = await ask(self.rt, claim.inquiry)
         if told.finding is Finding.RAN:
             bill = self._bill(claim)
+            if bill is not None:
+                self.rt.agreed.budgets.add(bill.customer, bill.cost)
             await self.rt.agreed.claims.finish(granted, told.answer, bill)
             logger.info("a call in doubt ran")
         elif told.finding is Finding.NOT_SEEN and _is_final(claim.inquiry, since):
--- a/libs/masticpost-entry/src/masticpost_entry/meter.py
+++ b/libs/masticpost-entry/src/masticpost_entry/meter.py
@@ -87,7 +87,8 @@
         self.rt.agreed.bills.close(self.close_record(state))
 
     def close_record(self, state: str) -> records.BillClose:
-        """Return the request's bill."""
+        """Return the request's bill, and count it against the customer's budget."""
+        self.rt.agreed.budgets.add(self.call.customer.name, self.cost)
         return records.BillClose(
             key=self.key,
             customer=self.call.customer.name,
--- a/libs/masticpost-entry/src/masticpost_entry/plain.py
+++ b/libs/masticpost-entry/src/masticpost_entry/plain.py
@@ -123,6 +123,7 @@
 
 async def _run(rt: runtime.Runtime, job: PlainJob) -> plain.PlainAnswer:
     if job.operation.idempotent:
+        rt.agreed.budgets.check(job.call.customer)
         return await _run_idempotent(rt, job)
     return await asyncio.shield(_start_once(rt, job))
 
@@ -223,8 +224,9 @@
     inquiry = doubts.inquiry_for(
         rt, job.call.service, job.operation, job.req.idempotency_key
     )
+    refusal = rt.agreed.budgets.refusal(job.call.customer)
     granted = await rt.agreed.claims.claim(
-        key, mark, job.call.deadline, opened, inquiry
+        key, mark, job.call.deadline, opened, inquiry, refusal
     )
     if isinstance(granted, records.Answer):
         return _passed_on(granted)
--- a/libs/masticpost-entry/src/masticpost_entry/runtime.py
+++ b/libs/masticpost-entry/src/masticpost_entry/runtime.py
@@ -22,7 +22,7 @@
 from masticpost_text import model
 from masticpost_upstream import engine, plain, rating
 
-from masticpost_entry import guard, subset
+from masticpost_entry import budgets, guard, subset
 
 MAX_BODY_BYTES = 1_000_000
 
@@ -53,6 +53,7 @@
     shards: directory.Directory
     claims: claims.Claims
     bills: bills.BillWriter
+    budgets: budgets.Budgets
     holds: holds.Holds
     sessions: sessions.Sessions
     permits: permits.Permits
--- a/libs/masticpost-shards/src/masticpost_shards/claims.py
+++ b/libs/masticpost-shards/src/masticpost_shards/claims.py
@@ -65,11 +65,13 @@
         deadline: float,
         bill: records.BillOpen | None = None,
         inquiry: records.Inquiry | None = None,
+        refusal: errors.RefusalError | None = None,
     ) -> Granted | records.Answer:
         """Return the right to dispatch, or the recorded answer of the call.
 
         The bill is opened in the commit that grants the claim; `inquiry` is kept
-        with it for a doubt.
+        with it for a doubt. With a `refusal` nothing is granted: a call that is not
+        known gets the refusal.
 
         Raises
         ------
@@ -86,7 +88,9 @@
             inquiry=inquiry,
         )
         while True:
-            reply = await self._ask(claim, bill)
+            reply = await self._ask(claim, bill, grants=refusal is None)
+            if reply.verdict == ops.ABSENT:
+                raise refusal
             if reply.verdict == ops.GRANTED:
                 return Granted(key=key, nonce=claim.nonce)
             if reply.verdict == ops.RECORDED and reply.answer is not None:
@@ -98,10 +102,10 @@
             await asyncio.sleep(PENDING_POLL_S)
 
     async def _ask(
-        self, claim: records.Claim, bill: records.BillOpen | None
+        self, claim: records.Claim, bill: records.BillOpen | None, *, grants: bool
     ) -> ops.ClaimReply:
         shard = self.shards.shard_of(claim.key)
-        ask = ops.ClaimAsk(shard=shard, claim=claim, bill=bill)
+        ask = ops.ClaimAsk(shard=shard, claim=claim, bill=bill, grants=grants)
         try:
             return await self.shards.call(ask, timeout_s=CLAIM_TIMEOUT_S)
         except directory.StoreUnavailableError as exc:
--- a/libs/masticpost-shards/src/masticpost_shards/ops.py
+++ b/libs/masticpost-shards/src/masticpost_shards/ops.py
@@ -19,6 +19,7 @@
 PENDING = "pending"
 IN_DOUBT = "in-doubt"
 MISMATCH = "mismatch"
+ABSENT = "absent"
 
 MAX_ANSWER_BYTES = 64_000
 
@@ -51,12 +52,14 @@
 class ClaimAsk:
     """Asks for the right to dispatch a non-idempotent call.
 
-    `bill` is opened in the same commit; its key is the claim's.
+    `bill` is opened in the same commit; its key is the claim's. Without `grants` only a
+    call that is known is told of.
     """
 
     shard: int
     claim: records.Claim
     bill: records.BillOpen | None = None
+    grants: bool = True
 
 
 @messages.message("claim-reply")
@@ -166,6 +169,23 @@
     trial: records.Trial
 
 
+@messages.message("spend-tell")
+@attrs.frozen(kw_only=True)
+class SpendTell:
+    """Tells what a customer spent through the sender; cumulative, may be repeated."""
+
+    shard: int
+    spend: records.Spend
+
+
+@messages.message("spend-reply")
+@attrs.frozen(kw_only=True)
+class SpendReply:
+    """What the customer spent in the window, over all instances."""
+
+    total: float
+
+
 IsRunning = collections.abc.Callable[[records.Run], bool]
 
 
@@ -201,6 +221,8 @@
 def decide_claim(working: state.State, op: ClaimAsk, is_running: IsRunning) -> Decision:
     """Grant the claim if the call was never claimed, or was released as not run."""
     claim = op.claim
+    if not op.grants and not is_claimed(working, claim.key):
+        return Decision(reply=ClaimReply(verdict=ABSENT), waits=False)
     if working.add_claim(claim):
         reply = ClaimReply(verdict=GRANTED, nonce=claim.nonce)
         writes: list[object] = [claim]
@@ -223,6 +245,12 @@
     return Decision(reply=reply, waits=False)
 
 
+def is_claimed(working: state.State, key: str) -> bool:
+    """Tell whether a call is claimed and was not released."""
+    known = working.calls.get(key)
+    return known is not None and not state.is_released(known)
+
+
 def is_in_doubt(call: state.Call, is_running: IsRunning) -> bool:
     """Tell whether a call without a final outcome is at work no more."""
     if state.is_final(call):
@@ -295,3 +323,13 @@
     """Record a stop or a stage, once."""
     writes: list[object] = [op.trial] if working.add_trial(op.trial) else []
     return Decision(reply=Done(), writes=writes)
+
+
+@DECIDERS.register(SpendTell.MESSAGE_KIND)
+def decide_spend(
+    working: state.State, op: SpendTell, is_running: IsRunning
+) -> Decision:
+    """Record what is new and reply with the sum; the reply does not wait."""
+    writes: list[object] = [op.spend] if working.add_spend(op.spend) else []
+    reply = SpendReply(total=working.spent(op.spend.key))
+    return Decision(reply=reply, writes=writes, waits=False)
--- a/libs/masticpost-shards/src/masticpost_shards/owner.py
+++ b/libs/masticpost-shards/src/masticpost_shards/owner.py
@@ -39,6 +39,7 @@
     records.Crash: "crashes",
     records.Warmth: "warmth",
     records.Trial: "trials",
+    records.Spend: "spends",
 }
 
 
@@ -172,7 +173,9 @@
     def _decide_without_store(self, op: ops.ClaimAsk) -> object:
         """Answer a claim from what is known; a new claim cannot be committed."""
         known = self.working.calls.get(op.claim.key)
-        if known is None or state.is_released(known):
+        if not ops.is_claimed(self.working, op.claim.key):
+            if not op.grants:
+                return ops.ClaimReply(verdict=ops.ABSENT)
             raise StoreDownError
         if known.claim.nonce == op.claim.nonce and known.outcome is None:
             raise StoreDownError
--- a/libs/masticpost-shards/src/masticpost_shards/records.py
+++ b/libs/masticpost-shards/src/masticpost_shards/records.py
@@ -177,6 +177,25 @@
         return (self.trial, self.is_stopped, self.stage)
 
 
+@attrs.frozen(kw_only=True)
+class Spend:
+    """What a customer spent through one run of an instance in one window so far.
+
+    `window` begins at that many milliseconds, and ends at `until`.
+    """
+
+    customer: str
+    window: int
+    until: int
+    run: Run
+    amount: float
+
+    @property
+    def key(self) -> str:
+        """Key of the customer's window."""
+        return f"{self.customer}\0{self.window}"
+
+
 @attrs.frozen(kw_only=True)
 class HeldPermit:
     """A permit that is in use when a shard is handed over."""
@@ -207,4 +226,5 @@
     crashes: list[Crash] = attrs.field(factory=list)
     warmth: list[Warmth] = attrs.field(factory=list)
     trials: list[Trial] = attrs.field(factory=list)
+    spends: list[Spend] = attrs.field(factory=list)
     permits: list[HeldPermit] = attrs.field(factory=list)
--- a/libs/masticpost-shards/src/masticpost_shards/state.py
+++ b/libs/masticpost-shards/src/masticpost_shards/state.py
@@ -9,6 +9,7 @@
 BILL_KEPT_MS = 20 * MINUTE_MS
 PIN_KEPT_MS = 12 * 60 * MINUTE_MS
 CRASH_KEPT_MS = 60 * MINUTE_MS
+SPEND_KEPT_MS = 10 * MINUTE_MS
 
 
 @attrs.define(kw_only=True)
@@ -54,6 +55,8 @@
     warmth: dict[str, records.Warmth] = attrs.field(factory=dict)
     trials: dict[str, records.Trial] = attrs.field(factory=dict)
 
+    spends: dict[str, dict[str, records.Spend]] = attrs.field(factory=dict)
+
     def apply(self, batch: records.Batch) -> None:
         """Fold in the next batch; raises `ValueError` if it is not the next."""
         if batch.seq != self.seq + 1:
@@ -77,6 +80,22 @@
             self.warmth[warmth.upstream] = warmth
         for trial in batch.trials:
             self.add_trial(trial)
+        for spend in batch.spends:
+            self.add_spend(spend)
+
+    def add_spend(self, spend: records.Spend) -> bool:
+        """Keep what a run tells of a window, unless it told as much before."""
+        by_run = self.spends.setdefault(spend.key, {})
+        name = f"{spend.run.instance}/{spend.run.started}"
+        known = by_run.get(name)
+        if known is not None and known.amount >= spend.amount:
+            return False
+        by_run[name] = spend
+        return True
+
+    def spent(self, key: str) -> float:
+        """Return what was spent in a customer's window, over all instances."""
+        return sum(row.amount for row in self.spends.get(key, {}).values())
 
     def add_claim(self, claim: records.Claim) -> bool:
         """Record a claim; False if the call is claimed and was not released."""
@@ -150,6 +169,11 @@
             for k, rows in self.crashes.items()
             if now_ms - rows[-1].at < CRASH_KEPT_MS
         }
+        self.spends = {
+            k: rows
+            for k, rows in self.spends.items()
+            if any(now_ms < row.until + SPEND_KEPT_MS for row in rows.values())
+        }
 
     def _add_to_total(self, bill: records.BillClose) -> None:
         key = "\0".join((bill.customer, bill.service, bill.version, bill.state))
--- a/libs/masticpost-shards/testing/test_owner.py
+++ b/libs/masticpost-shards/testing/test_owner.py
@@ -114,6 +114,45 @@
     await other.stop()
 
 
+async def test_claim_without_grants_tells_only_of_known_calls():
+    server = fakestore.Server()
+    own = await serving(make_owner(server))
+    look = attrs.evolve(claim_ask(nonce="a"), grants=False)
+    assert (await own.submit(look)).verdict == ops.ABSENT
+    assert not own.working.calls
+    await own.submit(claim_ask(nonce="b"))
+    await own.submit(outcome_tell(nonce="b"))
+    own.store._failures_in_row = 99
+    assert (await own.submit(look)).verdict == ops.RECORDED
+    other = attrs.evolve(look, claim=attrs.evolve(look.claim, key="none"))
+    assert (await own.submit(other)).verdict == ops.ABSENT
+    await own.stop()
+
+
+async def test_spending_adds_up_over_runs_and_owners():
+    """Told twice, told late, told to the next owner: each run counts once."""
+
+    def tell(instance, amount):
+        run = records.Run(instance=instance, started=1)
+        until = owner.wall_ms() + 60_000
+        spend = records.Spend(
+            customer="c", window=7, until=until, run=run, amount=amount
+        )
+        return ops.SpendTell(shard=0, spend=spend)
+
+    server = fakestore.Server()
+    own = await serving(make_owner(server))
+    for instance, amount in (("a", 1.0), ("b", 2.0), ("a", 1.5), ("a", 1.0)):
+        reply = await own.submit(tell(instance, amount))
+    assert reply.total == 3.5
+    await own.submit(ops.BillsTell(shard=0))
+    await own.stop()
+    other = await serving(make_owner(server, "p"))
+    assert (await other.submit(tell("b", 2.0))).total == 3.5
+    assert (await other.submit(tell("c", 1.0))).total == 4.5
+    await other.stop()
+
+
 async def test_released_claim_may_be_granted_again():
     server = fakestore.Server()
     own = await serving(make_owner(server))
--- a/libs/masticpost-text/src/masticpost_text/model.py
+++ b/libs/masticpost-text/src/masticpost_text/model.py
@@ -136,7 +136,8 @@
 class Customer:
     """Who may call; `keys` are SHA-256 digests of API keys in hex.
 
-    An empty `models` or `versions` allows every one.
+    An empty `models` or `versions` allows every one. A `budget` above 0 bounds what is
+    billed in each window of `budget_s` seconds, over all instances.
     """
 
     name: str
@@ -147,6 +148,8 @@
     max_concurrent: int = 64
     weight: float = 1.0
     priority: int = 0
+    budget: float = 0.0
+    budget_s: float = 86_400.0
 
 
 @attrs.frozen(kw_only=True)
--- a/libs/masticpost-text/src/masticpost_text/rules.py
+++ b/libs/masticpost-text/src/masticpost_text/rules.py
@@ -17,6 +17,7 @@
 WITHDRAWN_RULES = ("move", "refuse")
 MIN_DEADLINE_S = 0.05
 MAX_DEADLINE_S = 3600.0
+MIN_BUDGET_S = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -248,6 +249,12 @@
             message="max_concurrent must be 1 or more, and weight above 0",
             remedy="to stop a customer, remove its keys",
         )
+    if cust.budget < 0 or cust.budget_s < MIN_BUDGET_S:
+        yield Problem(
+            path=f"{base}.budget",
+            message=f"budget must be 0 or more, budget_s {MIN_BUDGET_S:g} or more",
+            remedy="remove it for no bound",
+        )
 
 
 @RULES.register("unique")
