--- a/libs/masticpost-bench/src/masticpost_bench/procs.py
+++ b/libs/masticpost-bench/src/masticpost_bench/procs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import itertools
 import os
 import pathlib
@@ -21,23 +22,43 @@
 PORTS_PER_RANGE = 1_300
 _PORT_COUNTER = itertools.count(random.Random(os.getpid()).randrange(PORTS_PER_RANGE))
 
+_GUARDS: list[socket.socket] = []
+
 
 def free_ports(count: int) -> list[int]:
     """Return distinct ports that nothing listens on.
 
-    They lie below the range of outgoing connections, and parallel test workers take
-    them from ranges of their own, so that none is taken between here and its use.
+    They lie below the range of outgoing connections, and every process takes them from
+    a range of its own, so that none is taken between here and its use.
     """
-    worker = int(os.environ.get("PYTEST_XDIST_WORKER", f"gw{PORT_RANGES - 1}")[2:])
-    low = FIRST_PORT + (worker % PORT_RANGES) * PORTS_PER_RANGE
+    low = _own_range()
     found: list[int] = []
     while len(found) < count:
-        port = low + next(_PORT_COUNTER) % PORTS_PER_RANGE
+        port = low + 1 + next(_PORT_COUNTER) % (PORTS_PER_RANGE - 1)
         if _is_free(port):
             found.append(port)
     return found
 
 
+@functools.cache
+def _own_range() -> int:
+    """Return the first port of a range that no other process has.
+
+    The first port stays bound for as long as this process runs, which keeps others out.
+    """
+    for number in range(PORT_RANGES):
+        low = FIRST_PORT + number * PORTS_PER_RANGE
+        guard = socket.socket()
+        try:
+            guard.bind((HOST, low))
+        except OSError:
+            guard.close()
+            continue
+        _GUARDS.append(guard)
+        return low
+    raise RuntimeError(f"{PORT_RANGES} processes take ports already")
+
+
 def _is_free(port: int) -> bool:
     with socket.socket() as sock:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
