Serve, order, rate and report over TLS

Cause: TLS was in the settings and never run. Change: one context for every client of upstreams; members name their URL with its scheme; --ca for the tool; stand-ins listen with TLS when told. Overhead of TLS is not measured.

--- a/libs/masticpost-bench/src/masticpost_bench/deployment.py
+++ b/libs/masticpost-bench/src/masticpost_bench/deployment.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 import pathlib
+import ssl
 import tempfile
 import time
 import typing
@@ -18,6 +19,7 @@
 from masticpost_bench import layout, procs
 
 NAMESPACE = "masticpost"
+TLS_KINDS = ("engine", "plain", "rating")
 READY_TIMEOUT_S = 40.0
 
 
@@ -29,11 +31,12 @@
     proc: procs.Proc
     port: int
     control_port: int
+    scheme: str = "http"
 
     @property
     def url(self) -> str:
         """URL of the service port."""
-        return f"http://{procs.HOST}:{self.port}"
+        return f"{self.scheme}://{procs.HOST}:{self.port}"
 
     @property
     def control_url(self) -> str:
@@ -50,12 +53,27 @@
     proc: procs.Proc
     port: int
     peer_port: int
+    scheme: str = "http"
     was_ready: bool = False
 
     @property
     def url(self) -> str:
         """URL for callers."""
-        return f"http://{procs.HOST}:{self.port}"
+        return f"{self.scheme}://{procs.HOST}:{self.port}"
+
+
+@attrs.frozen(kw_only=True)
+class Tls:
+    """Files of a certificate for loopback, its key, and its authority."""
+
+    cert: str
+    key: str
+    ca: str
+
+    @property
+    def server_args(self) -> list[str]:
+        """Options of a program that listens with TLS."""
+        return [f"--tls-cert={self.cert}", f"--tls-key={self.key}"]
 
 
 @attrs.frozen(kw_only=True)
@@ -95,6 +113,8 @@
         Further arguments of every daemon.
     daemon_program : list of str
         Command that starts a daemon, `masticpostd` if not given.
+    tls : Tls, optional
+        Has daemons, upstreams and the rating service listen with TLS.
     """
 
     def __init__(
@@ -103,7 +123,9 @@
         plan: layout.Layout,
         daemon_args: list[str] | None = None,
         daemon_program: list[str] | None = None,
+        tls: Tls | None = None,
     ) -> None:
+        self.tls = tls
         self.plan = plan
         self.daemon_args = daemon_args or []
         self.daemon_program = daemon_program or [procs.program("masticpostd")]
@@ -116,7 +138,8 @@
         self._next_caller = 0
 
     async def __aenter__(self) -> "Deployment":
-        connector = aiohttp.TCPConnector(limit=0)
+        trust = ssl.create_default_context(cafile=self.tls.ca) if self.tls else True
+        connector = aiohttp.TCPConnector(limit=0, ssl=trust)
         self.http = aiohttp.ClientSession(
             connector=connector, timeout=aiohttp.ClientTimeout(total=90)
         )
@@ -170,10 +193,17 @@
             "--config",
             json.dumps(config),
         ]
+        has_tls = self.tls is not None and kind in TLS_KINDS
+        if has_tls:
+            args += self.tls.server_args
         proc = procs.Proc(name=name, args=args, log_path=self.dir / f"{name}.log")
         proc.start()
         self.standins[name] = StandIn(
-            name=name, proc=proc, port=port, control_port=control_port
+            name=name,
+            proc=proc,
+            port=port,
+            control_port=control_port,
+            scheme="https" if has_tls else "http",
         )
 
     def start_daemon(self, name: str, domain: str, *extra: str) -> Daemon:
@@ -192,6 +222,8 @@
             *self.daemon_args,
             *extra,
         ]
+        if self.tls is not None:
+            args += [*self.tls.server_args, f"--upstream-ca={self.tls.ca}"]
         env = {
             "MASTICPOST_PEER_KEYS": self.peer_key,
             "MASTICPOST_ADMIN_KEY": layout.ADMIN_KEY,
@@ -201,7 +233,12 @@
         proc = procs.Proc(name=name, args=args, log_path=log_path, env=env)
         proc.start()
         daemon = Daemon(
-            name=name, domain=domain, proc=proc, port=port, peer_port=peer_port
+            name=name,
+            domain=domain,
+            proc=proc,
+            port=port,
+            peer_port=peer_port,
+            scheme="https" if self.tls is not None else "http",
         )
         self.daemons[name] = daemon
         return daemon
--- a/libs/masticpost-cli/src/masticpost_cli/main.py
+++ b/libs/masticpost-cli/src/masticpost_cli/main.py
@@ -57,6 +57,7 @@
   --namespace NAME  Namespace (MASTICPOST_NAMESPACE) [default: masticpost].
   --entry URL       Any instance or the balancer (MASTICPOST_ENTRY).
   --admin-key KEY   Operators' key (MASTICPOST_ADMIN_KEY).
+  --ca FILE         Authority that instances' certificates are of (MASTICPOST_CA).
   --seen N          Generation the edit was made from (default: the head's).
   --generation N    Which generation to show.
   --from N          Older generation.
--- a/libs/masticpost-cli/src/masticpost_cli/report.py
+++ b/libs/masticpost-cli/src/masticpost_cli/report.py
@@ -31,7 +31,7 @@
     overview = await status.collect(ses)
     members = [m for m in overview.instances[0].members if m.http]
     names = {row.instance for row in overview.instances}
-    urls = [f"http://{m.http}/admin/burn" for m in members if m.name in names]
+    urls = [f"{m.http}/admin/burn" for m in members if m.name in names]
     reports = await asyncio.gather(*(ses.fetch(url, admin.BurnReport) for url in urls))
     series = [item for report in reports for item in report.series]
     return burn.merge(series, now_s=time.time())
--- a/libs/masticpost-cli/src/masticpost_cli/session.py
+++ b/libs/masticpost-cli/src/masticpost_cli/session.py
@@ -3,6 +3,7 @@
 import collections.abc
 import getpass
 import pathlib
+import ssl
 import sys
 import typing
 
@@ -87,6 +88,16 @@
             )
         return self.opened_store
 
+    def _tls(self) -> ssl.SSLContext | bool:
+        """Return how instances are verified: by --ca, or by the system's defaults."""
+        name = self.option("ca")
+        if not name:
+            return True
+        try:
+            return ssl.create_default_context(cafile=name)
+        except (OSError, ssl.SSLError) as exc:
+            raise UsageError(f"cannot read --ca {name}: {exc}") from exc
+
     async def fetch(self, url: str, kind: type[T]) -> T:
         """Return an operators' page of an instance.
 
@@ -97,7 +108,8 @@
         """
         if self.http is None:
             timeout = aiohttp.ClientTimeout(total=HTTP_TIMEOUT_S)
-            self.http = aiohttp.ClientSession(timeout=timeout)
+            connector = aiohttp.TCPConnector(ssl=self._tls())
+            self.http = aiohttp.ClientSession(timeout=timeout, connector=connector)
         headers = {"Authorization": f"Bearer {self.needed('admin-key')}"}
         try:
             async with self.http.get(url, headers=headers) as resp:
--- a/libs/masticpost-cli/src/masticpost_cli/status.py
+++ b/libs/masticpost-cli/src/masticpost_cli/status.py
@@ -26,7 +26,7 @@
     entry = ses.needed("entry").rstrip("/")
     first = await ses.fetch(f"{entry}/admin/status", admin.Status)
     alive = [m for m in first.members if m.state in ("alive", "suspect") and m.http]
-    urls = {m.name: f"http://{m.http}/admin/status" for m in alive}
+    urls = {m.name: f"{m.http}/admin/status" for m in alive}
     overview = Overview(head_generation=await _head_generation(ses), instances=[])
     answers = await asyncio.gather(
         *(ses.fetch(url, admin.Status) for url in urls.values()),
--- a/libs/masticpost-daemon/src/masticpost_daemon/instance.py
+++ b/libs/masticpost-daemon/src/masticpost_daemon/instance.py
@@ -21,7 +21,7 @@
     views,
 )
 from masticpost_store import client, instances
-from masticpost_upstream import engine, plain
+from masticpost_upstream import engine, plain, rating
 
 from masticpost_daemon import listing, settings
 
@@ -52,7 +52,9 @@
             seeds=[str(seed) for seed in cfg.seeds],
         )
         self.orders = giver.OrderGiver(
-            shards=self.rt.agreed.shards, texts=self.rt.agreed.keeper
+            shards=self.rt.agreed.shards,
+            texts=self.rt.agreed.keeper,
+            tls=_upstream_tls(cfg),
         )
         self.doubts = doubts.Doubts(rt=self.rt)
         self.learning = learning.Learning(rt=self.rt)
@@ -154,7 +156,7 @@
         domain=cfg.domain,
         advertise=str(cfg.peer_advertise),
         seed=peers.incarnation,
-        http=str(cfg.listen),
+        http=f"{'https' if cfg.tls_cert else 'http'}://{cfg.listen}",
     )
     shards = directory.Directory(
         store=store,
@@ -208,14 +210,20 @@
 
 
 def _clients(cfg: settings.Settings) -> runtime.Clients:
-    tls = None
-    if cfg.upstream_ca:
-        tls = ssl.create_default_context(cafile=cfg.upstream_ca)
+    tls = _upstream_tls(cfg)
     return runtime.Clients(
-        engines=engine.EngineClient(tls=tls), services=plain.PlainClient(tls=tls)
+        engines=engine.EngineClient(tls=tls),
+        services=plain.PlainClient(tls=tls),
+        ratings=rating.RatingClient(tls=tls),
     )
 
 
+def _upstream_tls(cfg: settings.Settings) -> ssl.SSLContext | None:
+    if not cfg.upstream_ca:
+        return None
+    return ssl.create_default_context(cafile=cfg.upstream_ca)
+
+
 def _server_tls(cfg: settings.Settings) -> ssl.SSLContext | None:
     if not cfg.tls_cert:
         return None
--- a/libs/masticpost-orders/src/masticpost_orders/client.py
+++ b/libs/masticpost-orders/src/masticpost_orders/client.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import ssl
 
 import aiohttp
 import attrs
@@ -57,9 +58,16 @@
 
 
 class OrderClient:
-    """HTTP client of the engines' orders."""
+    """HTTP client of the engines' orders.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    tls : ssl.SSLContext or None
+        Used for https engines; None for the system's defaults.
+    """
+
+    def __init__(self, *, tls: ssl.SSLContext | None = None) -> None:
+        self._tls = tls
         self._http: aiohttp.ClientSession | None = None
 
     async def close(self) -> None:
@@ -71,7 +79,9 @@
     def _session(self) -> aiohttp.ClientSession:
         if self._http is None:
             timeout = aiohttp.ClientTimeout(total=DELIVERY_LIMIT_S)
-            self._http = aiohttp.ClientSession(timeout=timeout)
+            tls = self._tls if self._tls is not None else True
+            connector = aiohttp.TCPConnector(ssl=tls)
+            self._http = aiohttp.ClientSession(timeout=timeout, connector=connector)
         return self._http
 
     async def loaded(self, url: str) -> list[ModelRow] | None:
--- a/libs/masticpost-orders/src/masticpost_orders/giver.py
+++ b/libs/masticpost-orders/src/masticpost_orders/giver.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import ssl
 import time
 
 import mode
@@ -34,13 +35,21 @@
         Tells whether this instance owns the orders' shard.
     texts : keeper.Keeper
         The text in force.
+    tls : ssl.SSLContext, optional
+        Used for https engines.
     """
 
-    def __init__(self, *, shards: directory.Directory, texts: keeper.Keeper) -> None:
+    def __init__(
+        self,
+        *,
+        shards: directory.Directory,
+        texts: keeper.Keeper,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
         super().__init__()
         self.shards = shards
         self.texts = texts
-        self.client = client.OrderClient()
+        self.client = client.OrderClient(tls=tls)
         self.given = 0
         self._next_load = 0.0
         self._unwanted_since: dict[tuple[str, str], float] = {}
--- a/libs/masticpost-standins/src/masticpost_standins/control.py
+++ b/libs/masticpost-standins/src/masticpost_standins/control.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import ssl
 import typing
 
 import attrs
@@ -31,6 +32,7 @@
         self.faults = faults
         self.counts = counts
         self.actions: dict[str, Action] = {}
+        self.tls: ssl.SSLContext | None = None
         self._runners: list[web.AppRunner] = []
 
     def make_app(self) -> web.Application:
@@ -39,20 +41,27 @@
 
     async def start(self, host: str, port: int, control_port: int) -> None:
         """Listen on both ports."""
-        await self._listen(self.make_app(), host, port)
-        await self._listen(self._control_app(), host, control_port)
+        await self._listen(self.make_app(), host, port, self.tls)
+        await self._listen(self._control_app(), host, control_port, None)
 
     async def stop(self) -> None:
         """Stop listening."""
         for runner in self._runners:
             await runner.cleanup()
 
-    async def _listen(self, app: web.Application, host: str, port: int) -> None:
+    async def _listen(
+        self,
+        app: web.Application,
+        host: str,
+        port: int,
+        tls: ssl.SSLContext | None,
+    ) -> None:
         runner = web.AppRunner(
             app, access_log=None, handler_cancellation=True, shutdown_timeout=0
         )
         await runner.setup()
-        await web.TCPSite(runner, host, port, backlog=1024).start()
+        site = web.TCPSite(runner, host, port, backlog=1024, ssl_context=tls)
+        await site.start()
         self._runners.append(runner)
 
     def _control_app(self) -> web.Application:
--- a/libs/masticpost-standins/src/masticpost_standins/main.py
+++ b/libs/masticpost-standins/src/masticpost_standins/main.py
@@ -3,12 +3,14 @@
 import asyncio
 import logging
 import signal
+import ssl
 
 import docopt
 import msgspec
 import uvloop
 
 from masticpost_standins import (
+    control,
     engine,
     instancelist,
     objectapi,
@@ -30,6 +32,7 @@
 
 Usage:
   masticpost-standin KIND --port PORT --control-port PORT [--config JSON]
+                     [--tls-cert FILE --tls-key FILE]
 
 KIND is one of: {", ".join(KINDS)}.
 
@@ -37,6 +40,8 @@
   --port PORT          Service port on loopback.
   --control-port PORT  Control port on loopback.
   --config JSON        What the stand-in is like [default: {{}}].
+  --tls-cert FILE      Certificate chain of the service port.
+  --tls-key FILE       Its private key.
 """
 
 
@@ -45,16 +50,19 @@
     args = docopt.docopt(USAGE)
     config_type, kind = KINDS[args["KIND"]]
     cfg = msgspec.json.decode(args["--config"], type=config_type)
-    uvloop.run(_run(kind, cfg, int(args["--port"]), int(args["--control-port"])))
+    standin = kind(cfg=cfg)
+    if args["--tls-cert"]:
+        standin.tls = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        standin.tls.load_cert_chain(args["--tls-cert"], args["--tls-key"])
+    uvloop.run(_run(standin, int(args["--port"]), int(args["--control-port"])))
 
 
-async def _run(kind: type, cfg: object, port: int, control_port: int) -> None:
+async def _run(standin: control.StandIn, port: int, control_port: int) -> None:
     logging.basicConfig(level=logging.WARNING)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    standin = kind(cfg=cfg)
     await standin.start("127.0.0.1", port, control_port)
     await stop.wait()
     await standin.stop()
--- a/libs/masticpost-upstream/src/masticpost_upstream/rating.py
+++ b/libs/masticpost-upstream/src/masticpost_upstream/rating.py
@@ -1,5 +1,7 @@
 """Client of the service that rates answers."""
 
+import ssl
+
 import aiohttp
 import attrs
 from masticpost_common import codec
@@ -25,9 +27,16 @@
 
 
 class RatingClient:
-    """HTTP client of the rating service."""
+    """HTTP client of the rating service.
+
+    Parameters
+    ----------
+    tls : ssl.SSLContext or None
+        Used for an https service; None for the system's defaults.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, *, tls: ssl.SSLContext | None = None) -> None:
+        self._tls = tls
         self._http: aiohttp.ClientSession | None = None
 
     async def close(self) -> None:
@@ -40,7 +49,9 @@
         """Return the score, None when the service gives none in time."""
         if self._http is None:
             timeout = aiohttp.ClientTimeout(total=RATE_TIMEOUT_S)
-            self._http = aiohttp.ClientSession(timeout=timeout)
+            tls = self._tls if self._tls is not None else True
+            connector = aiohttp.TCPConnector(ssl=tls)
+            self._http = aiohttp.ClientSession(timeout=timeout, connector=connector)
         try:
             async with self._http.post(
                 f"{url}/v1/rate", data=codec.to_json(req)
