Read engines in turn, commit less often with more shards, pace the overhead run

Causes: CAPACITY.md had as over budget at the design size: 2,400 reads/s of the giver of orders, and 1,280 commits/s of 64 shards; latency at 64 connections was measured closed-loop only. Changes: the giver reads at most 100 engines a round that are not known to have what they are to serve, and 24 of the rest in turn (a version lost by an engine is found within 100 s at 2,400, at once up to 24 engines); a shard commits each 4 ms times the number of shards, at least 50 ms, so that all write at most 250/s; overhead is also measured at 400/s from when each request was due. Ruled out: engines that tell what they have (nothing of ours runs there).

--- a/libs/masticpost-bench/src/masticpost_bench/overhead.py
+++ b/libs/masticpost-bench/src/masticpost_bench/overhead.py
@@ -17,6 +17,7 @@
 LOWEST_US = 1
 HIGHEST_US = 60_000_000
 DIGITS = 3
+PACED_RATE_S = 400.0
 
 
 @attrs.define(kw_only=True)
@@ -28,6 +29,7 @@
     requests: int
     errors: int
     requests_s: float
+    is_paced: bool
     p50_ms: float
     p99_ms: float
     cpu_per_request_ms: float = 0.0
@@ -52,6 +54,8 @@
         for connections in (1, 64):
             rows.append(await _measure(dep, "direct", connections, seconds))
             rows.append(await _measure(dep, "instance", connections, seconds))
+        for target in ("direct", "instance"):
+            rows.append(await _measure(dep, target, 64, seconds, rate_s=PACED_RATE_S))
     _report(rows, pathlib.Path(str(args["--out"])))
     return 0 if not any(row.errors for row in rows) else 1
 
@@ -62,8 +66,13 @@
 
 
 async def _measure(
-    dep: deployment.Deployment, target: str, connections: int, seconds: float
+    dep: deployment.Deployment,
+    target: str,
+    connections: int,
+    seconds: float,
+    rate_s: float = 0.0,
 ) -> Measured:
+    """Measure closed-loop, or at `rate_s` from when each request was due."""
     hist = histogram.HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
     daemon = dep.pick("entry-0")
     until = time.monotonic() + seconds
@@ -71,9 +80,12 @@
     started = time.monotonic()
     connector = aiohttp.TCPConnector(limit=connections)
     async with aiohttp.ClientSession(connector=connector) as http:
-        errors = await asyncio.gather(
-            *(_worker(dep, http, target, until, hist) for _ in range(connections))
-        )
+        if rate_s:
+            errors = await _paced(dep, http, target, rate_s, seconds, hist)
+        else:
+            errors = await asyncio.gather(
+                *(_worker(dep, http, target, until, hist) for _ in range(connections))
+            )
     elapsed = time.monotonic() - started
     after = procs.usage(daemon.proc.pid)
     count = hist.get_total_count()
@@ -85,6 +97,7 @@
         requests=count,
         errors=sum(errors),
         requests_s=count / elapsed,
+        is_paced=rate_s > 0,
         p50_ms=hist.get_value_at_percentile(50) / 1000,
         p99_ms=hist.get_value_at_percentile(99) / 1000,
         cpu_per_request_ms=cpu_s / count * 1000 if is_instance else 0.0,
@@ -101,6 +114,38 @@
     hist: histogram.HdrHistogram,
 ) -> int:
     """Send requests one after the other until the time is over."""
+    errors = 0
+    while time.monotonic() < until:
+        errors += await _send(dep, http, target, time.monotonic(), hist)
+    return errors
+
+
+async def _paced(
+    dep: deployment.Deployment,
+    http: aiohttp.ClientSession,
+    target: str,
+    rate_s: float,
+    seconds: float,
+    hist: histogram.HdrHistogram,
+) -> list[int]:
+    """Send requests at a rate, whatever the answers take."""
+    started = time.monotonic()
+    tasks = []
+    for number in range(round(rate_s * seconds)):
+        due = started + number / rate_s
+        await asyncio.sleep(max(0.0, due - time.monotonic()))
+        tasks.append(asyncio.create_task(_send(dep, http, target, due, hist)))
+    return await asyncio.gather(*tasks)
+
+
+async def _send(
+    dep: deployment.Deployment,
+    http: aiohttp.ClientSession,
+    target: str,
+    due: float,
+    hist: histogram.HdrHistogram,
+) -> int:
+    """Send one request, record the time since it was due; returns 1 for an error."""
     if target == "direct":
         url, model = dep.standins["engine-0"].url, "small-1"
     else:
@@ -109,17 +154,12 @@
     headers = {"Authorization": f"Bearer {key}", "Content-Type": "application/json"}
     message = {"role": "user", "content": PROMPT}
     body = msgspec.json.encode({"model": model, "messages": [message]})
-    errors = 0
-    while time.monotonic() < until:
-        started = time.monotonic()
-        async with http.post(
-            f"{url}/v1/chat/completions", data=body, headers=headers
-        ) as resp:
-            await resp.read()
-        if resp.status != 200:
-            errors += 1
-        hist.record_value(int((time.monotonic() - started) * 1e6))
-    return errors
+    async with http.post(
+        f"{url}/v1/chat/completions", data=body, headers=headers
+    ) as resp:
+        await resp.read()
+    hist.record_value(int((time.monotonic() - due) * 1e6))
+    return int(resp.status != 200)
 
 
 def _report(rows: list[Measured], out: pathlib.Path) -> None:
@@ -128,7 +168,8 @@
     (out / "overhead.json").write_text(json.dumps(data, indent=2))
     for row in rows:
         print(
-            f"{row.target:<9} {row.connections:>3} conn  {row.requests_s:>8.0f}/s  "
+            f"{row.target:<9} {row.connections:>3} conn  {row.requests_s:>8.0f}/s "
+            f"{'paced' if row.is_paced else 'closed'}  "
             f"p50 {row.p50_ms:>7.2f} ms  p99 {row.p99_ms:>7.2f} ms  "
             f"cpu {row.cpu_per_request_ms:.3f} ms/req  "
             f"{row.requests_per_core_s:>6.0f} req/core-s  "
--- a/libs/masticpost-orders/src/masticpost_orders/giver.py
+++ b/libs/masticpost-orders/src/masticpost_orders/giver.py
@@ -21,6 +21,8 @@
 
 ORDERS_KEY = "orders"
 ROUND_S = 1.0
+READS_IN_TURN = 24
+MAX_READS_OPEN = 100
 UNLOAD_AFTER_S = 5.0
 BUSY_PAUSE_S = 2.0
 SETTLE_IN_S = owner.LEASE_S + client.DELIVERY_LIMIT_S
@@ -52,6 +54,8 @@
         self.client = client.OrderClient(tls=tls)
         self.given = 0
         self._next_load = 0.0
+        self._turn = 0
+        self._confirmed: dict[str, tuple[str, ...]] = {}
         self._unwanted_since: dict[tuple[str, str], float] = {}
 
     async def on_stop(self) -> None:
@@ -75,16 +79,44 @@
                 await self._round(self.texts.in_force.text)
 
     async def _round(self, text: model.Text) -> None:
-        engines = [up for up in text.upstreams.values() if _is_engine(text, up)]
+        engines = self._due(text)
         loaded = await asyncio.gather(
             *(self.client.loaded(up.url.rstrip("/")) for up in engines)
         )
         for up, versions in zip(engines, loaded, strict=True):
             if versions is None:
                 continue
-            for order in self._orders(text, up, versions):
+            orders = self._orders(text, up, versions)
+            if not orders and not self._waits_to_unload(up):
+                self._confirmed[up.name] = _wanted(text, up)
+            for order in orders:
                 await self._give(up, order)
 
+    def _due(self, text: model.Text) -> list[model.Upstream]:
+        """Return the engines to read in this round.
+
+        Those that are not known to have what they are to serve come first; of the rest
+        a few in turn, so that one that lost a version is found.
+        """
+        engines = [up for up in text.upstreams.values() if _is_engine(text, up)]
+        names = {up.name for up in engines}
+        for name in [name for name in self._confirmed if name not in names]:
+            del self._confirmed[name]
+        is_open = [
+            up for up in engines if self._confirmed.get(up.name) != _wanted(text, up)
+        ]
+        rest = [up for up in engines if up not in is_open]
+        return is_open[:MAX_READS_OPEN] + self._in_turn(rest)
+
+    def _in_turn(self, engines: list[model.Upstream]) -> list[model.Upstream]:
+        count = min(READS_IN_TURN, len(engines))
+        picked = [engines[(self._turn + i) % len(engines)] for i in range(count)]
+        self._turn += count
+        return picked
+
+    def _waits_to_unload(self, up: model.Upstream) -> bool:
+        return any(name == up.name for name, _ in self._unwanted_since)
+
     def _orders(
         self, text: model.Text, up: model.Upstream, loaded: list[client.ModelRow]
     ) -> list[client.Order]:
@@ -147,6 +179,12 @@
         return now >= own.owned_since + SETTLE_IN_S
 
 
+def _wanted(text: model.Text, up: model.Upstream) -> tuple[str, ...]:
+    """Return the versions that an engine is to have loaded."""
+    versions = [text.versions[name] for name in up.serves if name in text.versions]
+    return tuple(sorted(ver.name for ver in versions if ver.state != "withdrawn"))
+
+
 def _is_engine(text: model.Text, up: model.Upstream) -> bool:
     return any(name in text.versions for name in up.serves)
 
--- a/libs/masticpost-shards/src/masticpost_shards/directory.py
+++ b/libs/masticpost-shards/src/masticpost_shards/directory.py
@@ -173,6 +173,7 @@
             is_running=self.is_running,
             settle_after_s=self.settle_after_s,
             held_permits=self.held_permits,
+            shard_count=self.shard_count,
         )
         self.owners[shard] = started
         await started.start()
--- a/libs/masticpost-shards/src/masticpost_shards/owner.py
+++ b/libs/masticpost-shards/src/masticpost_shards/owner.py
@@ -19,6 +19,7 @@
 from masticpost_shards import log, ops, records, state
 
 COMMIT_INTERVAL_S = 0.05
+COMMIT_S_PER_SHARD = 0.004
 RETRY_PAUSE_S = 0.1
 RETRY_MAX_PAUSE_S = 1.0
 LOST_PAUSE_S = 0.3
@@ -62,6 +63,15 @@
 HeldPermits = collections.abc.Callable[[int], list[records.HeldPermit]]
 
 
+def commit_interval_s(shard_count: int) -> float:
+    """Return the least time between two commits of a shard, in seconds.
+
+    It grows with the number of shards, so that all of them together write at most
+    1 / `COMMIT_S_PER_SHARD` batches a second.
+    """
+    return max(COMMIT_INTERVAL_S, COMMIT_S_PER_SHARD * shard_count)
+
+
 def no_permits(shard: int) -> list[records.HeldPermit]:
     """Return no permits; for an owner without a desk."""
     return []
@@ -89,6 +99,8 @@
         Seconds after which the open bill of an ended instance is settled.
     held_permits : callable, optional
         Returns the permits of a shard that are in use, for its next owner.
+    shard_count : int
+        Number of shards of the deployment, which sets the commit interval.
     """
 
     def __init__(
@@ -100,6 +112,7 @@
         is_running: ops.IsRunning,
         settle_after_s: float = SETTLE_AFTER_S,
         held_permits: HeldPermits | None = None,
+        shard_count: int = 1,
     ) -> None:
         super().__init__()
         self.store = store
@@ -108,6 +121,7 @@
         self.is_running = is_running
         self.settle_after_s = settle_after_s
         self.held_permits = held_permits or no_permits
+        self.interval_s = commit_interval_s(shard_count)
         self.journal = log.Log(store=store, shard=shard, run=run)
         self.working: state.State | None = None
         self.epoch = -1
@@ -246,7 +260,7 @@
             if self.journal.snapshot_is_due():
                 await self.journal.write_snapshot(wall_ms())
                 self.working.prune(wall_ms())
-            await asyncio.sleep(COMMIT_INTERVAL_S)
+            await asyncio.sleep(self.interval_s)
 
     async def _release(self) -> None:
         """Tell the next owner that this one does nothing more."""
--- a/libs/masticpost-shards/testing/test_owner.py
+++ b/libs/masticpost-shards/testing/test_owner.py
@@ -15,7 +15,8 @@
 
 @pytest.fixture(autouse=True)
 def short_pauses(monkeypatch):
-    for name in ("COMMIT_INTERVAL_S", "RETRY_PAUSE_S", "RETRY_MAX_PAUSE_S"):
+    names = ("COMMIT_INTERVAL_S", "RETRY_PAUSE_S", "RETRY_MAX_PAUSE_S")
+    for name in (*names, "COMMIT_S_PER_SHARD"):
         monkeypatch.setattr(owner, name, 0.001)
     monkeypatch.setattr(owner, "LOST_PAUSE_S", 0.008)
     monkeypatch.setattr(log, "RING_SLOTS", 32)
