--- a/libs/masticpost-bench/src/masticpost_bench/runs.py
+++ b/libs/masticpost-bench/src/masticpost_bench/runs.py
@@ -17,6 +17,7 @@
 QUALITY = re.compile(rb"q=([0-9.]+)")
 USAGE = re.compile(rb'"completion_tokens":(\d+),"prompt_tokens":(\d+)')
 MANUAL = "Manual of line 4: torque, caps, labels, cleaning cycles. " * 40
+NEW_VERSION = layout.NEW_VERSION
 WARM_UP = 600
 WARM_UP_AT_ONCE = 16
 
@@ -35,7 +36,6 @@
     total_s: float = 0.0
     gap_s: float = 0.0
     quality: float = -1.0
-    version: str = ""
     cost: float = 0.0
     prompt_tokens: int = 0
     output_tokens: int = 0
@@ -46,12 +46,21 @@
         return self.status in (200, 201)
 
 
+@attrs.define(kw_only=True)
+class Fired:
+    """The requests of a run, and what engines got for a version that is rolled out."""
+
+    shots: list[Shot]
+    exposed: int
+    last_s: float
+
+
 @attrs.define(kw_only=True)
 class Row:
     """Summary of a run under one policy; times in milliseconds.
 
-    `exposed` counts the answers of a version that is rolled out, the last one of a
-    request that was due after `exposed_until_s` seconds.
+    `exposed` counts what engines got for a version that is rolled out, warm-up
+    included; the last one came `exposed_until_s` seconds after the first request.
     """
 
     scenario: str
@@ -84,8 +93,9 @@
     rows = []
     for seed in range(1, int(str(args["--seeds"])) + 1):
         for policy in str(args["--policy"]).split(","):
-            shots = await fire(plan, scenarios.SCENARIOS.get(name), policy, seed)
-            row = summarize(plan, scenarios.SCENARIOS.get(name), policy, seed, shots)
+            chosen = scenarios.SCENARIOS.get(name)
+            fired = await fire(plan, chosen, policy, seed)
+            row = summarize(plan, chosen, policy, seed, fired)
             rows.append(row)
             print(_line(row), flush=True)
     out = pathlib.Path(str(args["--out"]))
@@ -98,7 +108,7 @@
 
 async def fire(
     plan: layout.Layout, chosen: scenarios.Scenario, policy: str, seed: int
-) -> list[Shot]:
+) -> Fired:
     """Run a scenario once and return every request."""
     plan = scenarios.under_policy(chosen.prepare(plan), policy)
     async with deployment.Deployment(plan=plan) as dep:
@@ -107,7 +117,15 @@
         shots = await _open_loop(dep, chosen, seed)
         timeline.cancel()
         await asyncio.gather(timeline, return_exceptions=True)
-    return shots
+        rows = [await dep.counts(engine.name) for engine in dep.plan.engines]
+    times = [at for row in rows for at in row["dispatches"].get(NEW_VERSION, [])]
+    return Fired(shots=shots, exposed=len(times), last_s=_span(rows, times))
+
+
+def _span(rows: list[dict], times: list[float]) -> float:
+    """Return the seconds from the first request of all to the last of `times`."""
+    every = [at for row in rows for found in row["dispatches"].values() for at in found]
+    return max(times) - min(every) if times else 0.0
 
 
 async def _warm_up(dep: deployment.Deployment) -> None:
@@ -194,7 +212,6 @@
         shot.status = resp.status
         shot.ran = resp.headers.get("X-Request-Ran", "")
         shot.cost = float(resp.headers.get("X-Request-Cost", 0.0))
-        shot.version = resp.headers.get("X-Model-Version", "")
     except (aiohttp.ClientError, TimeoutError, OSError):
         shot.status = 0
     shot.total_s = time.monotonic() - started
@@ -227,16 +244,16 @@
     chosen: scenarios.Scenario,
     policy: str,
     seed: int,
-    shots: list[Shot],
+    fired: Fired,
 ) -> Row:
     """Return the summary of a run."""
+    shots = fired.shots
     good = [s for s in shots if s.is_good]
     models = [s for s in good if s.quality >= 0]
     low, high = chosen.window
     inside = [s for s in shots if low <= s.due < high]
     inside_good = [s for s in inside if s.is_good]
     firsts = [s.first_s for s in models]
-    exposed = [s for s in good if s.version == layout.NEW_VERSION]
     return Row(
         scenario=chosen.name,
         policy=policy,
@@ -255,8 +272,8 @@
         total_p99=_percentile([s.total_s for s in good], 0.99),
         window_answered=len(inside_good) / max(1, len(inside)),
         window_total_p99=_percentile([s.total_s for s in inside_good], 0.99),
-        exposed=len(exposed),
-        exposed_until_s=max((s.due for s in exposed), default=0.0),
+        exposed=fired.exposed,
+        exposed_until_s=fired.last_s,
         codes=dict(collections.Counter(s.code for s in shots if s.code)),
     )
 
