End suspicion after an hour, everywhere

Ruled out: pruning alone (the view is pushed and asked for by count only). Change: news carry the time of the last crash, counts end with it, deciders count the last hour, 50,000 suspects are kept.

--- a/libs/masticpost-shards/src/masticpost_shards/ops.py
+++ b/libs/masticpost-shards/src/masticpost_shards/ops.py
@@ -297,7 +297,7 @@
 ) -> Decision:
     """Count the upstreams that the request may have crashed."""
     writes = [op.crash] if working.add_crash(op.crash) else []
-    count = len(working.crashes[op.crash.fingerprint])
+    count = len(working.recent_crashes(op.crash.fingerprint, op.crash.at))
     return Decision(reply=CrashReply(count=count), writes=writes)
 
 
--- a/libs/masticpost-shards/src/masticpost_shards/state.py
+++ b/libs/masticpost-shards/src/masticpost_shards/state.py
@@ -138,12 +138,17 @@
 
     def add_crash(self, crash: records.Crash) -> bool:
         """Count a crash, once however often it is told."""
-        known = self.crashes.setdefault(crash.fingerprint, [])
+        known = self.recent_crashes(crash.fingerprint, crash.at)
         if any(item.nonce == crash.nonce for item in known):
             return False
-        known.append(crash)
+        self.crashes[crash.fingerprint] = [*known, crash]
         return True
 
+    def recent_crashes(self, fingerprint: str, now_ms: int) -> list[records.Crash]:
+        """Return the crashes of a request that still count."""
+        rows = self.crashes.get(fingerprint, [])
+        return [row for row in rows if now_ms - row.at < CRASH_KEPT_MS]
+
     def add_trial(self, trial: records.Trial) -> bool:
         """Record a stop or a stage, unless what is known is as far."""
         if not trial.is_after(self.trials.get(trial.version)):
--- a/libs/masticpost-shards/src/masticpost_shards/views.py
+++ b/libs/masticpost-shards/src/masticpost_shards/views.py
@@ -13,20 +13,22 @@
 import mode
 from masticpost_peers import hub, messages
 
-from masticpost_shards import directory, ops, owner, records
+from masticpost_shards import directory, ops, owner, records, state
 
 PUSH_TIMEOUT_S = 0.4
 ASK_PERIOD_S = 1.0
 ASK_TIMEOUT_S = 1.0
 QUARANTINE_AFTER = 2
+MAX_SUSPECTS = 50_000
 
 
 @attrs.frozen(kw_only=True)
 class Suspect:
-    """A request that may have crashed `count` upstreams."""
+    """A request that may have crashed `count` upstreams, the last one `at` (ms)."""
 
     fingerprint: str
     count: int
+    at: int
 
 
 @messages.message("view-news")
@@ -61,7 +63,7 @@
         self.shards = shards
         self.is_complete = False
         self._warmth: dict[str, records.Warmth] = {}
-        self._suspects: dict[str, int] = {}
+        self._suspects: dict[str, Suspect] = {}
         self._trials: dict[str, records.Trial] = {}
         shards.peers.handle(ViewNews, self._on_news)
         shards.peers.handle(ViewAsk, self._on_ask)
@@ -72,8 +74,14 @@
         return known is not None and known.warm
 
     def crash_count(self, fingerprint: str) -> int:
-        """Return how many upstreams the request may have crashed."""
-        return self._suspects.get(fingerprint, 0)
+        """Return how many upstreams the request may have crashed of late."""
+        known = self._suspects.get(fingerprint)
+        if known is None:
+            return 0
+        if owner.wall_ms() - known.at < state.CRASH_KEPT_MS:
+            return known.count
+        del self._suspects[fingerprint]
+        return 0
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """Tell whether the request must not run any more."""
@@ -151,7 +159,8 @@
         reply = await self._commit(ops.CrashTell(shard=shard, crash=crash))
         known = self.crash_count(fingerprint)
         count = reply.count if isinstance(reply, ops.CrashReply) else known + 1
-        news = ViewNews(suspects=[Suspect(fingerprint=fingerprint, count=count)])
+        suspect = Suspect(fingerprint=fingerprint, count=count, at=crash.at)
+        news = ViewNews(suspects=[suspect])
         self._learn(news)
         await self._push(news)
         return count
@@ -191,9 +200,14 @@
         own = self.shards.owners.get(shard)
         if own is None or not own.is_serving:
             return ops.NotOwner()
+        recent = [
+            own.working.recent_crashes(fingerprint, owner.wall_ms())
+            for fingerprint in own.working.crashes
+        ]
         suspects = [
-            Suspect(fingerprint=fingerprint, count=len(rows))
-            for fingerprint, rows in own.working.crashes.items()
+            Suspect(fingerprint=rows[-1].fingerprint, count=len(rows), at=rows[-1].at)
+            for rows in recent
+            if rows
         ]
         return ViewNews(
             warmth=list(own.working.warmth.values()),
@@ -210,8 +224,16 @@
             if trial.is_after(self._trials.get(trial.version)):
                 self._trials[trial.version] = trial
         for suspect in news.suspects:
-            known_count = self._suspects.get(suspect.fingerprint, 0)
-            self._suspects[suspect.fingerprint] = max(known_count, suspect.count)
+            self._suspect(suspect)
+
+    def _suspect(self, suspect: Suspect) -> None:
+        """Keep the higher count; of too many suspects the oldest is forgotten."""
+        if self.crash_count(suspect.fingerprint) > suspect.count:
+            return
+        self._suspects.pop(suspect.fingerprint, None)
+        self._suspects[suspect.fingerprint] = suspect
+        if len(self._suspects) > MAX_SUSPECTS:
+            del self._suspects[next(iter(self._suspects))]
 
     @mode.Service.task
     async def ask_loop(self) -> None:
