End a stream's trial at its next tokens

Ruled out: trials in groups (a second crash blames the group), no trial for those that had run for a while (a late crash would never count). Change: the trial permits go back once two more tokens came from where the stream was cut.

--- a/libs/masticpost-entry/src/masticpost_entry/streams.py
+++ b/libs/masticpost-entry/src/masticpost_entry/streams.py
@@ -19,6 +19,7 @@
     "X-Accel-Buffering": "no",
 }
 WRITE_TIMEOUT_S = 10.0
+TRIAL_TOKENS = 2
 
 
 @attrs.define(kw_only=True)
@@ -104,8 +105,11 @@
     begun = False
     started = time.monotonic()
     first_s: float | None = None
+    had = run.tokens
     try:
-        async with suspects.trial(rt, run.job.call, run.job.fingerprint, place):
+        async with suspects.trial(
+            rt, run.job.call, run.job.fingerprint, place
+        ) as trial:
             routing.check_permit(place)
             begun = True
             routing.begin(rt, place, need)
@@ -119,6 +123,8 @@
                     if first_s is None:
                         first_s = time.monotonic() - started
                     await _pass_on(run, req, chunk)
+                    if run.tokens >= had + TRIAL_TOKENS:
+                        trial.end()
     except faults.UpstreamError as exc:
         attempts.count_failure(rt, place, need, exc, begun)
         raise
--- a/libs/masticpost-entry/src/masticpost_entry/suspects.py
+++ b/libs/masticpost-entry/src/masticpost_entry/suspects.py
@@ -4,13 +4,19 @@
 suspect runs again only alone among suspects on an upstream, and never twice at a
 time, so that a second crash tells which request it was. After the second one the
 request is refused everywhere.
+
+A stream goes on from where it was cut. Once its next tokens come, what crashed the
+upstream there did not crash this one: the trial is over, and the next suspect's begins,
+long before the stream ends.
 """
 
 import asyncio
 import collections.abc
 import contextlib
 
+import attrs
 from masticpost_common import errors
+from masticpost_shards import permits
 from masticpost_upstream import faults
 
 from masticpost_entry import intake, routing, runtime
@@ -29,28 +35,51 @@
         )
 
 
+@attrs.define(kw_only=True)
+class Trial:
+    """A run of a request; a suspect's holds trial permits."""
+
+    pool: permits.Permits
+    held: list[permits.Permit] = attrs.field(factory=list)
+
+    def end(self) -> None:
+        """Return the permits; the run may go on."""
+        for permit in self.held:
+            self.pool.release(permit)
+        self.held.clear()
+
+
 @contextlib.asynccontextmanager
 async def trial(
     rt: runtime.Runtime, call: intake.Call, fingerprint: str, place: routing.Place
-) -> collections.abc.AsyncIterator[None]:
+) -> collections.abc.AsyncIterator[Trial]:
     """Hold the trial permits of a suspect while it runs; others just run."""
-    if rt.agreed.views.crash_count(fingerprint) == 0:
-        yield
-        return
-    pool = rt.agreed.permits
-    names = (f"suspect:{fingerprint}", f"trial:{place.upstream.name}")
-    async with contextlib.AsyncExitStack() as stack:
-        for name in names:
-            permit = None
-            while permit is None:
-                check(rt, fingerprint)
-                _check_time(call)
-                permit = await pool.acquire(name, 1)
-                if permit is None:
-                    await asyncio.sleep(TRIAL_POLL_S)
-            stack.callback(pool.release, permit)
-        check(rt, fingerprint)
-        yield
+    run = Trial(pool=rt.agreed.permits)
+    try:
+        if rt.agreed.views.crash_count(fingerprint):
+            await _acquire(rt, call, fingerprint, place, run)
+        yield run
+    finally:
+        run.end()
+
+
+async def _acquire(
+    rt: runtime.Runtime,
+    call: intake.Call,
+    fingerprint: str,
+    place: routing.Place,
+    run: Trial,
+) -> None:
+    for name in (f"suspect:{fingerprint}", f"trial:{place.upstream.name}"):
+        permit = None
+        while permit is None:
+            check(rt, fingerprint)
+            _check_time(call)
+            permit = await run.pool.acquire(name, 1)
+            if permit is None:
+                await asyncio.sleep(TRIAL_POLL_S)
+        run.held.append(permit)
+    check(rt, fingerprint)
 
 
 def _check_time(call: intake.Call) -> None:
--- a/testing/test_leaving.py
+++ b/testing/test_leaving.py
@@ -176,3 +176,34 @@
         await asyncio.sleep(1.0)
         others = [await dep.chat(f"fine {i} [len=2]") for i in range(8)]
         assert {reply.status for reply in others} == {200}
+
+
+async def test_streams_of_a_crashed_engine_go_on_together():
+    """Each is on trial only until its next tokens come, not until its end."""
+    plan = layout.small(instances=2, engines=2)
+    count = 16
+    async with deployment.Deployment(plan=plan) as dep:
+        await asyncio.gather(*(dep.chat(f"{i} [len=2]") for i in range(24)))
+        before = [await dep.counts(spec.name) for spec in plan.engines]
+        streams = [
+            asyncio.create_task(dep.chat(f"{i} [len=1500]", stream=True))
+            for i in range(count)
+        ]
+
+        async def all_begun():
+            rows = [await dep.counts(spec.name) for spec in plan.engines]
+            now = sum(row["requests"] for row in rows)
+            return now - sum(row["requests"] for row in before) >= count
+
+        await procs.wait_for(all_begun, "every stream to begin")
+        await dep.faults("engine-0", down_s=60.0)
+        await dep.act("engine-0", "crash")
+
+        async def all_moved():
+            row = await dep.counts("engine-1")
+            assert row["finished"] == before[1]["finished"], "one ended first"
+            return row["requests"] - before[1]["requests"] >= count
+
+        await procs.wait_for(all_moved, "every stream on the other engine", 60.0)
+        for task in streams:
+            task.cancel()
