Take an upstream for cold when its calls are cut, not when one line is

Cause (by reading): any cut connection told every instance that the upstream is cold, which left a busy engine the two calls of a cold one for at least 5 s; a network that drops one line of each engine would have taken the whole fleet down to that. Ruled out: ignoring cuts (a crash is then noticed only from refused connections). Change: an instance tells it when at least half of its calls that were at work there are cut within 50 ms, when it had no other call there, or when a connection is refused.

--- a/libs/masticpost-decide/src/masticpost_decide/tracker.py
+++ b/libs/masticpost-decide/src/masticpost_decide/tracker.py
@@ -17,6 +17,8 @@
 SLOW_FACTOR = 6.0
 SLOW_FLOOR_S = 1.0
 SLOW_SAMPLES = 20
+CUTS_KEPT = 256
+CRASH_SHARE = 0.5
 
 
 @attrs.define(kw_only=True)
@@ -35,6 +37,9 @@
     first_token_s: float = 0.0
     samples: int = 0
     prefixes: collections.OrderedDict = attrs.field(factory=collections.OrderedDict)
+    cuts: collections.deque[float] = attrs.field(
+        factory=lambda: collections.deque(maxlen=CUTS_KEPT)
+    )
 
     def load(self, now: float) -> float:
         """Return the outstanding work: reported and corrected, or only our own."""
@@ -101,6 +106,24 @@
             pause = min(BLOCK_MAX_S, BLOCK_FIRST_S * 2 ** min(extra, 8))
             self.blocked_until = now + pause
 
+    def cut(self, now: float) -> None:
+        """Note a connection that was cut while it was in use."""
+        self.cuts.append(now)
+        self.failed(now)
+
+    def may_have_crashed(self, since: float, others: int) -> bool:
+        """Tell whether cuts since a time look like a crash and not like one lost line.
+
+        Parameters
+        ----------
+        since : float
+            Monotonic time of the first cut.
+        others : int
+            Calls that were at work there beside the first one that was cut.
+        """
+        count = sum(at >= since for at in self.cuts)
+        return count >= 1 + CRASH_SHARE * others
+
     def refused(self, now: float) -> None:
         """Note a refused connection, which blocks the upstream at once."""
         self.failures_in_row = max(self.failures_in_row, FAILURES_TO_BLOCK - 1)
--- a/libs/masticpost-entry/src/masticpost_entry/routing.py
+++ b/libs/masticpost-entry/src/masticpost_entry/routing.py
@@ -14,6 +14,7 @@
 from masticpost_entry import intake, runtime, subset
 
 COLD_POLL_S = 0.1
+CUT_GRACE_S = 0.05
 COLD_WAIT_MAX_S = 2.0
 OVERLOAD_FACTOR = 2.0
 RETRY_AFTER_S = 1.0
@@ -256,10 +257,14 @@
     if exc.kind is faults.FaultKind.OVERLOADED:
         rt.gate.overloaded()
         return
-    if exc.kind in (faults.FaultKind.REFUSED, faults.FaultKind.CUT):
+    if exc.kind is faults.FaultKind.REFUSED:
         place.track.refused(now)
         _tell_cold(rt, place)
         return
+    if exc.kind is faults.FaultKind.CUT:
+        place.track.cut(now)
+        rt.agreed.views.add_future(_judge_cut(rt, place, now, place.track.outstanding))
+        return
     if exc.kind is faults.FaultKind.COLD:
         _tell_cold(rt, place)
         return
@@ -284,6 +289,19 @@
     )
 
 
+async def _judge_cut(
+    rt: runtime.Runtime, place: Place, since: float, others: int
+) -> None:
+    """Tell that an upstream is cold if it was not one line alone that was cut.
+
+    A crash cuts every call at work there; a call that is sent meanwhile is refused.
+    """
+    if others:
+        await asyncio.sleep(CUT_GRACE_S)
+    if place.track.may_have_crashed(since, others):
+        _tell_cold(rt, place)
+
+
 def _tell_cold(rt: runtime.Runtime, place: Place) -> None:
     if rt.agreed.views.is_warm(place.upstream.name):
         rt.agreed.views.add_future(rt.agreed.views.tell_cold(place.upstream.name))
--- a/testing/test_leaving.py
+++ b/testing/test_leaving.py
@@ -207,3 +207,45 @@
         await procs.wait_for(all_moved, "every stream on the other engine", 60.0)
         for task in streams:
             task.cancel()
+
+
+async def test_one_cut_line_does_not_make_an_upstream_cold():
+    """Taken for a crash, it would leave a busy engine the load of a cold one."""
+    async with deployment.Deployment(plan=layout.small(instances=1)) as dep:
+
+        async def is_warm(name):
+            rows = (await dep.status("entry-0"))["upstreams"]
+            return any(row["is_warm"] for row in rows if row["name"] == name)
+
+        async def all_warm():
+            await asyncio.gather(*(dep.chat(f"{i} [len=2]") for i in range(8)))
+            return await is_warm("engine-0") and await is_warm("engine-1")
+
+        await procs.wait_for(all_warm, "both engines warm")
+        streams = [
+            asyncio.create_task(dep.chat(f"{i} [len=300]", stream=True))
+            for i in range(16)
+        ]
+        await asyncio.sleep(0.3)
+        await dep.faults("engine-0", cut_streams_after=2, cut_count=1)
+        cut = [dep.chat(f"cut {i} [len=10]", stream=True) for i in range(8)]
+        replies = [*await asyncio.gather(*cut), *await asyncio.gather(*streams)]
+        assert all(r.body.endswith(b"data: [DONE]\n\n") for r in replies)
+        metrics = (await dep.call("GET", "/metrics")).body
+        rows = [r for r in metrics.splitlines() if b"connection cut" in r]
+        assert [r for r in rows if b"_total" in r and r.endswith(b" 1.0")], rows
+        assert await is_warm("engine-0")
+        streams = [
+            asyncio.create_task(dep.chat(f"{i} [len=300]", stream=True))
+            for i in range(16)
+        ]
+        await asyncio.sleep(0.3)
+        await dep.faults("engine-0", down_s=60.0)
+        await dep.act("engine-0", "crash")
+
+        async def is_cold():
+            return not await is_warm("engine-0")
+
+        await procs.wait_for(is_cold, "the crashed engine to be taken for cold")
+        replies = await asyncio.gather(*streams)
+        assert all(r.body.endswith(b"data: [DONE]\n\n") for r in replies)
