Have a newcomer adopt what others learnt at the first answer that has any

Cause: test_learning failed once: a new instance that became the owner of the learning's shard heard itself first, adopted nothing, and never did again. Ruled out: the order of the commit's other changes (functions split for reading, same calls). Change: it adopts once, when others know something and it knows under a twentieth of that.

--- a/libs/masticpost-decide/src/masticpost_decide/learnt.py
+++ b/libs/masticpost-decide/src/masticpost_decide/learnt.py
@@ -17,6 +17,7 @@
 DEVIATION_FLOOR = 0.05
 MAX_WEIGHT = 400.0
 MAX_KEYS = 512
+NEWCOMER_SHARE = 0.05
 
 
 @attrs.frozen(kw_only=True)
@@ -168,6 +169,12 @@
         """Take what all the others together know."""
         self._others = {row.key: row.stats for row in rows}
 
+    def is_newcomer(self) -> bool:
+        """Tell whether others know something and this one next to nothing of it."""
+        own = sum(stats.weight for stats in self._own.values())
+        others = sum(stats.weight for stats in self._others.values())
+        return own < NEWCOMER_SHARE * others
+
     def adopt(self, share: float) -> None:
         """Take a share of what the others know as learnt here.
 
--- a/libs/masticpost-decide/testing/test_cascade.py
+++ b/libs/masticpost-decide/testing/test_cascade.py
@@ -102,6 +102,10 @@
     fresh = learnt.Notes()
     fresh.replace_others(learnt.merge([part.rows() for part in parts]))
     assert fresh.of(key("small")).weight == 40
+    assert fresh.is_newcomer()
+    assert not learnt.Notes().is_newcomer()
+    parts[0].replace_others(learnt.merge([part.rows() for part in parts[1:]]))
+    assert not parts[0].is_newcomer()
     fresh.adopt(1 / 5)
     assert learnt.merge([fresh.rows()])[0].stats.weight == pytest.approx(8)
 
--- a/libs/masticpost-entry/src/masticpost_entry/learning.py
+++ b/libs/masticpost-entry/src/masticpost_entry/learning.py
@@ -69,6 +69,7 @@
         self._boards: dict[tuple[str, str], Board] = collections.defaultdict(Board)
         self._seen: dict[tuple[str, str], tuple[str, int]] = {}
         self._last: dict[tuple[str, str], bytes] = {}
+        self._adopted: set[tuple[str, str]] = set()
         rt.agreed.peers.handle(LearningTell, self._on_tell)
 
     @mode.Service.task
@@ -91,26 +92,37 @@
         member = shards.owner_of(shard)
         if member is None:
             return
-        owner, seen = self._seen.get(topic, ("", -1))
         rows = notes.rows()
         told = codec.to_wire(rows)
-        is_known = owner == member.name and self._last.get(topic) == told
+        owner, seen = self._seen.get(topic, ("", -1))
+        is_same_owner = owner == member.name
+        is_known = is_same_owner and self._last.get(topic) == told
         tell = LearningTell(
             shard=shard,
             service=topic[0],
             cascade=topic[1],
             rows=[] if is_known else rows,
-            seen=seen if owner == member.name else -1,
+            seen=seen if is_same_owner else -1,
         )
         reply = await self._send(member.name, member.address, tell)
-        if not isinstance(reply, LearningReply):
-            return
-        self._last[topic] = told
+        if isinstance(reply, LearningReply):
+            self._last[topic] = told
+            self._take_reply(topic, notes, tell, reply)
+            self._seen[topic] = (member.name, reply.number)
+
+    def _take_reply(
+        self,
+        topic: tuple[str, str],
+        notes: learnt.Notes,
+        tell: LearningTell,
+        reply: LearningReply,
+    ) -> None:
+        """Take what others know; one that knows next to nothing adopts its share."""
         if reply.number != tell.seen:
             notes.replace_others(reply.rows)
-        if topic not in self._seen and not rows:
+        if topic not in self._adopted and notes.is_newcomer():
+            self._adopted.add(topic)
             notes.adopt(1 / max(1, len(self.rt.agreed.members.alive())))
-        self._seen[topic] = (member.name, reply.number)
 
     async def _send(self, name: str, address: str, tell: LearningTell) -> object:
         if name == self.rt.agreed.peers.name:
--- a/libs/masticpost-entry/src/masticpost_entry/plain.py
+++ b/libs/masticpost-entry/src/masticpost_entry/plain.py
@@ -210,24 +210,11 @@
     the same claim. After every other failure the call is in doubt: it is never sent
     again, and the service is asked whether it ran.
     """
-    key = claims.call_key(job.call.customer.name, job.call.idempotency_key)
-    job.meter.key = key
-    job.meter.is_open = True
-    mark = claims.fingerprint(
-        job.call.service.name.encode(),
-        job.req.method.encode(),
-        job.req.path.encode(),
-        job.req.query.encode(),
-        job.req.body,
-    )
-    opened = job.meter.open_record(0, 0.0)
+    opened = _open_bill(job)
     inquiry = doubts.inquiry_for(
         rt, job.call.service, job.operation, job.req.idempotency_key
     )
-    refusal = rt.agreed.budgets.refusal(job.call.customer)
-    granted = await rt.agreed.claims.claim(
-        key, mark, job.call.deadline, opened, inquiry, refusal
-    )
+    granted = await _claim(rt, job, opened, inquiry)
     if isinstance(granted, records.Answer):
         return _passed_on(granted)
     try:
@@ -244,13 +231,54 @@
         if inquiry is None:
             job.meter.close(records.FAILED)
         raise
+    await _record(rt, job, granted, answer)
+    return answer
+
+
+def _open_bill(job: PlainJob) -> records.BillOpen:
+    """Return the open bill of a call; its key is the call's."""
+    key = claims.call_key(job.call.customer.name, job.call.idempotency_key)
+    job.meter.key = key
+    job.meter.is_open = True
+    return job.meter.open_record(0, 0.0)
+
+
+async def _claim(
+    rt: runtime.Runtime,
+    job: PlainJob,
+    opened: records.BillOpen,
+    inquiry: records.Inquiry | None,
+) -> claims.Granted | records.Answer:
+    mark = claims.fingerprint(
+        job.call.service.name.encode(),
+        job.req.method.encode(),
+        job.req.path.encode(),
+        job.req.query.encode(),
+        job.req.body,
+    )
+    return await rt.agreed.claims.claim(
+        opened.key,
+        mark,
+        job.call.deadline,
+        opened,
+        inquiry,
+        rt.agreed.budgets.refusal(job.call.customer),
+    )
+
+
+async def _record(
+    rt: runtime.Runtime,
+    job: PlainJob,
+    granted: claims.Granted,
+    answer: plain.PlainAnswer,
+) -> None:
+    """Record the answer and the bill in one commit."""
     job.meter.add_price(job.operation.price)
     bill = job.meter.close_record(records.ANSWERED)
     recorded = records.Answer(
         status=answer.status, content_type=answer.content_type, body=answer.body
     )
     await rt.agreed.claims.finish(granted, recorded, bill)
-    return answer
 
 
 def _passed_on(recorded: records.Answer) -> plain.PlainAnswer:
