--- a/libs/masticpost-cli/src/masticpost_cli/bills.py
+++ b/libs/masticpost-cli/src/masticpost_cli/bills.py
@@ -178,13 +178,13 @@
         [
             row.key,
             row.instance,
-            row.claimed_at,
+            session.utc(row.claimed_at),
             "claimed" if row.is_at_work else "in doubt",
             "yes" if row.is_asked else "no",
         ]
         for row in rows
     ]
-    header = ["CALL", "INSTANCE", "CLAIMED AT (MS)", "STATE", "SERVICE IS ASKED"]
+    header = ["CALL", "INSTANCE", "CLAIMED AT (UTC)", "STATE", "SERVICE IS ASKED"]
     ses.print_table(header, table)
     return commands.EXIT_OK
 
@@ -201,10 +201,15 @@
         ses.print_json(rows)
     else:
         table = [
-            [row.customer, f"{row.spent:.6f}", f"{row.budget:.6f}", row.until]
+            [
+                row.customer,
+                f"{row.spent:.6f}",
+                f"{row.budget:.6f}",
+                session.utc(row.until) if row.until else "-",
+            ]
             for row in rows
         ]
-        ses.print_table(["CUSTOMER", "SPENT", "BUDGET", "UNTIL (MS)"], table)
+        ses.print_table(["CUSTOMER", "SPENT", "BUDGET", "UNTIL (UTC)"], table)
     is_spent = any(row.spent >= row.budget for row in rows)
     return commands.EXIT_NO if is_spent else commands.EXIT_OK
 
--- a/libs/masticpost-cli/src/masticpost_cli/session.py
+++ b/libs/masticpost-cli/src/masticpost_cli/session.py
@@ -5,6 +5,7 @@
 import pathlib
 import ssl
 import sys
+import time
 import typing
 
 import aiohttp
@@ -164,3 +165,8 @@
 ) -> Session:
     """Return the session of one run."""
     return Session(args=args, environ=environ)
+
+
+def utc(at_ms: int) -> str:
+    """Return wall-clock milliseconds as date and time in UTC."""
+    return time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(at_ms / 1000))
--- a/libs/masticpost-cli/src/masticpost_cli/texts.py
+++ b/libs/masticpost-cli/src/masticpost_cli/texts.py
@@ -175,16 +175,13 @@
         ses.print_json([attrs.evolve(row, raw="") for row in rows])
         return commands.EXIT_OK
     table = [
-        [row.generation, _time(row.at), row.author, row.note or "-"] for row in rows
+        [row.generation, session.utc(row.at), row.author, row.note or "-"]
+        for row in rows
     ]
     ses.print_table(["GENERATION", "APPLIED", "BY", "NOTE"], table)
     return commands.EXIT_OK
 
 
-def _time(at_ms: int) -> str:
-    return time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(at_ms / 1000))
-
-
 @attrs.frozen(kw_only=True)
 class Flag:
     """The field that takes an entry out, and its values."""
