--- a/libs/masticpost-text/testing/test_parse.py
+++ b/libs/masticpost-text/testing/test_parse.py
@@ -1,5 +1,7 @@
 """A text is refused with every finding at once, each with its place."""
 
+import pathlib
+
 import hypothesis
 import pytest
 import yaml
@@ -180,3 +182,8 @@
 def test_edit_of_an_unknown_entry_says_so():
     with pytest.raises(edit.EditError, match="no 'west'"):
         edit.set_field(GOOD, "domains", "west", "out", "true")
+
+
+def test_example_is_in_order():
+    example = pathlib.Path(__file__).parents[3] / "examples" / "lineswitch.yaml"
+    assert parse.parse(example.read_text()).text.deployment == "lineswitch"
