--- a/libs/masticpost-entry/src/masticpost_entry/doubts.py
+++ b/libs/masticpost-entry/src/masticpost_entry/doubts.py
@@ -32,7 +32,7 @@
 KEY_FIELD = "{key}"
 
 
-class Finding(enum.Enum):
+class CallState(enum.Enum):
     """What the upstreams of a call say of it."""
 
     RAN = "ran"
@@ -42,9 +42,9 @@
 
 @attrs.frozen(kw_only=True)
 class Told:
-    """A finding, with the answer of a call that ran."""
+    """A state, with the answer of a call that ran."""
 
-    finding: Finding
+    call_state: CallState
     answer: records.Answer | None = None
 
 
@@ -98,17 +98,17 @@
     works = [_ask_one(rt, inquiry, usable.get(url)) for url in inquiry.urls]
     replies = await asyncio.gather(*works)
     for told in replies:
-        if told.finding is Finding.RAN:
+        if told.call_state is CallState.RAN:
             return told
-    if replies and all(told.finding is Finding.NOT_SEEN for told in replies):
+    if replies and all(told.call_state is CallState.NOT_SEEN for told in replies):
         return replies[0]
-    return Told(finding=Finding.NOT_KNOWN)
+    return Told(call_state=CallState.NOT_KNOWN)
 
 
 async def _ask_one(
     rt: runtime.Runtime, inquiry: records.Inquiry, up: model.Upstream | None
 ) -> Told:
-    unknown = Told(finding=Finding.NOT_KNOWN)
+    unknown = Told(call_state=CallState.NOT_KNOWN)
     place = await routing.place_on(rt, up) if up is not None else None
     if place is None:
         return unknown
@@ -126,13 +126,13 @@
     except faults.UpstreamError:
         return unknown
     if answer.status == 404:
-        return Told(finding=Finding.NOT_SEEN)
+        return Told(call_state=CallState.NOT_SEEN)
     if not 200 <= answer.status < 300:
         return unknown
     recorded = records.Answer(
         status=answer.status, content_type=answer.content_type, body=answer.body
     )
-    return Told(finding=Finding.RAN, answer=recorded)
+    return Told(call_state=CallState.RAN, answer=recorded)
 
 
 async def settle_at_once(
@@ -159,12 +159,12 @@
     pauses = retry.RetryPolicy(first_pause_s=AT_ONCE_PAUSE_S).pauses_of()
     while time.monotonic() < until:
         told = await ask(rt, inquiry)
-        if told.finding is Finding.RAN:
+        if told.call_state is CallState.RAN:
             bill = bill_of(opened, inquiry)
             rt.agreed.budgets.add(opened.customer, bill.cost)
             await rt.agreed.claims.finish(granted, told.answer, bill)
             return told.answer
-        if told.finding is Finding.NOT_SEEN and _is_final(inquiry, since):
+        if told.call_state is CallState.NOT_SEEN and _is_final(inquiry, since):
             rt.agreed.claims.release(granted)
             raise errors.refuse(
                 502,
@@ -252,13 +252,13 @@
         since = known.since if call.outcome is not None else time.monotonic()
         granted = claims.Granted(key=claim.key, nonce=claim.nonce)
         told = await ask(self.rt, claim.inquiry)
-        if told.finding is Finding.RAN:
+        if told.call_state is CallState.RAN:
             bill = self._bill(claim)
             if bill is not None:
                 self.rt.agreed.budgets.add(bill.customer, bill.cost)
             await self.rt.agreed.claims.finish(granted, told.answer, bill)
             logger.info("a call in doubt ran")
-        elif told.finding is Finding.NOT_SEEN and _is_final(claim.inquiry, since):
+        elif told.call_state is CallState.NOT_SEEN and _is_final(claim.inquiry, since):
             self.rt.agreed.claims.release(granted)
             logger.info("a call in doubt never ran")
         known.next_at = time.monotonic() + known.pause_s
--- a/libs/masticpost-entry/testing/test_inquiry.py
+++ b/libs/masticpost-entry/testing/test_inquiry.py
@@ -11,8 +11,8 @@
 from masticpost_shards import claims, records
 
 ANSWER = records.Answer(status=200, content_type="t", body=b"b")
-FINDINGS = strategies.lists(
-    strategies.sampled_from(list(doubts.Finding)), min_size=1, max_size=5
+STATES = strategies.lists(
+    strategies.sampled_from(list(doubts.CallState)), min_size=1, max_size=5
 )
 
 
@@ -71,45 +71,45 @@
 
 
 def answering(monkeypatch, rounds):
-    """Have upstreams answer with a round's findings, the last round for good."""
+    """Have upstreams answer with a round's states, the last round for good."""
     left = [list(row) for row in rounds]
 
     async def ask_one(rt, asked, up):
         row = left[0]
-        finding = row.pop(0)
+        state = row.pop(0)
         if not row and len(left) > 1:
             left.pop(0)
         elif not row:
             row.extend(rounds[-1])
-        answer = ANSWER if finding is doubts.Finding.RAN else None
-        return doubts.Told(finding=finding, answer=answer)
+        answer = ANSWER if state is doubts.CallState.RAN else None
+        return doubts.Told(call_state=state, answer=answer)
 
     monkeypatch.setattr(doubts, "_ask_one", ask_one)
 
 
-@hypothesis.given(findings=FINDINGS)
+@hypothesis.given(states=STATES)
 @hypothesis.settings(
     deadline=None,
     derandomize=True,
     suppress_health_check=[hypothesis.HealthCheck.function_scoped_fixture],
 )
 def test_only_all_upstreams_together_can_say_that_a_call_was_not_seen(
-    findings, monkeypatch
+    states, monkeypatch
 ):
-    answering(monkeypatch, [findings])
-    told = asyncio.run(doubts.ask(FakeRuntime(), inquiry(len(findings))))
-    if doubts.Finding.RAN in findings:
-        assert told.finding is doubts.Finding.RAN
+    answering(monkeypatch, [states])
+    told = asyncio.run(doubts.ask(FakeRuntime(), inquiry(len(states))))
+    if doubts.CallState.RAN in states:
+        assert told.call_state is doubts.CallState.RAN
         assert told.answer is ANSWER
-    elif set(findings) == {doubts.Finding.NOT_SEEN}:
-        assert told.finding is doubts.Finding.NOT_SEEN
+    elif set(states) == {doubts.CallState.NOT_SEEN}:
+        assert told.call_state is doubts.CallState.NOT_SEEN
     else:
-        assert told.finding is doubts.Finding.NOT_KNOWN
+        assert told.call_state is doubts.CallState.NOT_KNOWN
 
 
 def test_call_that_nobody_can_be_asked_about_stays_in_doubt():
     told = asyncio.run(doubts.ask(FakeRuntime(), inquiry(0)))
-    assert told.finding is doubts.Finding.NOT_KNOWN
+    assert told.call_state is doubts.CallState.NOT_KNOWN
 
 
 async def settle(rt, asked):
@@ -133,7 +133,7 @@
 
 
 async def test_call_that_ran_is_recorded_and_counted_once(monkeypatch):
-    not_seen, ran = doubts.Finding.NOT_SEEN, doubts.Finding.RAN
+    not_seen, ran = doubts.CallState.NOT_SEEN, doubts.CallState.RAN
     answering(monkeypatch, [[not_seen, not_seen], [not_seen, ran]])
     rt = FakeRuntime()
     assert await settle(rt, inquiry(2, final_after_ms=60_000)) is ANSWER
@@ -144,14 +144,14 @@
 @pytest.mark.parametrize("final_after_ms", [0, 60_000])
 async def test_call_is_not_given_up_before_the_promise(monkeypatch, final_after_ms):
     """Without a promise, or before it, 404 from everybody proves nothing."""
-    answering(monkeypatch, [[doubts.Finding.NOT_SEEN] * 2])
+    answering(monkeypatch, [[doubts.CallState.NOT_SEEN] * 2])
     rt = FakeRuntime()
     assert await settle(rt, inquiry(2, final_after_ms=final_after_ms)) is None
     assert rt.agreed.claims.told == [records.DOUBTFUL]
 
 
 async def test_call_that_never_runs_is_released_after_the_promise(monkeypatch):
-    answering(monkeypatch, [[doubts.Finding.NOT_SEEN] * 2])
+    answering(monkeypatch, [[doubts.CallState.NOT_SEEN] * 2])
     rt = FakeRuntime()
     with pytest.raises(errors.RefusalError) as caught:
         await settle(rt, inquiry(2, final_after_ms=50))
