Ask an engine for its health before a suspect's trial

Ruled out: counting a crash only after the engine answered somebody (a request that crashes it first thing would never count); the trial permits (they were held). Change: before its trial an engine is asked for /health; one that is not healthy is avoided and nothing is counted. Figures: test_crash_of_all_engines_at_once fails before, passes 3 of 3 after, with the other crash tests (the crashing request still stops after two).

--- a/libs/masticpost-entry/src/masticpost_entry/suspects.py
+++ b/libs/masticpost-entry/src/masticpost_entry/suspects.py
@@ -16,6 +16,7 @@
 
 import attrs
 from masticpost_common import errors
+from masticpost_decide import tracker
 from masticpost_shards import permits
 from masticpost_upstream import faults
 
@@ -80,6 +81,22 @@
                 await asyncio.sleep(TRIAL_POLL_S)
         run.held.append(permit)
     check(rt, fingerprint)
+    await _check_health(rt, place)
+
+
+async def _check_health(rt: runtime.Runtime, place: routing.Place) -> None:
+    """Keep a suspect from an engine that is down already.
+
+    It would cut the suspect as it cuts everything, and the suspect would be blamed.
+    """
+    if await rt.clients.engines.is_healthy(place.upstream.url.rstrip("/")):
+        return
+    place.track.refused(tracker.now())
+    raise faults.UpstreamError(
+        kind=faults.FaultKind.REFUSED,
+        upstream=place.upstream.name,
+        message="not healthy before a trial",
+    )
 
 
 def _check_time(call: intake.Call) -> None:
--- a/libs/masticpost-upstream/src/masticpost_upstream/engine.py
+++ b/libs/masticpost-upstream/src/masticpost_upstream/engine.py
@@ -12,6 +12,7 @@
 from masticpost_upstream import faults, load, openai, pool
 
 EVENT_TIMEOUT_S = 10.0
+HEALTH_TIMEOUT_S = 0.5
 ID_PREFIX = "chatcmpl-"
 MAX_ANSWER_BYTES = 8_000_000
 MAX_EVENT_BYTES = 1_000_000
@@ -82,6 +83,17 @@
                 finished = finished or any(c.finish_reason for c in chunk.choices)
                 yield chunk
 
+    async def is_healthy(self, url: str) -> bool:
+        """Tell whether an engine says that it serves, or has no health page."""
+        timeout = aiohttp.ClientTimeout(total=HEALTH_TIMEOUT_S)
+        try:
+            async with self.pool.session().get(
+                f"{url}/health", timeout=timeout
+            ) as resp:
+                return resp.status < 500
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
+
     async def _next_event(
         self, target: pool.Target, resp: aiohttp.ClientResponse
     ) -> bytes | None:
--- a/testing/test_leaving.py
+++ b/testing/test_leaving.py
@@ -249,3 +249,28 @@
         await procs.wait_for(is_cold, "the crashed engine to be taken for cold")
         replies = await asyncio.gather(*streams)
         assert all(r.body.endswith(b"data: [DONE]\n\n") for r in replies)
+
+
+async def test_crash_of_all_engines_at_once_blames_no_request():
+    """A request is cut, and cut again by engines that are still down."""
+    plan = layout.small(instances=2, engines=3)
+    async with deployment.Deployment(plan=plan) as dep:
+        await asyncio.gather(*(dep.chat(f"{i} [len=2]") for i in range(24)))
+        works = [
+            asyncio.create_task(dep.chat(f"{i} [len=200]", stream=i % 2 == 0))
+            for i in range(24)
+        ]
+        await asyncio.sleep(0.4)
+        for spec in plan.engines:
+            await dep.faults(spec.name, down_s=1.5)
+        await asyncio.gather(*(dep.act(spec.name, "crash") for spec in plan.engines))
+        replies = await asyncio.gather(*works)
+        assert not any(b"quarantined" in reply.body for reply in replies)
+        for number in range(24):
+
+            async def is_answered(prompt=f"{number} [len=200]"):
+                reply = await dep.chat(prompt)
+                assert reply.code != "quarantined"
+                return reply.status == 200
+
+            await procs.wait_for(is_answered, f"an answer to {number}", 30.0)
