--- a/Makefile
+++ b/Makefile
@@ -2,11 +2,11 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/installed
-LIBS := $(wildcard libs/*)
+LIBS := $(wildcard libs/*) platform
 
 .PHONY: demo test lint matrix bench-overhead clean
 
-$(STAMP): requirements.txt $(wildcard libs/*/pyproject.toml)
+$(STAMP): requirements.txt $(wildcard libs/*/pyproject.toml) platform/pyproject.toml
 	$(PY) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-build-isolation \
--- /dev/null
+++ b/libs/masticpost-gateway/src/masticpost_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Routes requests to registered upstreams and passes their answers through."""
--- /dev/null
+++ b/libs/masticpost-gateway/src/masticpost_gateway/call.py
@@ -0,0 +1,87 @@
+"""A request that was admitted, and the record of what was tried for it."""
+
+import time
+
+import attrs
+import multidict
+from loguru import logger
+
+from masticpost_gateway import headers, model
+
+ANSWER_MARGIN_S = 0.04
+
+
+@attrs.frozen(kw_only=True)
+class TryRecord:
+    """One try, for the log; times in seconds."""
+
+    upstream: str
+    model: str
+    result: str
+    took_s: float
+
+
+@attrs.define(kw_only=True)
+class Call:
+    """One request of a caller.
+
+    Attributes
+    ----------
+    target : str
+        Path and query as received.
+    passed : multidict.CIMultiDict
+        Headers that go to the upstream.
+    started_at, deadline_at : float
+        Monotonic seconds; the deadline is the caller's or the route's.
+    """
+
+    head: headers.CallHead
+    route: model.Route
+    service: model.Service
+    customer: str
+    priority: int
+    method: str
+    target: str
+    passed: multidict.CIMultiDict = attrs.field(repr=False)
+    body: bytes = attrs.field(repr=False)
+    started_at: float
+    deadline_at: float
+    records: list[TryRecord] = attrs.field(factory=list)
+    first_event_s: float | None = None
+    config_version: int = 0
+
+    @property
+    def answer_by(self) -> float:
+        """Monotonic time by which the caller needs some answer."""
+        return self.deadline_at - ANSWER_MARGIN_S
+
+    def left_s(self) -> float:
+        """Return the seconds until the answer is due."""
+        return self.answer_by - time.monotonic()
+
+    def objective_left_s(self) -> float:
+        """Return the seconds until the objective has passed."""
+        return self.started_at + self.route.objective_s - time.monotonic()
+
+    def log_end(self, outcome: str, status: int, reason: str = "") -> None:
+        """Write the one line that tells the request's story."""
+        tries = [
+            f"{r.upstream}/{r.model or '-'}:{r.result}@{r.took_s:.3f}"
+            for r in self.records
+        ]
+        logger.bind(
+            event="request",
+            id=self.head.request_id,
+            route=self.route.name,
+            kind=self.route.kind.value,
+            customer=self.customer,
+            config=self.config_version,
+            outcome=outcome,
+            status=status,
+            reason=reason,
+            tries=tries,
+            first_s=None
+            if self.first_event_s is None
+            else round(self.first_event_s, 3),
+            took_s=round(time.monotonic() - self.started_at, 3),
+        ).info("request ended")
--- /dev/null
+++ b/libs/masticpost-gateway/src/masticpost_gateway/choice.py
@@ -0,0 +1,160 @@
+"""Choice of the upstream for one try of a request."""
+
+import math
+import random
+import time
+
+import attrs
+
+from masticpost_gateway import (
+    beliefs,
+    coldpace,
+    health,
+    model,
+    placement,
+    source,
+    trial,
+)
+
+
+@attrs.define(kw_only=True)
+class Registered:
+    """A registered upstream and since when this instance knows its entry."""
+
+    record: model.Upstream
+    cold_until: float
+
+
+@attrs.frozen(kw_only=True)
+class Wanted:
+    """What one try needs.
+
+    Attributes
+    ----------
+    tried : frozenset of str
+        Names of the upstreams that are not to be used again.
+    reading : placement.Reading or None
+        The prompt that is to be read; None for a plain service.
+    """
+
+    service: model.Service
+    plan: trial.VersionPlan
+    reading: placement.Reading | None = None
+    tried: frozenset[str] = frozenset()
+
+
+class Chooser:
+    """Knows the usable upstreams and picks one for each try.
+
+    Parameters
+    ----------
+    known : beliefs.Beliefs
+        The registered upstreams and the domains taken out.
+    pace : coldpace.ColdPace
+        Bounds on cold upstreams.
+    places : placement.Placement
+        Places prompts.
+    domain : str
+        Failure domain of this instance.
+    """
+
+    def __init__(
+        self,
+        *,
+        known: beliefs.Beliefs,
+        pace: coldpace.ColdPace,
+        places: placement.Placement,
+        domain: str,
+    ) -> None:
+        self.known = known
+        self.pace = pace
+        self.placement = places
+        self.domain = domain
+        self.healths = health.Healths()
+        self._registered: dict[str, Registered] = {}
+        known.listen(self._on_change)
+
+    def health_of(self, upstream: model.Upstream) -> health.Health:
+        """Return the health of a run of an upstream."""
+        return self.healths.get(upstream.name, upstream.incarnation)
+
+    def usable(self, service: str, now: float) -> list[model.Upstream]:
+        """Return the upstreams of a service that may get new work."""
+        out = self.known.domains_out()
+        return [
+            upstream
+            for upstream in self.known.upstreams(now)
+            if upstream.service == service
+            and not upstream.is_draining
+            and upstream.domain not in out
+        ]
+
+    def pick(self, wanted: Wanted) -> model.Upstream | None:
+        """Return the upstream for a try, None when none may be used now."""
+        now = time.monotonic()
+        found = [
+            upstream
+            for upstream in self.usable(wanted.service.name, now)
+            if upstream.name not in wanted.tried
+            and upstream.version != wanted.plan.excluded
+        ]
+        for group in self._by_preference(found, wanted.plan, now):
+            ready = [u for u in group if self._is_paced(u, wanted.service, now)]
+            if ready:
+                chosen = self._best(ready, wanted)
+                self._note_cold(chosen, now)
+                return chosen
+        return None
+
+    def _by_preference(
+        self, found: list[model.Upstream], plan: trial.VersionPlan, now: float
+    ) -> list[list[model.Upstream]]:
+        sound = [u for u in found if not self.health_of(u).is_ejected(now)]
+        groups = []
+        for rows in (sound, found):
+            if plan.preferred is not None:
+                groups.append([u for u in rows if u.version == plan.preferred])
+            if plan.avoided is not None:
+                groups.append([u for u in rows if u.version != plan.avoided])
+            groups.append(rows)
+        return groups
+
+    def _is_paced(
+        self, upstream: model.Upstream, service: model.Service, now: float
+    ) -> bool:
+        if not self.is_cold(upstream, now):
+            return True
+        return self.pace.may_send(upstream.name, service.cold_rate, now)
+
+    def is_cold(self, upstream: model.Upstream, now: float) -> bool:
+        """Tell whether an upstream bears only light load."""
+        row = self._registered.get(upstream.name)
+        return row is not None and now < row.cold_until
+
+    def _note_cold(self, upstream: model.Upstream, now: float) -> None:
+        if self.is_cold(upstream, now):
+            self.pace.sent(upstream.name, now)
+
+    def _best(self, ready: list[model.Upstream], wanted: Wanted) -> model.Upstream:
+        if wanted.reading is None:
+            return min(ready, key=self._load)
+        return self.placement.best(ready, wanted.reading)
+
+    def _load(self, upstream: model.Upstream) -> tuple[float, bool, float]:
+        load = self.health_of(upstream).outstanding / max(1, upstream.slots)
+        return (load, upstream.domain != self.domain, random.random())
+
+    def _on_change(self, kind: source.Kind) -> None:
+        if kind is not source.Kind.UPSTREAMS:
+            return
+        now = time.monotonic()
+        rows = {}
+        for upstream in self.known.upstreams(now):
+            row = self._registered.get(upstream.name)
+            if row is None or row.record != upstream:
+                left_s = upstream.cold_left_s
+                until = now + left_s if left_s > 0 else -math.inf
+                row = Registered(record=upstream, cold_until=until)
+            rows[upstream.name] = row
+        self._registered = rows
+        self.healths.keep_only(set(rows))
--- /dev/null
+++ b/libs/masticpost-gateway/src/masticpost_gateway/gateway.py
@@ -0,0 +1,220 @@
+"""The callers' side: admits a request, has it served, and answers for failures."""
+
+import asyncio
+import time
+
+import attrs
+import multidict
+from aiohttp import web
+from loguru import logger
+from masticpost_common import errors
+
+from masticpost_gateway import (
+    beliefs,
+    call,
+    cascade,
+    choice,
+    conns,
+    headers,
+    loads,
+    measures,
+    model,
+    placement,
+    plain,
+    retryshare,
+    sessions,
+    source,
+    streaming,
+    table,
+    trial,
+)
+
+FRESH_S = 6.0
+NO_CONFIG_RETRY_S = 0.5
+DEFAULT_TIMEOUT_S = 60.0
+SERVER_GONE = 499
+
+
+@attrs.define(kw_only=True)
+class Shared:
+    """What every request uses."""
+
+    names: headers.HeaderNames
+    known: beliefs.Beliefs
+    chooser: choice.Chooser
+    pools: conns.Pools
+    retries: retryshare.RetryShare
+    trials: trial.Trials
+    sessions: sessions.Sessions
+    metrics: measures.Measures
+    loads: loads.Loads
+    places: placement.Placement
+    policy: cascade.Policy
+    is_closing: bool = False
+
+
+class Gateway:
+    """Handler of callers' requests.
+
+    Parameters
+    ----------
+    shared : Shared
+        Parts of the gateway.
+    """
+
+    def __init__(self, *, shared: Shared) -> None:
+        self.shared = shared
+        self.busy: set[asyncio.Protocol] = set()
+        names = shared.names
+        own = (names.key, names.customer, names.expected_instance, names.urgency)
+        self._dropped = names.internal | {name.lower() for name in own}
+
+    async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
+        """Serve one request."""
+        started_at = time.monotonic()
+        conn = req.protocol
+        self.busy.add(conn)
+        try:
+            resp = await self._handle(req, started_at)
+        finally:
+            self.busy.discard(conn)
+        if self.shared.is_closing and not resp.prepared:
+            resp.force_close()
+        return resp
+
+    async def _handle(
+        self, req: web.BaseRequest, started_at: float
+    ) -> web.StreamResponse:
+        try:
+            item = await self._admit(req, started_at)
+        except errors.RefusalError as exc:
+            self._log_refused(req, exc.refusal)
+            return refusal_response(exc.refusal)
+        self.shared.retries.first(item.service.name, started_at)
+        try:
+            resp = await self._serve(item, req)
+        except errors.RefusalError as exc:
+            refusal = exc.refusal
+            self._end(item, refusal.code, refusal.status, refusal.message)
+            return refusal_response(refusal)
+        except streaming.CutError as exc:
+            self._end(item, "cut", 200, str(exc))
+            req.transport.close()
+            raise
+        except asyncio.CancelledError:
+            self._end(item, "caller gone", SERVER_GONE)
+            raise
+        self._end(item, "answered", resp.status)
+        return resp
+
+    async def _serve(self, item: call.Call, req: web.BaseRequest) -> web.StreamResponse:
+        if not item.route.kind.is_stream:
+            return await plain.serve(self.shared, item)
+        stream = streaming.Streaming(
+            shared=self.shared, call=item, req=req, policy=self.shared.policy
+        )
+        return await stream.serve()
+
+    async def _admit(self, req: web.BaseRequest, started_at: float) -> call.Call:
+        found = self.shared.known.table
+        if found is None:
+            raise errors.refuse(
+                503,
+                "no-configuration",
+                "no configuration is known yet",
+                retry_after_s=NO_CONFIG_RETRY_S,
+            )
+        target = req.raw_path
+        path = target.partition("?")[0]
+        route = found.route(req.headers.get("Host", ""), path)
+        if route is None:
+            raise self._unknown(404, "no-route", "no route matches host and path")
+        head = headers.read_call(req.headers, self.shared.names)
+        customer = self._customer(found, route, head)
+        body = await self._body(req, found.cfg.limits)
+        waits_s = min(
+            route.timeout_s or DEFAULT_TIMEOUT_S, head.deadline_s or DEFAULT_TIMEOUT_S
+        )
+        priority = route.priority
+        if customer is not None and customer.priority is not None:
+            priority = customer.priority
+        return call.Call(
+            head=head,
+            route=route,
+            service=found.service_of(route, head.session or head.request_id),
+            customer=customer.name if customer is not None else "",
+            priority=priority,
+            method=req.method,
+            target=target,
+            passed=self._passed(req),
+            body=body,
+            started_at=started_at,
+            deadline_at=started_at + waits_s,
+            config_version=found.cfg.version,
+        )
+
+    def _customer(
+        self, found: table.Table, route: model.Route, head: headers.CallHead
+    ) -> model.Customer | None:
+        if route.is_keyless or not found.has_customers:
+            return None
+        customer = found.customer(head.key)
+        if customer is None:
+            raise self._unknown(401, "unknown-key", "the key is not known")
+        return customer
+
+    def _unknown(self, status: int, code: str, message: str) -> errors.RefusalError:
+        """Refuse for good only while the configuration is known to be the newest."""
+        view = self.shared.known.views[source.Kind.CONFIGURATION]
+        age_s = view.age_s(time.monotonic())
+        if age_s <= FRESH_S:
+            return errors.refuse(status, code, message)
+        return errors.refuse(
+            503,
+            "configuration-too-old",
+            f"{message}, by a configuration confirmed {age_s:.1f} s ago",
+            retry_after_s=NO_CONFIG_RETRY_S,
+        )
+
+    async def _body(self, req: web.BaseRequest, limits: model.Limits) -> bytes:
+        if not req.body_exists:
+            return b""
+        chunks, size = [], 0
+        async for chunk in req.content.iter_any():
+            size += len(chunk)
+            if size > limits.body_bytes:
+                raise errors.refuse(413, "too-large", "the body is over the limit")
+            chunks.append(chunk)
+        return b"".join(chunks)
+
+    def _passed(self, req: web.BaseRequest) -> multidict.CIMultiDict:
+        return headers.passed_on(req.headers, self._dropped)
+
+    def _end(
+        self, item: call.Call, outcome: str, status: int, reason: str = ""
+    ) -> None:
+        item.log_end(outcome, status, reason)
+        self.shared.metrics.ended(item, outcome, status)
+
+    def _log_refused(self, req: web.BaseRequest, refusal: errors.Refusal) -> None:
+        view = self.shared.known.views[source.Kind.CONFIGURATION]
+        logger.bind(
+            event="request",
+            id=req.headers.get(self.shared.names.request_id, ""),
+            outcome=refusal.code,
+            status=refusal.status,
+            reason=refusal.message,
+            config_rev=view.at,
+            config_age_s=round(view.age_s(time.monotonic()), 3),
+        ).info("request refused")
+        self.shared.metrics.refused(refusal)
+
+
+def refusal_response(refusal: errors.Refusal) -> web.Response:
+    """Return the HTTP answer for a refusal."""
+    extra = {}
+    if refusal.retry_after_s is not None:
+        extra["Retry-After"] = f"{refusal.retry_after_s:.2f}"
+    return web.Response(
+        status=refusal.status, headers=extra, text=f"{refusal.code}: {refusal.message}"
+    )
--- /dev/null
+++ b/libs/masticpost-gateway/src/masticpost_gateway/headers.py
@@ -0,0 +1,173 @@
+"""Names of the headers on both sides, and reading and writing of them."""
+
+import collections.abc
+
+import attrs
+import multidict
+
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    )
+)
+MS_PER_S = 1000.0
+Raw = collections.abc.Iterable[tuple[bytes, bytes]]
+
+
+@attrs.frozen(kw_only=True)
+class HeaderNames:
+    """How the two sides spell each header.
+
+    Attributes
+    ----------
+    request_id, deadline_ms, key, session, last_event_id, model, token_counts, prefix
+        Sent by callers.
+    expected_instance, customer, urgency
+        Set by the gateway for upstreams.
+    signature, not_run, confidence, instance_id
+        Sent by upstreams.
+    internal : frozenset of str
+        Lower-case names that are dropped when a caller sends them.
+    """
+
+    request_id: str = "Request-Id"
+    deadline_ms: str = "Request-Deadline-Ms"
+    key: str = "Api-Key"
+    session: str = "Session"
+    last_event_id: str = "Last-Event-Id"
+    model: str = "Request-Model"
+    token_counts: str = "Token-Counts"
+    prefix: str = "Prompt-Prefix"
+    expected_instance: str = "Expected-Instance"
+    customer: str = "Customer"
+    urgency: str = "Urgency"
+    signature: str = "Answer-Signature"
+    not_run: str = "Not-Run"
+    confidence: str = "Confidence"
+    instance_id: str = "Instance-Id"
+    internal: frozenset[str] = frozenset()
+
+
+@attrs.frozen(kw_only=True)
+class Part:
+    """A part of a prompt: its identity and length in tokens."""
+
+    name: str
+    tokens: int
+
+
+@attrs.frozen(kw_only=True)
+class Prompt:
+    """What a caller tells of its prompt; lengths in tokens."""
+
+    parts: tuple[Part, ...] = ()
+    tokens_in: int = 0
+    tokens_out: int = 0
+
+    @property
+    def shared(self) -> tuple[Part, ...]:
+        """The parts that other requests may begin with too."""
+        return self.parts[:-1]
+
+
+@attrs.frozen(kw_only=True)
+class CallHead:
+    """What the gateway reads of a caller's headers."""
+
+    request_id: str
+    deadline_s: float | None
+    key: str | None = attrs.field(repr=False)
+    session: str
+    last_event_id: str
+    prompt: Prompt
+
+
+@attrs.frozen(kw_only=True)
+class AnswerHead:
+    """What the gateway reads of an upstream's headers.
+
+    Attributes
+    ----------
+    confidence : float or None
+        The model's own opinion of its answer, 0 to 1.
+    """
+
+    request_id: str
+    is_signed: bool
+    is_not_run: bool
+    confidence: float | None
+
+
+def read_call(headers: multidict.CIMultiDictProxy, names: HeaderNames) -> CallHead:
+    """Read a caller's headers; fields that cannot be read count as absent."""
+    deadline_ms = _number(headers.get(names.deadline_ms, ""))
+    return CallHead(
+        request_id=headers.get(names.request_id, ""),
+        deadline_s=None if deadline_ms is None else deadline_ms / MS_PER_S,
+        key=headers.get(names.key),
+        session=headers.get(names.session, ""),
+        last_event_id=headers.get(names.last_event_id, ""),
+        prompt=_prompt(headers, names),
+    )
+
+
+def read_answer(headers: multidict.CIMultiDictProxy, names: HeaderNames) -> AnswerHead:
+    """Read an upstream's headers."""
+    confidence = _number(headers.get(names.confidence, ""))
+    return AnswerHead(
+        request_id=headers.get(names.request_id, ""),
+        is_signed=names.signature in headers,
+        is_not_run=names.not_run in headers,
+        confidence=None if confidence is None else confidence / 100.0,
+    )
+
+
+def passed_on(
+    headers: multidict.CIMultiDictProxy, dropped: frozenset[str]
+) -> multidict.CIMultiDict:
+    """Return the headers that concern more than one connection.
+
+    Parameters
+    ----------
+    dropped : frozenset of str
+        Lower-case names to leave out besides.
+    """
+    named = headers.getall("Connection", ())
+    listed = {part.strip().lower() for row in named for part in row.split(",")}
+    out = multidict.CIMultiDict()
+    for name, value in headers.items():
+        lower = name.lower()
+        if lower in HOP_BY_HOP or lower in dropped or lower in listed:
+            continue
+        out.add(name, value)
+    return out
+
+
+def _prompt(headers: multidict.CIMultiDictProxy, names: HeaderNames) -> Prompt:
+    counts = headers.get(names.token_counts, "").split(",")
+    numbers = [_number(text) or 0 for text in counts[:2]]
+    tokens_in, tokens_out = (int(n) for n in (*numbers, 0, 0)[:2])
+    parts = []
+    for row in headers.get(names.prefix, "").split(","):
+        name, _, tokens = row.strip().partition(":")
+        if name:
+            parts.append(Part(name=name, tokens=int(_number(tokens) or 0)))
+    return Prompt(parts=tuple(parts), tokens_in=tokens_in, tokens_out=tokens_out)
+
+
+def _number(text: str) -> float | None:
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if 0 <= value < 1e12 else None
--- /dev/null
+++ b/libs/masticpost-gateway/src/masticpost_gateway/health.py
@@ -0,0 +1,92 @@
+"""Passive detection of upstreams that fail, and their return by trial."""
+
+import collections
+import math
+
+import attrs
+from loguru import logger
+
+WINDOW_S = 6.0
+MIN_FAILURES = 3
+FAILED_SHARE = 0.34
+FIRST_EJECTION_S = 0.7
+MAX_EJECTION_S = 6.0
+SAMPLES_KEPT = 200
+
+
+@attrs.define(kw_only=True)
+class Health:
+    """What the calls of this instance tell of one run of an upstream.
+
+    Attributes
+    ----------
+    outstanding : int
+        Requests of this instance at work there.
+    ejected_until : float
+        Monotonic time before which it gets no work, in seconds.
+    """
+
+    name: str
+    incarnation: tuple = ()
+    outstanding: int = 0
+    ejected_until: float = -math.inf
+    ejections: int = 0
+    samples: collections.deque = attrs.field(
+        factory=lambda: collections.deque(maxlen=SAMPLES_KEPT)
+    )
+
+    def is_ejected(self, now: float) -> bool:
+        """Tell whether work is kept away from it."""
+        return now < self.ejected_until
+
+    def succeeded(self, now: float) -> None:
+        """Note a good answer."""
+        self.samples.append((now, True))
+        if now >= self.ejected_until:
+            self.ejections = max(0, self.ejections - 1)
+
+    def failed(self, now: float, reason: str) -> None:
+        """Note a failed call; a high share of failures ejects the upstream."""
+        self.samples.append((now, False))
+        recent = [ok for at, ok in self.samples if at > now - WINDOW_S]
+        failures = recent.count(False)
+        is_trial = self.ejections > 0 and now >= self.ejected_until
+        if is_trial or (
+            failures >= MIN_FAILURES and failures >= FAILED_SHARE * len(recent)
+        ):
+            self._eject(now, reason)
+
+    def unreachable(self, now: float, reason: str) -> None:
+        """Note that no connection came about, which ejects the upstream at once."""
+        self.samples.append((now, False))
+        self._eject(now, reason)
+
+    def _eject(self, now: float, reason: str) -> None:
+        if self.is_ejected(now):
+            return
+        pause_s = min(MAX_EJECTION_S, FIRST_EJECTION_S * 2**self.ejections)
+        self.ejections += 1
+        self.ejected_until = now + pause_s
+        logger.bind(
+            event="upstream", upstream=self.name, for_s=pause_s, reason=reason
+        ).warning("ejected")
+
+
+class Healths:
+    """The health of all upstreams."""
+
+    def __init__(self) -> None:
+        self._rows: dict[str, Health] = {}
+
+    def get(self, name: str, incarnation: tuple) -> Health:
+        """Return the health of this run of an upstream, new ones without history."""
+        row = self._rows.get(name)
+        if row is None or row.incarnation != incarnation:
+            row = Health(name=name, incarnation=incarnation)
+            self._rows[name] = row
+        return row
+
+    def keep_only(self, names: set[str]) -> None:
+        """Forget upstreams that are gone."""
+        for name in self._rows.keys() - names:
+            del self._rows[name]
--- /dev/null
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -0,0 +1,219 @@
+"""One instance of the gateway: its parts, their start and their graceful end."""
+
+import asyncio
+import time
+
+import attrs
+import mode
+from aiohttp import web
+from loguru import logger
+
+from masticpost_gateway import (
+    beliefs,
+    cascade,
+    choice,
+    coldpace,
+    conns,
+    gateway,
+    headers,
+    loads,
+    measures,
+    mesh,
+    placement,
+    retryshare,
+    sessions,
+    source,
+    speeds,
+    stages,
+    trial,
+    watching,
+)
+
+KEEPALIVE_S = 75.0
+BACKLOG = 512
+MAX_LINE_BYTES = 32_768
+LINGER_S = 3.0
+CLOSE_IDLE_AFTER_S = 1.5
+END_MARGIN_S = 0.7
+POLL_S = 0.05
+
+
+@attrs.frozen(kw_only=True)
+class Address:
+    """A host and a port to listen on."""
+
+    host: str
+    port: int
+
+
+@attrs.frozen(kw_only=True)
+class NodeSettings:
+    """What an instance is started with; times in seconds.
+
+    Attributes
+    ----------
+    callers, ready : Address
+        Where callers' requests and the balancer's readiness checks arrive.
+    metrics : Address or None
+        Where the metrics are served.
+    grace_s : float
+        Time from the order to stop until the process is killed.
+    session_s : float
+        Pause after which a session counts as new.
+    """
+
+    name: str
+    domain: str
+    callers: Address
+    ready: Address
+    mesh: mesh.MeshSettings
+    metrics: Address | None = None
+    grace_s: float = 8.0
+    session_s: float = 5.0
+    retries: retryshare.Bounds = attrs.field(factory=retryshare.Bounds)
+    policy: str = "confident"
+
+
+class Node(mode.Service):
+    """The service tree of one instance.
+
+    Parameters
+    ----------
+    cfg : NodeSettings
+        Checked settings.
+    store : source.Source
+        The platform's store.
+    names : headers.HeaderNames
+        How both sides spell the headers.
+    """
+
+    def __init__(
+        self,
+        *,
+        cfg: NodeSettings,
+        store: source.Source,
+        names: headers.HeaderNames,
+    ) -> None:
+        super().__init__()
+        self.cfg = cfg
+        self.store = store
+        self.known = beliefs.Beliefs()
+        self.mesh = mesh.Mesh(
+            name=cfg.name, domain=cfg.domain, cfg=cfg.mesh, store=store
+        )
+        self.loads = loads.Loads(peers=self.mesh)
+        places = placement.Placement(work=self.loads, pace=speeds.Speeds())
+        self.watching = watching.Watching(store=store, known=self.known)
+        memory = sessions.Sessions(lasts_s=cfg.session_s)
+        trials = trial.Trials(known=self.known, memory=memory)
+        pace = coldpace.ColdPace(me=cfg.name, members=self.members)
+        self.shared = gateway.Shared(
+            names=names,
+            known=self.known,
+            chooser=choice.Chooser(
+                known=self.known, pace=pace, places=places, domain=cfg.domain
+            ),
+            pools=conns.Pools(sharers=lambda: len(self.members())),
+            retries=retryshare.RetryShare(
+                bounds=cfg.retries, members=lambda: len(self.members())
+            ),
+            trials=trials,
+            sessions=memory,
+            metrics=measures.Measures(),
+            policy=cascade.POLICIES.get(cfg.policy),
+            loads=self.loads,
+            places=places,
+        )
+        self.stages = stages.Stages(
+            me=cfg.name,
+            store=store,
+            known=self.known,
+            trials=trials,
+            members=self.members,
+        )
+        self.gateway = gateway.Gateway(shared=self.shared)
+        self._runners: list[web.ServerRunner] = []
+        self.known.listen(self._on_change)
+
+    def members(self) -> set[str]:
+        """Return the names of the living instances."""
+        return self.mesh.names()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether this instance takes new connections."""
+        return self.known.table is not None and not self.shared.is_closing
+
+    async def on_start(self) -> None:
+        """Start the parts, then listen."""
+        await self.mesh.start()
+        await self.loads.start()
+        await self.watching.start()
+        await self.stages.start()
+        await self._listen(self.cfg.callers, self.gateway.handle)
+        await self._listen(self.cfg.ready, self._ready)
+        if self.cfg.metrics is not None:
+            await self._listen(self.cfg.metrics, self._metrics)
+        logger.bind(event="start", name=self.cfg.name).info("listening")
+
+    async def on_stop(self) -> None:
+        """Close every connection."""
+        for runner in self._runners:
+            await runner.cleanup()
+        await self.stages.stop()
+        await self.watching.stop()
+        await self.loads.stop()
+        await self.mesh.stop()
+        await self.shared.pools.close()
+        await self.store.close()
+
+    async def drain(self) -> None:
+        """Serve what still comes on open connections, then end within the grace."""
+        self.shared.is_closing = True
+        logger.bind(event="stop", active=len(self.gateway.busy)).info("draining")
+        started = time.monotonic()
+        ends_at = started + self.cfg.grace_s - END_MARGIN_S
+        while time.monotonic() < ends_at:
+            if time.monotonic() > started + CLOSE_IDLE_AFTER_S:
+                self._close_idle()
+            if not len(self.gateway.busy) and time.monotonic() > started + LINGER_S:
+                break
+            await asyncio.sleep(POLL_S)
+        logger.bind(event="stop", active=len(self.gateway.busy)).info("stopping")
+
+    def _close_idle(self) -> None:
+        """Close callers' connections that carry no request."""
+        for conn in list(self._runners[0].server.connections):
+            if conn not in self.gateway.busy:
+                conn.force_close()
+
+    async def _listen(self, address: Address, handler) -> None:
+        server = web.Server(
+            handler,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=KEEPALIVE_S,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+        )
+        runner = web.ServerRunner(server, shutdown_timeout=0)
+        await runner.setup()
+        site = web.TCPSite(runner, address.host, address.port, backlog=BACKLOG)
+        await site.start()
+        self._runners.append(runner)
+
+    async def _ready(self, req: web.BaseRequest) -> web.Response:
+        return web.Response(status=200 if self.is_ready else 503)
+
+    async def _metrics(self, req: web.BaseRequest) -> web.Response:
+        body = self.shared.metrics.render()
+        return web.Response(body=body, headers={"Content-Type": measures.CONTENT_TYPE})
+
+    def _on_change(self, kind: source.Kind) -> None:
+        if kind is source.Kind.UPSTREAMS:
+            upstreams = self.known.upstreams(time.monotonic())
+            self.shared.pools.keep_only(upstreams)
+            self.loads.keep_only({upstream.name for upstream in upstreams})
+        if kind is source.Kind.CONFIGURATION and self.known.table is not None:
+            rooms = [s.cache_tokens for s in self.known.table.cfg.services]
+            self.loads.room_tokens = max(rooms, default=0) or self.loads.room_tokens
--- /dev/null
+++ b/libs/masticpost-gateway/src/masticpost_gateway/placement.py
@@ -0,0 +1,101 @@
+"""Choice of the upstream that answers a prompt first, for all requests together.
+
+An upstream reads prompts one after the other and writes tokens in between. The score
+of an upstream is the time until it would have read this prompt, plus what reading it
+costs the answers that it writes meanwhile. What it has read already costs nothing.
+"""
+
+import time
+
+import attrs
+from masticpost_common import rendezvous
+
+from masticpost_gateway import headers, loads, model, speeds
+
+STALL_WEIGHT = 0.12
+STREAM_COST_S = 0.004
+RANK_COST_S = 0.002
+COLD_COST_S = 1.0
+SMALL_LEVEL_SHARE = 0.2
+
+
+@attrs.frozen(kw_only=True)
+class Reading:
+    """A prompt that is to be read for a model."""
+
+    service: str
+    model: str
+    prompt: headers.Prompt
+    is_smallest: bool = False
+    has_levels: bool = False
+
+    def keys(self) -> list[str]:
+        """Return the keys of the prompt's parts, each with all parts before it."""
+        chain, found = self.model, []
+        for part in self.prompt.parts:
+            chain = f"{chain}/{part.name}"
+            found.append(chain)
+        return found
+
+
+class Placement:
+    """Places prompts by the work that all instances have at each upstream.
+
+    Parameters
+    ----------
+    work : loads.Loads
+        Work at each upstream and the prompts it has read.
+    pace : speeds.Speeds
+        Speed of each model.
+    """
+
+    def __init__(self, *, work: loads.Loads, pace: speeds.Speeds) -> None:
+        self.work = work
+        self.pace = pace
+
+    def unread_tokens(self, upstream: str, reading: Reading) -> int:
+        """Return how many tokens of a prompt an upstream has probably not kept."""
+        now = time.monotonic()
+        total = reading.prompt.tokens_in
+        for key, part in zip(reading.keys(), reading.prompt.parts, strict=True):
+            if not self.work.holds(upstream, key, now):
+                break
+            total -= part.tokens
+        return max(total, 1)
+
+    def read_s(self, upstream: str, reading: Reading) -> float:
+        """Return the time to read what is unread of a prompt, in seconds."""
+        speed = self.pace.of(reading.service, reading.model)
+        return self.unread_tokens(upstream, reading) * speed.read_s
+
+    def best(self, ready: list[model.Upstream], reading: Reading) -> model.Upstream:
+        """Return the upstream with the lowest score."""
+        names = {upstream.name: upstream for upstream in ready}
+        if reading.has_levels and len(names) > 1:
+            names = _of_level(names, reading)
+        key = reading.keys()[-2] if len(reading.prompt.parts) > 1 else reading.model
+        ranked = rendezvous.ranked(names, key)
+        scores = {
+            name: self._score(name, reading) + RANK_COST_S * rank
+            for rank, name in enumerate(ranked)
+        }
+        return names[min(ranked, key=scores.__getitem__)]
+
+    def _score(self, name: str, reading: Reading) -> float:
+        load = self.work.of(name, time.monotonic())
+        read_s = self.read_s(name, reading)
+        stall_s = read_s * STALL_WEIGHT * load.streams
+        return load.reading_s + read_s + stall_s + STREAM_COST_S * load.streams
+
+
+def _of_level(
+    names: dict[str, model.Upstream], reading: Reading
+) -> dict[str, model.Upstream]:
+    """Return the upstreams that are set aside for the smallest model, or the rest.
+
+    A larger model reads a prompt many times slower and holds up what runs beside it.
+    """
+    ranked = rendezvous.ranked(names, reading.service)
+    count = max(1, round(SMALL_LEVEL_SHARE * len(ranked)))
+    chosen = ranked[:count] if reading.is_smallest else ranked[count:]
+    return {name: names[name] for name in chosen}
--- /dev/null
+++ b/libs/masticpost-gateway/src/masticpost_gateway/plain.py
@@ -0,0 +1,118 @@
+"""Requests with one whole answer: idempotent and non-idempotent calls."""
+
+import asyncio
+import time
+
+import aiohttp
+import attrs
+import multidict
+from aiohttp import web
+from masticpost_common import errors, retry
+
+from masticpost_gateway import call as calls
+from masticpost_gateway import conns, headers, tries
+
+FIRST_TRY_SHARE = 0.6
+READ_BYTES = 65_536
+SERVER_ERROR = 500
+
+
+@attrs.frozen(kw_only=True)
+class Whole:
+    """A whole answer of an upstream."""
+
+    status: int
+    headers: multidict.CIMultiDict
+    body: bytes
+
+
+async def serve(shared: tries.Shared, call: calls.Call) -> web.Response:
+    """Return the answer to a plain request.
+
+    Raises
+    ------
+    errors.RefusalError
+        The request was given up.
+    """
+    run = tries.Tries(shared=shared, call=call)
+    failed: Whole | None = None
+    reason = ""
+    while True:
+        upstream = await _next(run, failed)
+        if upstream is None:
+            return _response(failed)
+        try:
+            whole = await _try(run, upstream)
+        except tries.TryError as exc:
+            reason = exc.reason
+            if not _may_repeat(run, exc.verdict):
+                if failed is not None:
+                    return _response(failed)
+                raise _given_up(run, reason) from exc
+            continue
+        if whole.status < SERVER_ERROR:
+            return _response(whole)
+        failed = whole
+        if not call.route.kind.may_repeat or not run.may_try_again():
+            return _response(failed)
+
+
+async def _next(run: tries.Tries, failed: Whole | None):
+    """Return the next upstream; None when an earlier failure is the answer."""
+    try:
+        return await run.next_upstream("")
+    except errors.RefusalError:
+        if failed is None:
+            raise
+        return None
+
+
+def _may_repeat(run: tries.Tries, verdict: retry.Verdict) -> bool:
+    never_ran = verdict is retry.Verdict.NEVER_JUDGED
+    may_repeat = never_ran or run.call.route.kind.may_repeat
+    return may_repeat and run.may_try_again()
+
+
+def _given_up(run: tries.Tries, reason: str) -> errors.RefusalError:
+    if run.may_have_run and run.call.left_s() <= 0:
+        return errors.refuse(504, "timeout", reason, ran=errors.RAN_MAYBE)
+    return run.refusal(reason)
+
+
+async def _try(run: tries.Tries, upstream) -> Whole:
+    timeout_s = run.call.left_s()
+    may_repeat = run.call.route.kind.may_repeat and run.call.route.attempts > 1
+    if may_repeat and run.runs == 0 and run.has_other(""):
+        timeout_s = min(timeout_s, FIRST_TRY_SHARE * run.call.route.objective_s)
+    ends_at = time.monotonic() + timeout_s
+    opened = await run.open(upstream, "", timeout_s)
+    result = "cancelled"
+    try:
+        body = await _read(opened, ends_at - time.monotonic())
+        result = "ok" if not opened.is_failure else f"failed {opened.resp.status}"
+    except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+        result = f"cut: {type(exc).__name__}"
+        run.note_bad(opened, result)
+        raise tries.TryError(retry.Verdict.NOT_KNOWN, result) from exc
+    finally:
+        run.close(opened, result)
+    if opened.is_failure:
+        run.note_bad(opened, result)
+    else:
+        run.note_good(opened)
+    passed = headers.passed_on(opened.resp.headers, frozenset())
+    return Whole(status=opened.resp.status, headers=passed, body=body)
+
+
+async def _read(opened: tries.Opened, timeout_s: float) -> bytes:
+    ending = conns.Ending(opened.resp)
+    chunks = []
+    async with asyncio.timeout(timeout_s):
+        while chunk := await opened.resp.content.read(READ_BYTES):
+            chunks.append(chunk)
+    ending.check()
+    return b"".join(chunks)
+
+
+def _response(whole: Whole) -> web.Response:
+    return web.Response(status=whole.status, headers=whole.headers, body=whole.body)
--- /dev/null
+++ b/libs/masticpost-gateway/src/masticpost_gateway/stages.py
@@ -0,0 +1,133 @@
+"""Moves roll-outs through their stages and writes each decision to the store.
+
+Every instance knows the same order. The first in a rendezvous order writes at once, the
+next ones a little later if nothing has changed by then; the store's revision lets one
+of them win.
+"""
+
+import asyncio
+import collections.abc
+import time
+
+import attrs
+import mode
+from loguru import logger
+from masticpost_common import rendezvous
+
+from masticpost_gateway import beliefs, model, source, trial
+
+TICK_S = 0.1
+STANDBY_S = 0.8
+RETRY_S = 0.5
+
+
+@attrs.frozen(kw_only=True)
+class StagePlan:
+    """Parts of a roll-out's duration at which a stage begins; and the shares."""
+
+    half_at: float = 0.5
+    wide_at: float = 0.66
+    done_at: float = 0.82
+    half_share: float = 0.4
+
+
+class Stages(mode.Service):
+    """Drives the open roll-outs.
+
+    Parameters
+    ----------
+    me : str
+        Name of this instance.
+    store : source.Source
+        Where decisions are written.
+    known : beliefs.Beliefs
+        Holds the orders.
+    trials : trial.Trials
+        Holds the evidence.
+    members : callable
+        Returns the names of the living instances.
+    plan : StagePlan
+        When each stage begins.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: str,
+        store: source.Source,
+        known: beliefs.Beliefs,
+        trials: trial.Trials,
+        members: collections.abc.Callable[[], collections.abc.Collection[str]],
+        plan: StagePlan | None = None,
+    ) -> None:
+        super().__init__()
+        self.me = me
+        self.store = store
+        self.known = known
+        self.trials = trials
+        self.members = members
+        self.plan = plan or StagePlan()
+        self._due_since: dict[str, tuple[model.RollOut, float]] = {}
+        self._next_write: dict[str, float] = {}
+
+    @mode.Service.task
+    async def drive(self) -> None:
+        """Look at the open roll-outs until the service stops."""
+        while not self.should_stop:
+            for row in list(self.trials.open.values()):
+                await self._look(row)
+            await asyncio.sleep(TICK_S)
+
+    def wanted(self, row: trial.Trial, now: float) -> model.RollOut:
+        """Return the order as it should stand now."""
+        order = row.order
+        if row.verdict:
+            return attrs.evolve(order, state=model.RollOutState.ROLLED_BACK, share=0.0)
+        passed = (now - row.since) / max(order.duration_s, 0.001)
+        running = model.RollOutState.RUNNING
+        if passed >= self.plan.done_at and order.share >= trial.WIDE_SHARE:
+            return attrs.evolve(order, state=model.RollOutState.COMPLETED, share=1.0)
+        if passed >= self.plan.wide_at:
+            return attrs.evolve(order, state=running, share=1.0)
+        if passed >= self.plan.half_at:
+            share = max(order.share, self.plan.half_share)
+            return attrs.evolve(order, state=running, share=share)
+        return order
+
+    async def _look(self, row: trial.Trial) -> None:
+        now = time.monotonic()
+        service = row.order.service
+        wanted = self.wanted(row, now)
+        if wanted == row.order:
+            self._due_since.pop(service, None)
+            return
+        known, since = self._due_since.get(service, (None, now))
+        if known != wanted:
+            since = now
+            self._due_since[service] = (wanted, now)
+        names = rendezvous.ranked({*self.members(), self.me}, service)
+        if now - since < names.index(self.me) * STANDBY_S:
+            return
+        if now < self._next_write.get(service, 0.0):
+            return
+        self._next_write[service] = now + RETRY_S
+        await self._write(service, wanted)
+
+    async def _write(self, service: str, wanted: model.RollOut) -> None:
+        entry = self.known.views[source.Kind.ROLL_OUTS].entries.get(service)
+        if entry is None:
+            return
+        outcome = await self.store.decide(entry, wanted)
+        row = logger.bind(
+            event="roll-out",
+            service=service,
+            version=wanted.target,
+            state=wanted.state.value,
+            share=wanted.share,
+            rev=entry.revision,
+        )
+        if outcome.is_ok():
+            row.info("decided")
+            return
+        # The watch shows whether another instance, or this call after all, succeeded.
+        row.warning("not decided: {}", outcome.unwrap_err().message)
--- /dev/null
+++ b/libs/masticpost-gateway/src/masticpost_gateway/streaming.py
@@ -0,0 +1,227 @@
+"""Requests whose answer is a stream of events: cascades, and resumption after cuts."""
+
+import asyncio
+import time
+
+import aiohttp
+from aiohttp import web
+from masticpost_common import errors, retry
+
+from masticpost_gateway import call as calls
+from masticpost_gateway import cascade, conns, events, headers, tries
+
+FIRST_EVENT_SHARE = 1.5
+FIRST_EVENT_FLOOR_S = 1.0
+GAP_SHARE = 1.5
+GAP_FLOOR_S = 0.8
+READ_BYTES = 65_536
+
+
+class CutError(Exception):
+    """The stream was cut before its end."""
+
+
+class Streaming:
+    """One stream towards a caller, over one or more tries.
+
+    Parameters
+    ----------
+    shared : tries.Shared
+        Parts of the gateway.
+    call : call.Call
+        The request.
+    req : web.BaseRequest
+        Where the events go.
+    policy : cascade.Policy
+        Choice of the model.
+    """
+
+    def __init__(
+        self,
+        *,
+        shared: tries.Shared,
+        call: calls.Call,
+        req: web.BaseRequest,
+        policy: cascade.Policy,
+    ) -> None:
+        self.shared = shared
+        self.call = call
+        self.req = req
+        self.policy = policy
+        self.run = tries.Tries(shared=shared, call=call)
+        self.level = policy.first(len(call.route.levels)) if call.route.levels else 0
+        self.resp: web.StreamResponse | None = None
+        self.last_id = ""
+        self.events_sent = 0
+
+    async def serve(self) -> web.StreamResponse:
+        """Serve the stream to its end.
+
+        Raises
+        ------
+        errors.RefusalError
+            The request was given up before the caller got anything.
+        CutError
+            It was given up in the middle of the stream.
+        """
+        while True:
+            opened = await self._open()
+            if opened.is_failure:
+                failed = await self._take_failure(opened)
+                if failed is not None:
+                    return failed
+                continue
+            if self._escalates(opened):
+                continue
+            if await self._forward(opened):
+                await self.resp.write_eof()
+                return self.resp
+            self._require_another("the stream was cut")
+
+    @property
+    def _model(self) -> str:
+        levels = self.call.route.levels
+        return levels[self.level] if levels else ""
+
+    async def _open(self) -> tries.Opened:
+        while True:
+            try:
+                upstream = await self.run.next_upstream(self._model)
+            except errors.RefusalError as exc:
+                self._give_up(exc)
+            try:
+                return await self.run.open(
+                    upstream, self._model, self._first_event_timeout(), self.last_id
+                )
+            except tries.TryError as exc:
+                self._require_another(exc.reason, exc.verdict)
+
+    def _first_event_timeout(self) -> float:
+        left_s = self.call.left_s()
+        if not self.call.route.kind.may_repeat or not self.run.has_other(self._model):
+            return left_s
+        bound = max(
+            FIRST_EVENT_FLOOR_S, FIRST_EVENT_SHARE * self.call.route.objective_s
+        )
+        return min(left_s, bound)
+
+    def _require_another(
+        self, reason: str, verdict: retry.Verdict = retry.Verdict.NOT_KNOWN
+    ) -> None:
+        """Raise unless one more try is allowed after a failure."""
+        never_ran = verdict is retry.Verdict.NEVER_JUDGED
+        may_repeat = never_ran or self.call.route.kind.may_repeat
+        if may_repeat and self.run.may_try_again():
+            return
+        if self.run.may_have_run and self.call.left_s() <= 0:
+            self._give_up(errors.refuse(504, "timeout", reason, ran=errors.RAN_MAYBE))
+        self._give_up(self.run.refusal(reason))
+
+    def _give_up(self, exc: errors.RefusalError) -> None:
+        if self.resp is not None:
+            raise CutError(exc.refusal.message) from exc
+        raise exc
+
+    async def _take_failure(self, opened: tries.Opened) -> web.Response | None:
+        """Handle a failure that the upstream reports; return it if it is final."""
+        result = f"failed {opened.resp.status}"
+        self.run.note_bad(opened, result)
+        self.run.leave_version(opened.upstream.version)
+        may_repeat = self.call.route.kind.may_repeat
+        if self.resp is None and not (may_repeat and self.run.may_try_again()):
+            return await self._pass_failure(opened, result)
+        self.run.close(opened, result)
+        self._require_another(result)
+        return None
+
+    async def _pass_failure(self, opened: tries.Opened, result: str) -> web.Response:
+        try:
+            async with asyncio.timeout(self.call.left_s()):
+                body = await opened.resp.read()
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            raise self.run.refusal(f"{result}, then cut") from exc
+        finally:
+            self.run.close(opened, result)
+        passed = headers.passed_on(opened.resp.headers, frozenset())
+        return web.Response(status=opened.resp.status, headers=passed, body=body)
+
+    def _escalates(self, opened: tries.Opened) -> bool:
+        """Drop an answer that is to be asked of a larger model."""
+        if self.resp is not None or not self.call.route.levels:
+            return False
+        step = cascade.Step(
+            level=self.level,
+            levels=len(self.call.route.levels),
+            confidence=opened.head.confidence,
+            time_left_s=self.call.objective_left_s(),
+        )
+        target = self.policy.after(step)
+        if target is None or not self.run.may_try_again(is_planned=True):
+            return False
+        self.run.note_good(opened)
+        self.run.close(opened, f"dropped {step.confidence:.2f}")
+        self.level = target
+        self.run.tried.clear()
+        return True
+
+    async def _forward(self, opened: tries.Opened) -> bool:
+        """Pass events on; return whether the stream came to its end."""
+        result = "cancelled"
+        try:
+            await self._pass_events(opened)
+            result = "ok"
+        except (aiohttp.ClientError, OSError, TimeoutError, CutError) as exc:
+            if self.req.transport is None:
+                raise asyncio.CancelledError from exc
+            result = f"cut: {type(exc).__name__}"
+            self.run.note_bad(opened, result)
+        finally:
+            self.run.close(opened, result)
+        return result == "ok"
+
+    async def _pass_events(self, opened: tries.Opened) -> None:
+        splitter = events.Splitter()
+        ending = conns.Ending(opened.resp)
+        first_at = None
+        count = 0
+        while True:
+            async with asyncio.timeout(self._gap_timeout()):
+                data = await opened.resp.content.readany()
+            if not data:
+                break
+            found = splitter.feed(data)
+            if not found:
+                continue
+            first_at = first_at or time.monotonic()
+            count += len(found)
+            await self._write(opened, found)
+        ending.check()
+        if splitter.has_rest or not count:
+            raise CutError("the stream ended within an event")
+        span_s = time.monotonic() - first_at
+        gap_s = span_s / (count - 1) if count > 1 else 0.0
+        self.run.note_good(opened, gap_s)
+
+    def _gap_timeout(self) -> float:
+        left_s = self.call.left_s()
+        if not self.call.route.kind.may_repeat:
+            return left_s
+        return min(left_s, max(GAP_FLOOR_S, GAP_SHARE * self.call.route.gap_s))
+
+    async def _write(
+        self, opened: tries.Opened, found: list[events.StreamEvent]
+    ) -> None:
+        if self.resp is None:
+            await self._begin(opened)
+        await self.resp.write(b"".join(event.raw for event in found))
+        self.last_id = found[-1].event_id or self.last_id
+        self.events_sent += len(found)
+
+    async def _begin(self, opened: tries.Opened) -> None:
+        self.call.first_event_s = time.monotonic() - self.call.started_at
+        passed = headers.passed_on(opened.resp.headers, frozenset())
+        self.resp = web.StreamResponse(status=opened.resp.status, headers=passed)
+        self.resp.enable_chunked_encoding()
+        if self.shared.is_closing:
+            self.resp.force_close()
+        await self.resp.prepare(self.req)
--- /dev/null
+++ b/libs/masticpost-gateway/src/masticpost_gateway/table.py
@@ -0,0 +1,62 @@
+"""The routes and customers of one configuration, ready for look-up."""
+
+import attrs
+from masticpost_common import rendezvous
+
+from masticpost_gateway import model
+
+
+@attrs.frozen(kw_only=True)
+class Found:
+    """A route that a request matches, and the service that takes it."""
+
+    route: model.Route
+    service: model.Service
+
+
+class Table:
+    """Look-up of routes, services and customers.
+
+    Parameters
+    ----------
+    cfg : model.Configuration
+        The configuration in force.
+    """
+
+    def __init__(self, *, cfg: model.Configuration) -> None:
+        self.cfg = cfg
+        self.services = {service.name: service for service in cfg.services}
+        self._customers = {key: who for who in cfg.customers for key in who.keys}
+        self._hosts: dict[str, list[model.Route]] = {}
+        for route in cfg.routes:
+            self._hosts.setdefault(route.host.lower(), []).append(route)
+        for routes in self._hosts.values():
+            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+
+    @property
+    def has_customers(self) -> bool:
+        """Whether requests need a customer's key."""
+        return bool(self.cfg.customers)
+
+    def route(self, host: str, path: str) -> model.Route | None:
+        """Return the route of `host` with the longest prefix that begins `path`."""
+        name = host.rsplit(":", 1)[0] if ":" in host else host
+        for route in self._hosts.get(name.lower(), ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def service_of(self, route: model.Route, key: str) -> model.Service:
+        """Return the service that takes the request `key` of a route, by weight."""
+        total = sum(target.weight for target in route.targets)
+        mark = rendezvous.unit(f"{route.name}\0{key}") * total
+        for target in route.targets:
+            mark -= target.weight
+            if mark < 0:
+                break
+        found = self.services.get(target.service)
+        return found or model.Service(name=target.service)
+
+    def customer(self, key: str | None) -> model.Customer | None:
+        """Return the customer that holds `key`, None for an unknown key."""
+        return self._customers.get(key) if key else None
--- /dev/null
+++ b/libs/masticpost-gateway/src/masticpost_gateway/trial.py
@@ -0,0 +1,241 @@
+"""Versions on trial: which sessions they get, and what the answers tell of them.
+
+The share of a version is a hash of the session, so that instances agree without
+messages; a session that ran lately keeps its version while the share is narrow.
+"""
+
+import collections.abc
+import math
+import time
+
+import attrs
+from loguru import logger
+from masticpost_common import rendezvous
+
+from masticpost_gateway import beliefs, model, sessions, source
+
+MIN_FAILURES = 4
+FAILED_SHARE_ABOVE = 0.15
+FAILED_RATIO = 2.5
+MIN_GAPS = 8
+SLOW_LOG_RATIO = math.log(3.0)
+WIDE_SHARE = 0.9
+
+
+@attrs.define(kw_only=True)
+class Tally:
+    """Answers of one version during a trial; sums that only grow.
+
+    Attributes
+    ----------
+    gap_logs : float
+        Sum of the natural logarithms of the mean pause between events, in seconds.
+    """
+
+    calls: int = 0
+    failures: int = 0
+    gaps: int = 0
+    gap_logs: float = 0.0
+
+    def add(self, other: "Tally") -> None:
+        """Add the sums of another tally."""
+        self.calls += other.calls
+        self.failures += other.failures
+        self.gaps += other.gaps
+        self.gap_logs += other.gap_logs
+
+    @property
+    def failed_share(self) -> float:
+        """Share of the calls that failed."""
+        return self.failures / self.calls if self.calls else 0.0
+
+
+@attrs.frozen(kw_only=True)
+class Evidence:
+    """One instance's tallies of one trial: of the target and of all other versions."""
+
+    service: str
+    target: str
+    trial: Tally
+    base: Tally
+
+
+@attrs.define(kw_only=True)
+class Trial:
+    """An open roll-out as this instance knows it.
+
+    Attributes
+    ----------
+    since : float
+        Monotonic time at which this instance learnt of the order.
+    told : dict
+        The latest evidence of other instances, by instance and its start.
+    """
+
+    order: model.RollOut
+    since: float
+    trial: Tally = attrs.field(factory=Tally)
+    base: Tally = attrs.field(factory=Tally)
+    told: dict[tuple[str, int], Evidence] = attrs.field(factory=dict)
+    verdict: str = ""
+
+    def pooled(self) -> tuple[Tally, Tally]:
+        """Return the sums over all instances, of the target and of the others."""
+        trial, base = Tally(), Tally()
+        trial.add(self.trial)
+        base.add(self.base)
+        for evidence in self.told.values():
+            trial.add(evidence.trial)
+            base.add(evidence.base)
+        return trial, base
+
+
+@attrs.frozen(kw_only=True)
+class VersionPlan:
+    """Which version a request should run on.
+
+    Attributes
+    ----------
+    preferred : str or None
+        The version to use where it can take the request; None for any.
+    avoided : str or None
+        A version to use only when nothing else is there; None for no such version.
+    excluded : str or None
+        A version that gets nothing.
+    """
+
+    preferred: str | None = None
+    avoided: str | None = None
+    excluded: str | None = None
+
+
+class Trials:
+    """The open roll-outs and the versions' evidence.
+
+    Parameters
+    ----------
+    known : beliefs.Beliefs
+        Holds the orders.
+    memory : sessions.Sessions
+        Versions of the sessions at work.
+    """
+
+    def __init__(self, *, known: beliefs.Beliefs, memory: sessions.Sessions) -> None:
+        self.known = known
+        self.memory = memory
+        self.open: dict[str, Trial] = {}
+        known.listen(self._on_change)
+
+    def plan(self, service: str, session: str, request_id: str) -> VersionPlan:
+        """Return which version a request should run on."""
+        order = self.known.roll_out(service)
+        if order is None:
+            return VersionPlan()
+        if order.state is model.RollOutState.COMPLETED:
+            return VersionPlan(preferred=order.target)
+        trial = self.open.get(service)
+        if trial is None or trial.verdict:
+            return VersionPlan(excluded=order.target)
+        last = self.memory.version(service, session, time.monotonic())
+        if order.share >= WIDE_SHARE or last == order.target:
+            return VersionPlan(preferred=order.target)
+        if last is not None and order.share <= model.NARROW_SHARE:
+            return VersionPlan(avoided=order.target)
+        mark = rendezvous.unit(f"{service}\0{order.target}\0{session or request_id}")
+        if mark < order.share:
+            return VersionPlan(preferred=order.target)
+        return VersionPlan(avoided=order.target)
+
+    def note(
+        self, service: str, version: str, *, is_good: bool, gap_s: float = 0.0
+    ) -> None:
+        """Count an answer; `gap_s` is the mean pause between its events, if known."""
+        trial = self.open.get(service)
+        if trial is None:
+            return
+        tally = trial.trial if version == trial.order.target else trial.base
+        tally.calls += 1
+        tally.failures += not is_good
+        if gap_s > 0:
+            tally.gaps += 1
+            tally.gap_logs += math.log(gap_s)
+        self._judge(trial)
+
+    def hear(self, sender: tuple[str, int], evidence: Evidence) -> None:
+        """Take the evidence of another instance."""
+        trial = self.open.get(evidence.service)
+        if trial is None or trial.order.target != evidence.target:
+            return
+        trial.told[sender] = evidence
+        self._judge(trial)
+
+    def evidence(self) -> list[Evidence]:
+        """Return this instance's own evidence of the open trials."""
+        return [
+            Evidence(
+                service=service,
+                target=row.order.target,
+                trial=row.trial,
+                base=row.base,
+            )
+            for service, row in self.open.items()
+        ]
+
+    def _on_change(self, kind: source.Kind) -> None:
+        if kind is not source.Kind.ROLL_OUTS:
+            return
+        entries = self.known.views[kind].entries
+        orders = {e.record.service: e.record for e in entries.values() if e.record}
+        for service in list(self.open):
+            order = orders.get(service)
+            if order is None or not order.state.is_open:
+                del self.open[service]
+        for service, order in orders.items():
+            if order.state.is_open:
+                self._open(service, order)
+
+    def _open(self, service: str, order: model.RollOut) -> None:
+        trial = self.open.get(service)
+        if trial is None or trial.order.target != order.target:
+            self.open[service] = Trial(order=order, since=time.monotonic())
+            return
+        trial.order = order
+
+    def _judge(self, trial: Trial) -> None:
+        if trial.verdict:
+            return
+        row, base = trial.pooled()
+        trial.verdict = find_fault(row, base)
+        if trial.verdict:
+            logger.bind(
+                event="trial",
+                service=trial.order.service,
+                version=trial.order.target,
+                calls=row.calls,
+                failures=row.failures,
+                instances=len(trial.told) + 1,
+            ).warning("version is bad: {}", trial.verdict)
+
+
+Judge = collections.abc.Callable[[Tally, Tally], str]
+
+
+def find_fault(row: Tally, base: Tally) -> str:
+    """Return why a version on trial is worse than the others, empty if it is not.
+
+    Parameters
+    ----------
+    row : Tally
+        Answers of the version on trial.
+    base : Tally
+        Answers of all other versions in the same time.
+    """
+    if row.failures >= MIN_FAILURES:
+        bound = max(FAILED_SHARE_ABOVE, FAILED_RATIO * base.failed_share)
+        if row.failed_share > bound:
+            return f"{row.failures} of {row.calls} calls failed"
+    if min(row.gaps, base.gaps) >= MIN_GAPS:
+        ratio = row.gap_logs / row.gaps - base.gap_logs / base.gaps
+        if ratio > SLOW_LOG_RATIO:
+            return f"events {math.exp(ratio):.1f} times as slow"
+    return ""
--- /dev/null
+++ b/libs/masticpost-gateway/src/masticpost_gateway/tries.py
@@ -0,0 +1,368 @@
+"""The tries of one request: who gets it next, and what a failed try allows."""
+
+import asyncio
+import time
+import typing
+
+import aiohttp
+import attrs
+from masticpost_common import errors, retry
+
+from masticpost_gateway import call as calls
+from masticpost_gateway import (
+    choice,
+    conns,
+    headers,
+    health,
+    loads,
+    model,
+    placement,
+    trial,
+)
+
+WAIT_STEP_S = 0.03
+WAIT_SHARE = 0.5
+RETRY_AFTER_S = 0.4
+MISDIRECTED = 421
+SERVER_ERROR = 500
+MS_PER_S = 1000.0
+URGENCY_OF_PRIORITY = (1, 4, 7)
+
+
+class TryError(Exception):
+    """A try that brought no answer to pass on.
+
+    Parameters
+    ----------
+    verdict : retry.Verdict
+        What the failure tells about whether the request ran.
+    reason : str
+        Short cause for the log.
+    """
+
+    def __init__(self, verdict: retry.Verdict, reason: str) -> None:
+        self.verdict = verdict
+        self.reason = reason
+        super().__init__(reason)
+
+
+@attrs.define(kw_only=True)
+class Opened:
+    """An answer whose head was read and checked, and its body not yet."""
+
+    upstream: model.Upstream
+    level: str
+    resp: aiohttp.ClientResponse
+    head: headers.AnswerHead
+    sent_at: float
+    head_at: float
+    health: health.Health
+    work: loads.Work | None = None
+    unread_tokens: int = 0
+
+    @property
+    def is_failure(self) -> bool:
+        """Whether the upstream itself reports a failure."""
+        return self.resp.status >= SERVER_ERROR
+
+
+class Shared(typing.Protocol):
+    """What every request of a gateway uses."""
+
+    names: headers.HeaderNames
+    chooser: choice.Chooser
+    pools: conns.Pools
+    retries: typing.Any
+    trials: trial.Trials
+    sessions: typing.Any
+    metrics: typing.Any
+    loads: loads.Loads
+    places: placement.Placement
+
+
+class Tries:
+    """Sends one request to one upstream after the other.
+
+    Parameters
+    ----------
+    shared : Shared
+        Parts of the gateway.
+    call : call.Call
+        The request.
+    """
+
+    def __init__(self, *, shared: Shared, call: calls.Call) -> None:
+        self.shared = shared
+        self.call = call
+        self.plan = shared.trials.plan(
+            call.service.name, call.head.session, call.head.request_id
+        )
+        self.tried: set[str] = set()
+        self.runs = 0
+        self.sent = 0
+        self.may_have_run = False
+
+    @property
+    def has_runs_left(self) -> bool:
+        """Whether one more upstream may run the request."""
+        return self.runs < max(1, self.call.route.attempts)
+
+    def may_try_again(self, *, is_planned: bool = False) -> bool:
+        """Tell whether another upstream may be tried."""
+        if not self.has_runs_left or self.call.left_s() <= 0:
+            return False
+        now = time.monotonic()
+        service = self.call.service.name
+        return self.shared.retries.may_repeat(service, now, is_planned=is_planned)
+
+    def has_other(self, level: str) -> bool:
+        """Tell whether an upstream that was not tried is there."""
+        now = time.monotonic()
+        usable = self.shared.chooser.usable(self.call.service.name, now)
+        return any(u.name not in self.tried for u in usable)
+
+    async def next_upstream(self, level: str) -> model.Upstream:
+        """Return the upstream for the next try, after a wait if all are held back.
+
+        Raises
+        ------
+        errors.RefusalError
+            No upstream can take the request in time.
+        """
+        give_up_at = self.call.started_at + WAIT_SHARE * self.call.route.objective_s
+        while True:
+            found = self.shared.chooser.pick(self._wanted(level))
+            if found is not None:
+                return found
+            now = time.monotonic()
+            if now >= min(give_up_at, self.call.answer_by):
+                raise self.refusal("no upstream is ready")
+            if not self.shared.chooser.usable(self.call.service.name, now):
+                raise self.refusal("no upstream is registered")
+            await asyncio.sleep(WAIT_STEP_S)
+
+    async def open(
+        self, upstream: model.Upstream, level: str, timeout_s: float, last_id: str = ""
+    ) -> Opened:
+        """Send the request and return the answer's checked head.
+
+        Raises
+        ------
+        TryError
+            The upstream did not run the request, or its answer is of no use.
+        """
+        now = time.monotonic()
+        self._count_sent(now)
+        self.tried.add(upstream.name)
+        row = self.shared.chooser.health_of(upstream)
+        pool = self.shared.pools.get(upstream, self.call.service)
+        out = self._outgoing(upstream, level, last_id)
+        row.outstanding += 1
+        reading = self.reading(level)
+        unread = 0
+        work = None
+        if reading is not None:
+            unread = self.shared.places.unread_tokens(upstream.name, reading)
+            read_s = self.shared.places.read_s(upstream.name, reading)
+            work = self.shared.loads.begin(upstream.name, read_s)
+        try:
+            opened = await self._exchange(pool, out, row, level, timeout_s)
+        except TryError as exc:
+            row.outstanding -= 1
+            self._end_work(work)
+            self._note_failure(upstream, level, row, now, exc)
+            raise
+        except BaseException:
+            row.outstanding -= 1
+            self._end_work(work)
+            self._record(upstream, level, "cancelled", now)
+            raise
+        opened.work = work
+        opened.unread_tokens = unread
+        if reading is not None:
+            self._note_read(opened, reading)
+        self.runs += 1
+        self.may_have_run = True
+        service = self.call.service.name
+        self.shared.sessions.ran(
+            service, self.call.head.session, upstream.version, time.monotonic()
+        )
+        return opened
+
+    def close(self, opened: Opened, result: str) -> None:
+        """End a try: give the connection back, or cut it if its body is not read."""
+        opened.health.outstanding -= 1
+        self._end_work(opened.work)
+        opened.resp.close() if result != "ok" else opened.resp.release()
+        self._record(opened.upstream, opened.level, result, opened.sent_at)
+
+    def note_good(self, opened: Opened, gap_s: float = 0.0) -> None:
+        """Count a whole answer for the upstream and its version."""
+        now = time.monotonic()
+        opened.health.succeeded(now)
+        self.shared.sessions.ran(
+            self.call.service.name,
+            self.call.head.session,
+            opened.upstream.version,
+            now,
+        )
+        self.shared.trials.note(
+            self.call.service.name, opened.upstream.version, is_good=True, gap_s=gap_s
+        )
+
+    def note_bad(self, opened: Opened, reason: str) -> None:
+        """Count a failed answer for the upstream and its version."""
+        opened.health.failed(time.monotonic(), reason)
+        self.shared.trials.note(
+            self.call.service.name, opened.upstream.version, is_good=False
+        )
+
+    def leave_version(self, version: str) -> None:
+        """Run the next try on another version than one on trial that failed."""
+        if self.plan.preferred == version and self.call.service.name in (
+            self.shared.trials.open
+        ):
+            self.plan = trial.VersionPlan(avoided=version)
+
+    def refusal(self, reason: str) -> errors.RefusalError:
+        """Return the error for a caller whose request was given up."""
+        if self.may_have_run:
+            return errors.refuse(502, "upstream-failed", reason, ran=errors.RAN_MAYBE)
+        return errors.refuse(503, "not-run", reason, retry_after_s=RETRY_AFTER_S)
+
+    def _end_work(self, work: loads.Work | None) -> None:
+        if work is not None:
+            self.shared.loads.end(work)
+
+    def _note_read(self, opened: Opened, reading: placement.Reading) -> None:
+        """Note that the prompt was read, since the answer has begun."""
+        opened.work.is_read = True
+        took_s = opened.head_at - opened.sent_at
+        speed = self.shared.places.pace.of(reading.service, reading.model)
+        if not opened.is_failure:
+            speed.saw_read(opened.unread_tokens, took_s)
+        for key, part in zip(reading.keys(), reading.prompt.parts, strict=True):
+            self.shared.loads.place(opened.upstream.name, key, part.tokens)
+
+    def _wanted(self, level: str) -> choice.Wanted:
+        return choice.Wanted(
+            service=self.call.service,
+            plan=self.plan,
+            reading=self.reading(level),
+            tried=frozenset(self.tried),
+        )
+
+    def reading(self, level: str) -> placement.Reading | None:
+        """Return what an upstream would have to read, None without a prompt."""
+        if not self.call.head.prompt.tokens_in:
+            return None
+        return placement.Reading(
+            service=self.call.service.name,
+            model=level,
+            prompt=self.call.head.prompt,
+            is_smallest=(level,) == self.call.route.levels[:1],
+            has_levels=len(self.call.route.levels) > 1,
+        )
+
+    def _count_sent(self, now: float) -> None:
+        service = self.call.service.name
+        if self.sent:
+            self.shared.retries.repeated(service, now)
+        self.sent += 1
+
+    def _outgoing(
+        self, upstream: model.Upstream, level: str, last_id: str
+    ) -> conns.Outgoing:
+        names = self.shared.names
+        out = self.call.passed.copy()
+        left_ms = max(1, int(self.call.left_s() * MS_PER_S))
+        out[names.deadline_ms] = str(left_ms)
+        out[names.expected_instance] = upstream.name
+        if self.call.customer:
+            out[names.customer] = self.call.customer
+        if level:
+            out[names.model] = level
+        if last_id:
+            out[names.last_event_id] = last_id
+        if self.call.route.kind.is_stream:
+            rank = min(self.call.priority, len(URGENCY_OF_PRIORITY) - 1)
+            out[names.urgency] = str(URGENCY_OF_PRIORITY[rank])
+        return conns.Outgoing(
+            method=self.call.method,
+            target=self.call.target,
+            headers=out,
+            body=self.call.body,
+        )
+
+    async def _exchange(
+        self,
+        pool: conns.Pool,
+        out: conns.Outgoing,
+        row: health.Health,
+        level: str,
+        timeout_s: float,
+    ) -> Opened:
+        sent_at = time.monotonic()
+        try:
+            async with asyncio.timeout(timeout_s):
+                resp = await pool.send(out)
+        except conns.NotSentError as exc:
+            raise TryError(retry.Verdict.NEVER_JUDGED, "not connected") from exc
+        except conns.BrokenError as exc:
+            raise TryError(retry.Verdict.NOT_KNOWN, f"broken: {exc}") from exc
+        except TimeoutError as exc:
+            raise TryError(retry.Verdict.NOT_KNOWN, "no answer in time") from exc
+        head = headers.read_answer(resp.headers, self.shared.names)
+        try:
+            self._check(resp, head)
+        except TryError:
+            resp.close()
+            raise
+        return Opened(
+            upstream=pool.upstream,
+            level=level,
+            resp=resp,
+            head=head,
+            sent_at=sent_at,
+            head_at=time.monotonic(),
+            health=row,
+        )
+
+    def _check(self, resp: aiohttp.ClientResponse, head: headers.AnswerHead) -> None:
+        """Raise unless the answer is this request's and may be passed on."""
+        if resp.status == MISDIRECTED or head.is_not_run:
+            raise TryError(retry.Verdict.NEVER_JUDGED, f"not run: {resp.status}")
+        if head.request_id != self.call.head.request_id:
+            raise TryError(retry.Verdict.NOT_KNOWN, "answer to another request")
+        if resp.status < 300 and not head.is_signed:
+            raise TryError(retry.Verdict.NOT_KNOWN, "answer without signature")
+        if "Content-Encoding" in resp.headers:
+            raise TryError(retry.Verdict.NOT_KNOWN, "answer with an encoding")
+
+    def _note_failure(
+        self,
+        upstream: model.Upstream,
+        level: str,
+        row: health.Health,
+        sent_at: float,
+        exc: TryError,
+    ) -> None:
+        now = time.monotonic()
+        self._record(upstream, level, exc.reason, sent_at)
+        if exc.verdict is retry.Verdict.NEVER_JUDGED:
+            if exc.reason == "not connected":
+                row.unreachable(now, exc.reason)
+            return
+        self.runs += 1
+        self.may_have_run = True
+        row.failed(now, exc.reason)
+
+    def _record(
+        self, upstream: model.Upstream, level: str, result: str, sent_at: float
+    ) -> None:
+        took_s = time.monotonic() - sent_at
+        self.call.records.append(
+            calls.TryRecord(
+                upstream=upstream.name, model=level, result=result, took_s=took_s
+            )
+        )
--- /dev/null
+++ b/libs/masticpost-gateway/src/masticpost_gateway/watching.py
@@ -0,0 +1,103 @@
+"""Tasks that keep the beliefs up to date from the store, one for each kind."""
+
+import asyncio
+import random
+import time
+
+import mode
+from loguru import logger
+
+from masticpost_gateway import beliefs, source
+
+WAITS_S = {
+    source.Kind.CONFIGURATION: 3.0,
+    source.Kind.UPSTREAMS: 4.0,
+    source.Kind.ROLL_OUTS: 8.0,
+    source.Kind.DOMAINS_OUT: 8.0,
+}
+FIRST_PAUSE_S = 0.15
+MAX_PAUSE_S = 1.0
+IDLE_POLL_S = 0.1
+
+
+class Watching(mode.Service):
+    """Lists and watches every kind while this instance is to do so.
+
+    Parameters
+    ----------
+    store : source.Source
+        The platform's store.
+    known : beliefs.Beliefs
+        Filled from the store.
+    """
+
+    def __init__(self, *, store: source.Source, known: beliefs.Beliefs) -> None:
+        super().__init__()
+        self.store = store
+        self.known = known
+        self.is_active = True
+        self.failing_since: dict[source.Kind, float] = {}
+
+    @property
+    def is_failing(self) -> bool:
+        """Whether the last call for some kind failed."""
+        return bool(self.failing_since)
+
+    async def on_start(self) -> None:
+        """Start a task for each kind."""
+        for kind in source.Kind:
+            self.add_future(self._follow(kind))
+
+    async def _follow(self, kind: source.Kind) -> None:
+        pause_s = FIRST_PAUSE_S
+        needs_list = True
+        while not self.should_stop:
+            if not self.is_active:
+                await asyncio.sleep(IDLE_POLL_S)
+                continue
+            fault = await (self._list(kind) if needs_list else self._watch(kind))
+            if fault is None:
+                pause_s = FIRST_PAUSE_S
+                needs_list = False
+                continue
+            if fault.kind is source.FaultKind.HISTORY_GONE:
+                needs_list = True
+                continue
+            self._note_failure(kind, fault)
+            await asyncio.sleep(pause_s * random.uniform(0.5, 1.0))
+            pause_s = min(MAX_PAUSE_S, pause_s * 2)
+
+    async def _list(self, kind: source.Kind) -> source.Fault | None:
+        asked_at = time.monotonic()
+        outcome = await self.store.list_all(kind)
+        if outcome.is_err():
+            return outcome.unwrap_err()
+        self._note_success(kind)
+        self.known.replace(kind, outcome.unwrap(), asked_at)
+        return None
+
+    async def _watch(self, kind: source.Kind) -> source.Fault | None:
+        view = self.known.views[kind]
+        outcome = await self.store.watch(kind, view.at, WAITS_S[kind])
+        if outcome.is_err():
+            return outcome.unwrap_err()
+        self._note_success(kind)
+        self.known.apply(kind, outcome.unwrap(), time.monotonic())
+        return None
+
+    def _note_failure(self, kind: source.Kind, fault: source.Fault) -> None:
+        if kind in self.failing_since:
+            return
+        self.failing_since[kind] = time.monotonic()
+        row = logger.bind(event="store", kind=kind.value, fault=fault.kind.value)
+        row.warning("store lost: {}", fault.message)
+
+    def _note_success(self, kind: source.Kind) -> None:
+        since = self.failing_since.pop(kind, None)
+        if since is None:
+            return
+        now = time.monotonic()
+        lost_s = round(now - since, 3)
+        logger.bind(event="store", kind=kind.value, lost_s=lost_s).info("store back")
+        if kind is source.Kind.UPSTREAMS and lost_s > beliefs.OUTAGE_AFTER_S:
+            self.known.regained(now)
--- a/libs/masticpost-peers/src/masticpost_peers/hub.py
+++ b/libs/masticpost-peers/src/masticpost_peers/hub.py
@@ -102,6 +102,10 @@
             raise PeerUnreachableError(f"{self.address}: {reply.reason}")
         return reply
 
+    async def post(self, frames: list[bytes]) -> None:
+        """Send frames that are sealed already; see `send`."""
+        await self._post(frames)
+
     async def _post_when_connected(self, frames: list[bytes]) -> None:
         while True:
             try:
@@ -214,6 +218,18 @@
         except PeerUnreachableError:
             return
 
+    async def broadcast(
+        self, addresses: collections.abc.Iterable[str], body: object
+    ) -> None:
+        """Send a one-way message to several peers and ignore unreachable ones."""
+        frames = self.seal(body)
+        for address in addresses:
+            conn = await self.conn(address)
+            try:
+                await conn.post(frames)
+            except PeerUnreachableError:
+                continue
+
     async def call(self, address: str, body: object, timeout_s: float) -> typing.Any:
         """Call a peer; see `PeerConn.call`."""
         conn = await self.conn(address)
