Close idle connections on stop only where no request was read

Change: only connections whose waiter is pending count as idle; every answer while stopping closes its connection, streams too; 2.8 s after SIGTERM new requests get a 503 with Retry-After. Versions on trial are judged by a binomial tail over what upstreams report, not by cut connections; a failure an upstream reported is the answer when no other upstream is there. Tests of the gateway, the adapter and a stand-in of the store. Conclusion: drain is by connection state, not by request count.

--- a/libs/masticpost-gateway/src/masticpost_gateway/gateway.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/gateway.py
@@ -33,11 +33,19 @@
 NO_CONFIG_RETRY_S = 0.5
 DEFAULT_TIMEOUT_S = 60.0
 SERVER_GONE = 499
+TAKES_NEW_S = 2.8
+STOPPING_RETRY_S = 0.05
 
 
 @attrs.define(kw_only=True)
 class Shared:
-    """What every request uses."""
+    """What every request uses.
+
+    Attributes
+    ----------
+    closing_at : float or None
+        Monotonic time at which this instance was told to stop, in seconds.
+    """
 
     names: headers.HeaderNames
     known: beliefs.Beliefs
@@ -50,7 +58,7 @@
     loads: loads.Loads
     places: placement.Placement
     policy: cascade.Policy
-    is_closing: bool = False
+    closing_at: float | None = None
 
 
 class Gateway:
@@ -78,7 +86,7 @@
             resp = await self._handle(req, started_at)
         finally:
             self.busy.discard(conn)
-        if self.shared.is_closing and not resp.prepared:
+        if self.shared.closing_at is not None:
             resp.force_close()
         return resp
 
@@ -126,6 +134,7 @@
             )
         target = req.raw_path
         path = target.partition("?")[0]
+        self._refuse_while_closing(started_at)
         route = found.route(req.headers.get("Host", ""), path)
         if route is None:
             raise self._unknown(404, "no-route", "no route matches host and path")
@@ -153,6 +162,14 @@
             config_version=found.cfg.version,
         )
 
+    def _refuse_while_closing(self, now: float) -> None:
+        """Send callers elsewhere that would not be served before the end."""
+        closing_at = self.shared.closing_at
+        if closing_at is not None and now > closing_at + TAKES_NEW_S:
+            raise errors.refuse(
+                503, "stopping", "this instance stops", retry_after_s=STOPPING_RETRY_S
+            )
+
     def _customer(
         self, found: table.Table, route: model.Route, head: headers.CallHead
     ) -> model.Customer | None:
--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -142,7 +142,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether this instance takes new connections."""
-        return self.known.table is not None and not self.shared.is_closing
+        return self.known.table is not None and self.shared.closing_at is None
 
     async def on_start(self) -> None:
         """Start the parts, then listen."""
@@ -169,7 +169,7 @@
 
     async def drain(self) -> None:
         """Serve what still comes on open connections, then end within the grace."""
-        self.shared.is_closing = True
+        self.shared.closing_at = time.monotonic()
         logger.bind(event="stop", active=len(self.gateway.busy)).info("draining")
         started = time.monotonic()
         ends_at = started + self.cfg.grace_s - END_MARGIN_S
@@ -184,7 +184,9 @@
     def _close_idle(self) -> None:
         """Close callers' connections that carry no request."""
         for conn in list(self._runners[0].server.connections):
-            if conn not in self.gateway.busy:
+            # The handler gets a request some passes of the event loop after it was
+            # read; only the future on which an idle connection waits tells for sure.
+            if conn._waiter is not None and not conn._waiter.done():
                 conn.force_close()
 
     async def _listen(self, address: Address, handler) -> None:
--- a/libs/masticpost-gateway/src/masticpost_gateway/streaming.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/streaming.py
@@ -52,7 +52,7 @@
         self.level = policy.first(len(call.route.levels)) if call.route.levels else 0
         self.resp: web.StreamResponse | None = None
         self.last_id = ""
-        self.events_sent = 0
+        self.failed: web.Response | None = None
 
     async def serve(self) -> web.StreamResponse:
         """Serve the stream to its end.
@@ -64,12 +64,19 @@
         CutError
             It was given up in the middle of the stream.
         """
+        try:
+            return await self._serve()
+        except errors.RefusalError:
+            if self.failed is None:
+                raise
+            return self.failed
+
+    async def _serve(self) -> web.StreamResponse:
         while True:
             opened = await self._open()
             if opened.is_failure:
-                failed = await self._take_failure(opened)
-                if failed is not None:
-                    return failed
+                await self._take_failure(opened)
+                self._require_another(f"failed {opened.resp.status}")
                 continue
             if self._escalates(opened):
                 continue
@@ -122,28 +129,21 @@
             raise CutError(exc.refusal.message) from exc
         raise exc
 
-    async def _take_failure(self, opened: tries.Opened) -> web.Response | None:
-        """Handle a failure that the upstream reports; return it if it is final."""
+    async def _take_failure(self, opened: tries.Opened) -> None:
+        """Keep a failure that the upstream reports, to be the answer if none is."""
         result = f"failed {opened.resp.status}"
         self.run.note_bad(opened, result)
         self.run.leave_version(opened.upstream.version)
-        may_repeat = self.call.route.kind.may_repeat
-        if self.resp is None and not (may_repeat and self.run.may_try_again()):
-            return await self._pass_failure(opened, result)
-        self.run.close(opened, result)
-        self._require_another(result)
-        return None
-
-    async def _pass_failure(self, opened: tries.Opened, result: str) -> web.Response:
         try:
-            async with asyncio.timeout(self.call.left_s()):
+            async with asyncio.timeout(self._gap_timeout()):
                 body = await opened.resp.read()
-        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
-            raise self.run.refusal(f"{result}, then cut") from exc
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            result += ", then cut"
+            return
         finally:
             self.run.close(opened, result)
         passed = headers.passed_on(opened.resp.headers, frozenset())
-        return web.Response(status=opened.resp.status, headers=passed, body=body)
+        self.failed = web.Response(status=opened.resp.status, headers=passed, body=body)
 
     def _escalates(self, opened: tries.Opened) -> bool:
         """Drop an answer that is to be asked of a larger model."""
@@ -215,13 +215,12 @@
             await self._begin(opened)
         await self.resp.write(b"".join(event.raw for event in found))
         self.last_id = found[-1].event_id or self.last_id
-        self.events_sent += len(found)
 
     async def _begin(self, opened: tries.Opened) -> None:
         self.call.first_event_s = time.monotonic() - self.call.started_at
         passed = headers.passed_on(opened.resp.headers, frozenset())
         self.resp = web.StreamResponse(status=opened.resp.status, headers=passed)
         self.resp.enable_chunked_encoding()
-        if self.shared.is_closing:
+        if self.shared.closing_at is not None:
             self.resp.force_close()
         await self.resp.prepare(self.req)
--- a/libs/masticpost-gateway/src/masticpost_gateway/trial.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/trial.py
@@ -14,9 +14,11 @@
 
 from masticpost_gateway import beliefs, model, sessions, source
 
-MIN_FAILURES = 4
-FAILED_SHARE_ABOVE = 0.15
-FAILED_RATIO = 2.5
+MIN_FAILURES = 3
+FLOOR_SHARE = 0.03
+PRIOR_FAILURES = 0.5
+PRIOR_CALLS = 10
+ALPHA = 0.001
 MIN_GAPS = 8
 SLOW_LOG_RATIO = math.log(3.0)
 WIDE_SHARE = 0.9
@@ -44,11 +46,6 @@
         self.gaps += other.gaps
         self.gap_logs += other.gap_logs
 
-    @property
-    def failed_share(self) -> float:
-        """Share of the calls that failed."""
-        return self.failures / self.calls if self.calls else 0.0
-
 
 @attrs.frozen(kw_only=True)
 class Evidence:
@@ -231,11 +228,21 @@
         Answers of all other versions in the same time.
     """
     if row.failures >= MIN_FAILURES:
-        bound = max(FAILED_SHARE_ABOVE, FAILED_RATIO * base.failed_share)
-        if row.failed_share > bound:
+        share = (base.failures + PRIOR_FAILURES) / (base.calls + PRIOR_CALLS)
+        share = max(FLOOR_SHARE, share)
+        if _tail(row.failures, row.calls, share) < ALPHA:
             return f"{row.failures} of {row.calls} calls failed"
     if min(row.gaps, base.gaps) >= MIN_GAPS:
         ratio = row.gap_logs / row.gaps - base.gap_logs / base.gaps
         if ratio > SLOW_LOG_RATIO:
             return f"events {math.exp(ratio):.1f} times as slow"
     return ""
+
+
+def _tail(failures: int, calls: int, share: float) -> float:
+    """Return the chance of so many failures or more where `share` of calls fail."""
+    fewer = (
+        math.comb(calls, k) * share**k * (1.0 - share) ** (calls - k)
+        for k in range(failures)
+    )
+    return 1.0 - math.fsum(fewer)
--- a/libs/masticpost-gateway/src/masticpost_gateway/tries.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/tries.py
@@ -211,11 +211,16 @@
         )
 
     def note_bad(self, opened: Opened, reason: str) -> None:
-        """Count a failed answer for the upstream and its version."""
+        """Count a failed answer for the upstream.
+
+        Only what the upstream itself reports speaks against its version: a crash cuts
+        many answers at once and says little about the software.
+        """
         opened.health.failed(time.monotonic(), reason)
-        self.shared.trials.note(
-            self.call.service.name, opened.upstream.version, is_good=False
-        )
+        if opened.is_failure:
+            self.shared.trials.note(
+                self.call.service.name, opened.upstream.version, is_good=False
+            )
 
     def leave_version(self, version: str) -> None:
         """Run the next try on another version than one on trial that failed."""
--- /dev/null
+++ b/libs/masticpost-gateway/testing/test_plain.py
@@ -0,0 +1,286 @@
+"""Plain requests: passed through unread, repeated only where that is safe."""
+
+import asyncio
+import time
+
+import aiohttp
+import attrs
+import pytest
+from masticpost_gateway import gateway, model, source
+from support import gatewaykit as kit
+
+
+async def test_request_and_answer_are_passed_unchanged():
+    async with kit.Deployment() as dep:
+        worker = await dep.add_worker("w1", kit.answers(201, b"booked"))
+        await dep.configure()
+        await dep.add_node()
+        reply = await dep.call(
+            "/book/7?crew=2%2F3", method="POST", body=b"\x00\xff", Session="s-1"
+        )
+        assert (reply.status, reply.body) == (201, b"booked")
+        assert reply.headers["Answer-Signature"] == "of-the-upstream"
+        got = worker.got[0]
+        assert (got.method, got.target, got.body) == (
+            "POST",
+            "/book/7?crew=2%2F3",
+            b"\x00\xff",
+        )
+        assert got.headers["expected-instance"] == "w1"
+        assert got.headers["customer"] == "acme"
+        assert got.headers["session"] == "s-1"
+        assert "api-key" not in got.headers
+        assert 0 < int(got.headers["request-deadline-ms"]) <= 3000
+
+
+async def test_callers_cannot_set_what_the_gateway_sets():
+    async with kit.Deployment() as dep:
+        worker = await dep.add_worker("w1", kit.answers())
+        await dep.configure()
+        await dep.add_node()
+        await dep.call(
+            "/lookup/", Customer="other", Expected_Instance="w9", Urgency="0"
+        )
+        got = worker.got[0]
+        assert got.headers["customer"] == "acme"
+        assert got.headers["expected-instance"] == "w1"
+        assert "urgency" not in got.headers
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [("/nowhere/", kit.KEY, 404), ("/lookup/", "stranger", 401)],
+)
+async def test_unknown_route_and_key_are_refused_for_good(path, key, status):
+    async with kit.Deployment() as dep:
+        await dep.add_worker("w1", kit.answers())
+        await dep.configure()
+        await dep.add_node()
+        reply = await dep.call(path, Api_Key=key)
+        assert reply.status == status
+
+
+async def test_unknown_key_is_no_verdict_by_an_old_configuration():
+    async with kit.Deployment() as dep:
+        await dep.configure()
+        made = await dep.add_node()
+        dep.store.fail(source.Kind.CONFIGURATION, source.FaultKind.NOT_DONE)
+        made.known.views[source.Kind.CONFIGURATION].confirmed_at = -100.0
+        await kit.until(
+            lambda: source.Kind.CONFIGURATION in made.watching.failing_since
+        )
+        made.known.views[source.Kind.CONFIGURATION].confirmed_at = -100.0
+        reply = await dep.call("/lookup/", Api_Key="stranger")
+        assert reply.status == 503
+        assert float(reply.headers["Retry-After"]) > 0
+
+
+async def test_failed_idempotent_call_is_tried_elsewhere():
+    async with kit.Deployment() as dep:
+        await dep.add_worker("w1", kit.answers(500, b"failed"))
+        await dep.add_worker("w2", kit.cut)
+        await dep.add_worker("w3", kit.answers(200, b"fine"))
+        await dep.configure()
+        await dep.add_node()
+        replies = [await dep.call("/lookup/") for _ in range(6)]
+        assert {reply.status for reply in replies} == {200}
+
+
+@pytest.mark.parametrize("script", [kit.cut, kit.answers(500, b"failed")])
+async def test_non_idempotent_call_that_may_have_run_is_not_repeated(script):
+    async with kit.Deployment() as dep:
+        workers = [await dep.add_worker(f"w{k}", script) for k in range(3)]
+        await dep.configure()
+        await dep.add_node()
+        reply = await dep.call("/book/", method="POST", body=b"x")
+        assert sum(len(worker.got) for worker in workers) == 1
+        assert reply.status in (500, 502)
+        assert ("Answer-Signature" in reply.headers) == (reply.status == 500)
+
+
+@pytest.mark.parametrize("status", [503, 421])
+async def test_non_idempotent_call_that_has_not_run_goes_to_another(status):
+    async with kit.Deployment() as dep:
+        full = await dep.add_worker("w1", kit.not_run(status))
+        fine = await dep.add_worker("w2", kit.answers())
+        await dep.configure()
+        await dep.add_node()
+        replies = [await dep.call("/book/", method="POST") for _ in range(12)]
+        assert {reply.status for reply in replies} == {200}
+        assert full.got
+        assert len(fine.got) == 12
+
+
+async def test_call_that_nobody_can_run_is_refused_with_a_time_to_return():
+    async with kit.Deployment() as dep:
+        await dep.add_worker("w1", kit.not_run())
+        await dep.configure()
+        await dep.add_node()
+        reply = await dep.call("/book/", method="POST")
+        assert reply.status == 503
+        assert float(reply.headers["Retry-After"]) > 0
+
+
+@pytest.mark.parametrize(
+    "extra",
+    [{"signed": False}, {"Request_Id": "of-another"}, {"Content_Encoding": "gzip"}],
+)
+async def test_answer_that_is_not_this_requests_is_not_passed_on(extra):
+    async with kit.Deployment() as dep:
+
+        async def script(got, writer):
+            changed = attrs.evolve(
+                got, headers={"request-id": extra.get("Request_Id", got.request_id)}
+            )
+            rest = {k: v for k, v in extra.items() if k != "Request_Id"}
+            writer.write(kit.whole(changed, 200, b"wrong", **rest))
+
+        await dep.add_worker("w1", script)
+        await dep.configure()
+        await dep.add_node()
+        reply = await dep.call("/book/", method="POST")
+        assert reply.status == 502
+        assert b"wrong" not in reply.body
+
+
+async def test_body_without_length_that_ends_with_its_connection_is_whole():
+    async with kit.Deployment() as dep:
+
+        async def script(got, writer):
+            writer.write((kit.head(got) + "\r\n").encode())
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            writer.write(b"all of it")
+            await writer.drain()
+            writer.close()
+
+        await dep.add_worker("w1", script)
+        await dep.configure()
+        await dep.add_node()
+        reply = await dep.call("/book/", method="POST")
+        assert (reply.status, reply.body) == (200, b"all of it")
+
+
+async def test_body_without_length_that_is_reset_is_not_passed_on():
+    async with kit.Deployment() as dep:
+
+        async def script(got, writer):
+            writer.write((kit.head(got) + "\r\nhalf of").encode())
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            kit.reset(writer)
+
+        await dep.add_worker("w1", script)
+        await dep.configure()
+        await dep.add_node()
+        reply = await dep.call("/book/", method="POST")
+        assert reply.status == 502
+
+
+async def test_late_second_answer_reaches_nobody():
+    async with kit.Deployment() as dep:
+
+        async def script(got, writer):
+            writer.write(kit.whole(got, 200, got.request_id.encode()))
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            writer.write(kit.whole(got, 200, b"again " + got.request_id.encode()))
+
+        await dep.add_worker("w1", script)
+        await dep.configure()
+        await dep.add_node()
+        for number in range(8):
+            reply = await dep.call("/lookup/", Request_Id=f"mine-{number}")
+            assert reply.status != 200 or reply.body == f"mine-{number}".encode()
+            await asyncio.sleep(0.03 * (number % 3))
+
+
+async def test_silent_upstream_ends_at_the_routes_timeout():
+    async def silent(got, writer):
+        await asyncio.sleep(30)
+
+    async with kit.Deployment() as dep:
+        await dep.add_worker("w1", silent)
+        book = attrs.evolve(kit.BOOK, timeout_s=0.4)
+        await dep.configure(kit.configuration(routes=(book,)))
+        await dep.add_node()
+        began = time.monotonic()
+        reply = await dep.call("/book/", method="POST")
+        assert reply.status == 504
+        assert time.monotonic() - began >= 0.3
+
+
+async def test_upstream_is_cut_when_the_caller_leaves():
+    async def slow(got, writer):
+        await asyncio.sleep(1.0)
+        writer.write(kit.whole(got))
+
+    async with kit.Deployment() as dep:
+        worker = await dep.add_worker("w1", slow)
+        await dep.configure()
+        await dep.add_node()
+        async with aiohttp.ClientSession() as http:
+            task = asyncio.create_task(dep.call("/lookup/", http=http))
+            await kit.until(lambda: worker.got)
+            task.cancel()
+        await kit.until(lambda: worker.cut)
+
+
+async def test_stop_closes_idle_connections_and_serves_the_others():
+    async def slow(got, writer):
+        await asyncio.sleep(2.5 if got.target.endswith("slow") else 0)
+        writer.write(kit.whole(got))
+
+    async with kit.Deployment() as dep:
+        await dep.add_worker("w1", slow)
+        await dep.configure()
+        made = await dep.add_node()
+        await dep.call("/book/", method="POST")
+        async with aiohttp.ClientSession() as http:
+            busy = asyncio.create_task(dep.call("/book/slow", method="POST", http=http))
+            await kit.until(lambda: made.gateway.busy)
+            draining = asyncio.create_task(made.drain())
+            await kit.until(lambda: not made.is_ready)
+            await kit.until(lambda: len(made._runners[0].server.connections) <= 1)
+            assert not draining.done()
+            reply = await busy
+        assert reply.status == 200
+        await draining
+
+
+async def test_route_taken_away_and_added_without_a_gap():
+    async with kit.Deployment() as dep:
+        await dep.add_worker("w1", kit.answers())
+        await dep.configure()
+        made = await dep.add_node()
+        await dep.configure(kit.configuration(2, routes=(kit.BOOK,)))
+        await kit.until(lambda: made.known.table.cfg.version == 2)
+        assert (await dep.call("/lookup/")).status == 404
+        assert (await dep.call("/book/", method="POST")).status == 200
+
+
+async def test_failure_domain_taken_out_gets_nothing():
+    async with kit.Deployment() as dep:
+        out = await dep.add_worker("w1", kit.answers(), domain="a")
+        await dep.add_worker("w2", kit.answers(), domain="b")
+        await dep.configure()
+        made = await dep.add_node()
+        await dep.store.put(source.Kind.DOMAINS_OUT, "a", model.DomainOut(domain="a"))
+        await kit.until(lambda: made.known.domains_out() == {"a"})
+        for _ in range(10):
+            assert (await dep.call("/lookup/")).status == 200
+        assert not out.got
+
+
+async def test_request_that_comes_long_after_the_stop_is_sent_elsewhere(monkeypatch):
+    monkeypatch.setattr(gateway, "TAKES_NEW_S", 0.0)
+    async with kit.Deployment() as dep:
+        worker = await dep.add_worker("w1", kit.answers())
+        await dep.configure()
+        made = await dep.add_node()
+        made.shared.closing_at = time.monotonic() - 0.01
+        reply = await dep.call("/book/", method="POST")
+        assert reply.status == 503
+        assert float(reply.headers["Retry-After"]) > 0
+        assert reply.headers["Connection"] == "close"
+        assert not worker.got
--- /dev/null
+++ b/libs/masticpost-gateway/testing/test_streaming.py
@@ -0,0 +1,104 @@
+"""Streams: whole, resumed where they were cut, and asked of a larger model in time."""
+
+import asyncio
+import time
+
+import attrs
+from masticpost_gateway import model
+from support import gatewaykit as kit
+
+PROMPT = {"Token_Counts": "100,50", "Prompt_Prefix": "a1:60,b2:40"}
+
+
+def events(count):
+    return b"".join(kit.event(number) for number in range(1, count + 1))
+
+
+async def test_stream_is_passed_on_whole():
+    async with kit.Deployment() as dep:
+        worker = await dep.add_worker("w1", kit.streams(5))
+        await dep.configure()
+        await dep.add_node()
+        reply = await dep.call("/chat/", method="POST", body=b"p", **PROMPT)
+        assert (reply.status, reply.body, reply.is_whole) == (200, events(5), True)
+        assert worker.got[0].headers["request-model"] == "small"
+
+
+async def test_cut_stream_goes_on_elsewhere_without_loss_or_repeat():
+    async with kit.Deployment() as dep:
+        workers = [
+            await dep.add_worker("w1", kit.streams(6, cut_after=3)),
+            await dep.add_worker("w2", kit.streams(6)),
+        ]
+        await dep.configure()
+        await dep.add_node()
+        for _ in range(6):
+            reply = await dep.call("/chat/", method="POST", body=b"p", **PROMPT)
+            assert (reply.body, reply.is_whole) == (events(6), True)
+        resumed = [g.headers.get("last-event-id") for g in workers[1].got]
+        assert set(resumed) <= {None, "3"}
+
+
+async def test_stream_that_cannot_go_on_does_not_look_complete():
+    async with kit.Deployment() as dep:
+        await dep.add_worker("w1", kit.streams(6, cut_after=2))
+        once = attrs.evolve(kit.CHAT, kind=model.CallKind.STREAM)
+        await dep.configure(kit.configuration(routes=(once,)))
+        await dep.add_node()
+        reply = await dep.call("/chat/", method="POST", body=b"p", **PROMPT)
+        assert reply.body == events(2)
+        assert not reply.is_whole
+
+
+async def test_doubtful_answer_is_asked_of_the_largest_model():
+    async def script(got, writer):
+        doubtful = got.headers["request-model"] == "small"
+        await kit.streams(3, confidence=10 if doubtful else 20)(got, writer)
+
+    async with kit.Deployment() as dep:
+        worker = await dep.add_worker("w1", script)
+        await dep.configure()
+        await dep.add_node()
+        reply = await dep.call("/chat/", method="POST", body=b"p", **PROMPT)
+        assert (reply.body, reply.is_whole) == (events(3), True)
+        assert [g.headers["request-model"] for g in worker.got] == ["small", "large"]
+
+
+async def test_failed_stream_is_tried_elsewhere_and_then_reported():
+    async with kit.Deployment() as dep:
+        await dep.add_worker("w1", kit.answers(500, b"failed"))
+        await dep.configure()
+        await dep.add_node()
+        reply = await dep.call("/chat/", method="POST", body=b"p", **PROMPT)
+        assert (reply.status, reply.body) == (500, b"failed")
+        assert reply.headers["Answer-Signature"] == "of-the-upstream"
+
+
+async def test_upstream_is_cut_when_the_caller_leaves_a_stream():
+    async with kit.Deployment() as dep:
+        worker = await dep.add_worker("w1", kit.streams(200, pause_s=0.05))
+        await dep.configure()
+        await dep.add_node()
+        task = asyncio.create_task(
+            dep.call("/chat/", method="POST", body=b"p", **PROMPT)
+        )
+        await kit.until(lambda: worker.got)
+        task.cancel()
+        await kit.until(lambda: worker.cut)
+
+
+async def test_connection_of_a_stream_closes_after_it_when_stopping():
+    async with kit.Deployment() as dep:
+        await dep.add_worker("w1", kit.streams(10, pause_s=0.05))
+        await dep.configure()
+        made = await dep.add_node()
+        task = asyncio.create_task(
+            dep.call("/chat/", method="POST", body=b"p", **PROMPT)
+        )
+        await kit.until(lambda: made.gateway.busy)
+        conn = next(iter(made.gateway.busy))
+        await asyncio.sleep(0.2)
+        made.shared.closing_at = time.monotonic()
+        reply = await task
+        assert (reply.body, reply.is_whole) == (events(10), True)
+        await kit.until(lambda: conn.transport is None)
--- /dev/null
+++ b/testing/support/platformrows.py
@@ -0,0 +1,59 @@
+"""Sample objects of the platform."""
+
+SERVER = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "version": "v1",
+    "slotCount": 64,
+    "state": "ready",
+    "coldLeftMs": 1500,
+    "seq": 4,
+    "born": 1789000000000,
+}
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r",
+            "host": "h.example",
+            "pathPrefix": "/p/",
+            "kind": "streaming",
+            "timeoutMs": 10000,
+            "objectiveMs": 3000,
+            "priority": 1,
+            "sizes": ["a", "b", "c"],
+            "trafficSplit": [
+                {"service": "s", "weight": 90},
+                {"service": "t", "weight": 10},
+            ],
+            "attempts": 3,
+            "keyless": False,
+            "sticky": True,
+            "resumable": True,
+            "gapTargetMs": 2000,
+        },
+        {
+            "name": "u",
+            "host": "h.example",
+            "pathPrefix": "/u/",
+            "kind": "unsafe",
+            "service": "t",
+            "attempts": 1,
+        },
+    ],
+    "services": [
+        {
+            "name": "s",
+            "healthPath": "/h",
+            "connectionLimit": 370,
+            "coldPerS": 6.3,
+            "engine": {
+                "cacheTokens": 462820,
+                "models": [{"name": "a", "cost": 0.0075}],
+            },
+        }
+    ],
+    "limits": {"bodyBytes": 100, "idleMs": 15000},
+    "tenants": [{"name": "acme", "accessKeys": ["k1", "k2"], "priority": 1}],
+}
