Choose models by expected worth, wait for slow upstreams

Change: an answer is asked of a larger model by the worth expected of it, its time to the first and last event, its price and the backlog; a silent upstream is left only when other signs speak against it or after three allowed pauses.

--- a/libs/masticpost-gateway/src/masticpost_gateway/call.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/call.py
@@ -76,6 +76,7 @@
             kind=self.route.kind.value,
             customer=self.customer,
             config=self.config_version,
+            tokens=(self.head.prompt.tokens_in, self.head.prompt.tokens_expected),
             outcome=outcome,
             status=status,
             reason=reason,
--- a/libs/masticpost-gateway/src/masticpost_gateway/cascade.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/cascade.py
@@ -1,7 +1,8 @@
-"""Choice of the model: where to start, and when an answer is asked of a larger one.
+"""Choice of the model: whether an answer is kept or asked of a larger one.
 
-A policy sees the answer's confidence before its first event reaches the caller. Each
-policy is an entry of a registry.
+A policy sees the answer's confidence before its first event reaches the caller, and
+what each larger model would take in time and price. Each policy is an entry of a
+registry.
 """
 
 import collections.abc
@@ -10,6 +11,39 @@
 from masticpost_common import registry
 
 ACCEPTED_CONFIDENCE = 0.6
+POOR_WORTH = 0.05
+LATE_WORTH = 0.35
+LARGEST_COST_SHARE = 0.16
+BACKLOG_WEIGHT = 0.4
+MAX_BACKLOG_S = 2.5
+CERTAIN_CONFIDENCE = 0.7
+DOUBT_CONFIDENCE = 0.1
+MIDDLE_GAIN = 0.2
+ON_TIME_SHARE = 0.85
+FINISH_SHARE = 0.9
+
+
+@attrs.frozen(kw_only=True)
+class Option:
+    """A larger model and what asking it would take.
+
+    Attributes
+    ----------
+    level : int
+        Its index, 0 for the smallest.
+    first_s, total_s : float
+        Expected time to its first event and to its last one.
+    read_s : float
+        Time for which it reads the prompt.
+    cost : float
+        Its price as a part of the largest model's.
+    """
+
+    level: int
+    first_s: float
+    total_s: float
+    read_s: float
+    cost: float
 
 
 @attrs.frozen(kw_only=True)
@@ -24,53 +58,82 @@
         Number of models.
     confidence : float or None
         Its own opinion of its answer, 0 to 1.
-    time_left_s : float
-        Time until the objective has passed.
+    objective_left_s, deadline_left_s : float
+        Time until the first event is late, and until the answer is worthless.
+    backlog_s : float
+        Mean time of reading that waits at an upstream.
+    options : tuple of Option
+        The larger models.
     """
 
     level: int
     levels: int
     confidence: float | None
-    time_left_s: float
-
-
-@attrs.frozen(kw_only=True)
-class Policy:
-    """A first level and a rule for the next one.
-
-    Attributes
-    ----------
-    first : callable
-        Takes the number of levels; returns the level to start at.
-    after : callable
-        Takes a `Step`; returns the level to ask next, None to accept the answer.
-    """
-
-    first: collections.abc.Callable[[int], int]
-    after: collections.abc.Callable[[Step], int | None]
+    objective_left_s: float
+    deadline_left_s: float
+    backlog_s: float = 0.0
+    options: tuple[Option, ...] = ()
 
 
+Policy = collections.abc.Callable[[Step], int | None]
 POLICIES: registry.Registry[Policy] = registry.Registry(kind="cascade policy")
 
 
-def _smallest(levels: int) -> int:
-    return 0
-
-
-def _largest(levels: int) -> int:
-    return levels - 1
+@POLICIES.register("smallest")
+def smallest(step: Step) -> int | None:
+    """Keep every answer."""
+    return None
 
 
-def _accept(step: Step) -> int | None:
-    return None
+@POLICIES.register("largest")
+def largest(step: Step) -> int | None:
+    """Ask the largest model always."""
+    return step.levels - 1 if step.level + 1 < step.levels else None
 
 
-def _to_largest(step: Step) -> int | None:
+@POLICIES.register("confident")
+def confident(step: Step) -> int | None:
+    """Ask the largest model when the confidence is below a fixed bound."""
     if step.level + 1 >= step.levels or step.confidence is None:
         return None
     return step.levels - 1 if step.confidence < ACCEPTED_CONFIDENCE else None
 
 
-POLICIES.register("smallest")(Policy(first=_smallest, after=_accept))
-POLICIES.register("largest")(Policy(first=_largest, after=_accept))
-POLICIES.register("confident")(Policy(first=_smallest, after=_to_largest))
+@POLICIES.register("expected-worth")
+def expected_worth(step: Step) -> int | None:
+    """Ask the model whose answer is worth most, less its price and others' waiting.
+
+    All is told as parts of what a good answer on time is worth.
+    """
+    if step.confidence is None or not step.options:
+        return None
+    good = chance(step.confidence)
+    best, best_worth = None, _worth(good)
+    for option in step.options:
+        worth = _option_worth(option, good, step)
+        if worth > best_worth:
+            best, best_worth = option.level, worth
+    return best
+
+
+def chance(confidence: float) -> float:
+    """Return the chance that an answer of this confidence is good enough."""
+    span = CERTAIN_CONFIDENCE - DOUBT_CONFIDENCE
+    return min(1.0, max(0.0, (confidence - DOUBT_CONFIDENCE) / span))
+
+
+def _worth(good: float) -> float:
+    return good + (1.0 - good) * POOR_WORTH
+
+
+def _option_worth(option: Option, good: float, step: Step) -> float:
+    is_largest = option.level + 1 == step.levels
+    good_then = 1.0 if is_largest else good + (1.0 - good) * MIDDLE_GAIN
+    worth = _worth(good_then)
+    if option.first_s > ON_TIME_SHARE * step.objective_left_s:
+        worth *= LATE_WORTH
+    if option.total_s > FINISH_SHARE * step.deadline_left_s:
+        worth = 0.0
+    backlog_s = min(step.backlog_s, MAX_BACKLOG_S)
+    price = LARGEST_COST_SHARE * option.cost
+    return worth - price - BACKLOG_WEIGHT * backlog_s * option.read_s
--- a/libs/masticpost-gateway/src/masticpost_gateway/headers.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/headers.py
@@ -30,7 +30,8 @@
 
     Attributes
     ----------
-    request_id, deadline_ms, key, session, last_event_id, model, token_counts, prefix
+    request_id, deadline_ms, key, session, last_event_id, model, token_counts, \
+    length_hint, prefix
         Sent by callers.
     expected_instance, customer, urgency
         Set by the gateway for upstreams.
@@ -47,6 +48,7 @@
     last_event_id: str = "Last-Event-Id"
     model: str = "Request-Model"
     token_counts: str = "Token-Counts"
+    length_hint: str = "Length-Hint"
     prefix: str = "Prompt-Prefix"
     expected_instance: str = "Expected-Instance"
     customer: str = "Customer"
@@ -68,11 +70,25 @@
 
 @attrs.frozen(kw_only=True)
 class Prompt:
-    """What a caller tells of its prompt; lengths in tokens."""
+    """What a caller tells of its prompt; lengths in tokens.
+
+    Attributes
+    ----------
+    tokens_out : int
+        The longest answer.
+    tokens_hint : int
+        The caller's estimate of its length, 0 for none.
+    """
 
     parts: tuple[Part, ...] = ()
     tokens_in: int = 0
     tokens_out: int = 0
+    tokens_hint: int = 0
+
+    @property
+    def tokens_expected(self) -> int:
+        """The likely length of the answer."""
+        return min(self.tokens_hint or self.tokens_out, self.tokens_out)
 
     @property
     def shared(self) -> tuple[Part, ...]:
@@ -162,7 +178,12 @@
         name, _, tokens = row.strip().partition(":")
         if name:
             parts.append(Part(name=name, tokens=int(_number(tokens) or 0)))
-    return Prompt(parts=tuple(parts), tokens_in=tokens_in, tokens_out=tokens_out)
+    return Prompt(
+        parts=tuple(parts),
+        tokens_in=tokens_in,
+        tokens_out=tokens_out,
+        tokens_hint=int(_number(headers.get(names.length_hint, "")) or 0),
+    )
 
 
 def _number(text: str) -> float | None:
--- a/libs/masticpost-gateway/src/masticpost_gateway/measures.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/measures.py
@@ -46,7 +46,7 @@
         kind = item.route.kind.value
         self.requests.labels(item.route.name, kind, outcome, str(status)).inc()
         for row in item.records:
-            self.tries.labels(row.model, row.result.split(":")[0]).inc()
+            self.tries.labels(row.model, row.result.split(":")[0].split(" ")[0]).inc()
         if item.first_event_s is not None:
             self.first_event.labels(item.route.name).observe(item.first_event_s)
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/model.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/model.py
@@ -84,6 +84,8 @@
         bound.
     cold_rate : float
         Requests a second that one upstream bears while it is cold; 0 for no bound.
+    tokens_per_event : int
+        Tokens that one event of a stream holds.
     cache_tokens : int
         Memory of one upstream for prompts and answers, in tokens; 0 when not told.
     costs : dict of str to float
@@ -94,6 +96,7 @@
     health_path: str = "/health"
     max_connections: int = 0
     cold_rate: float = 0.0
+    tokens_per_event: int = 1
     cache_tokens: int = 0
     costs: dict[str, float] = attrs.field(factory=dict)
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -72,7 +72,7 @@
     grace_s: float = 8.0
     session_s: float = 5.0
     retries: retryshare.Bounds = attrs.field(factory=retryshare.Bounds)
-    policy: str = "confident"
+    policy: str = "expected-worth"
 
 
 class Node(mode.Service):
--- a/libs/masticpost-gateway/src/masticpost_gateway/placement.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/placement.py
@@ -81,6 +81,20 @@
         }
         return names[min(ranked, key=scores.__getitem__)]
 
+    def first_s(self, ready: list[model.Upstream], reading: Reading) -> float:
+        """Return the time until the best of some upstreams would have read a prompt."""
+        now = time.monotonic()
+        return min(
+            self.work.of(u.name, now).reading_s + self.read_s(u.name, reading)
+            for u in ready
+        )
+
+    def backlog_s(self, ready: list[model.Upstream]) -> float:
+        """Return the mean time of reading that waits at some upstreams."""
+        now = time.monotonic()
+        waiting = [self.work.of(upstream.name, now).reading_s for upstream in ready]
+        return sum(waiting) / max(1, len(waiting))
+
     def _score(self, name: str, reading: Reading) -> float:
         load = self.work.of(name, time.monotonic())
         read_s = self.read_s(name, reading)
--- a/libs/masticpost-gateway/src/masticpost_gateway/streaming.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/streaming.py
@@ -8,12 +8,19 @@
 from masticpost_common import errors, retry
 
 from masticpost_gateway import call as calls
-from masticpost_gateway import cascade, conns, events, headers, tries
+from masticpost_gateway import (
+    cascade,
+    conns,
+    events,
+    headers,
+    model,
+    patience,
+    tries,
+)
 
 FIRST_EVENT_SHARE = 1.5
-FIRST_EVENT_FLOOR_S = 1.0
-GAP_SHARE = 1.5
-GAP_FLOOR_S = 0.8
+DOUBT_AFTER_S = 0.8
+GAP_SHARE = 3.0
 READ_BYTES = 65_536
 
 
@@ -49,7 +56,7 @@
         self.req = req
         self.policy = policy
         self.run = tries.Tries(shared=shared, call=call)
-        self.level = policy.first(len(call.route.levels)) if call.route.levels else 0
+        self.level = 0
         self.resp: web.StreamResponse | None = None
         self.last_id = ""
         self.failed: web.Response | None = None
@@ -107,10 +114,7 @@
         left_s = self.call.left_s()
         if not self.call.route.kind.may_repeat or not self.run.has_other(self._model):
             return left_s
-        bound = max(
-            FIRST_EVENT_FLOOR_S, FIRST_EVENT_SHARE * self.call.route.objective_s
-        )
-        return min(left_s, bound)
+        return min(left_s, FIRST_EVENT_SHARE * self.call.route.objective_s)
 
     def _require_another(
         self, reason: str, verdict: retry.Verdict = retry.Verdict.NOT_KNOWN
@@ -149,21 +153,47 @@
         """Drop an answer that is to be asked of a larger model."""
         if self.resp is not None or not self.call.route.levels:
             return False
-        step = cascade.Step(
-            level=self.level,
-            levels=len(self.call.route.levels),
-            confidence=opened.head.confidence,
-            time_left_s=self.call.objective_left_s(),
-        )
-        target = self.policy.after(step)
+        step = self._step(opened)
+        target = self.policy(step)
+        opened.confidence = step.confidence
         if target is None or not self.run.may_try_again(is_planned=True):
             return False
         self.run.note_good(opened)
-        self.run.close(opened, f"dropped {step.confidence:.2f}")
+        self.run.close(opened, f"dropped {step.confidence:.2f} for {target}")
         self.level = target
         self.run.tried.clear()
         return True
 
+    def _step(self, opened: tries.Opened) -> cascade.Step:
+        levels = self.call.route.levels
+        ready = self.run.usable()
+        options = [
+            self._option(number, ready) for number in range(self.level + 1, len(levels))
+        ]
+        return cascade.Step(
+            level=self.level,
+            levels=len(levels),
+            confidence=opened.head.confidence,
+            objective_left_s=self.call.objective_left_s(),
+            deadline_left_s=self.call.left_s(),
+            backlog_s=self.shared.places.backlog_s(ready),
+            options=tuple(options) if ready else (),
+        )
+
+    def _option(self, number: int, ready: list[model.Upstream]) -> cascade.Option:
+        levels, costs = self.call.route.levels, self.call.service.costs
+        reading = self.run.reading(levels[number])
+        pace = self.shared.places.pace.of(self.call.service.name, levels[number])
+        first_s = self.shared.places.first_s(ready, reading) if ready else 0.0
+        tokens = self.call.head.prompt.tokens_expected
+        return cascade.Option(
+            level=number,
+            first_s=first_s,
+            total_s=first_s + tokens * pace.write_s,
+            read_s=self.call.head.prompt.tokens_in * pace.read_s,
+            cost=costs.get(levels[number], 0.0) / max(costs.values(), default=1.0),
+        )
+
     async def _forward(self, opened: tries.Opened) -> bool:
         """Pass events on; return whether the stream came to its end."""
         result = "cancelled"
@@ -185,8 +215,12 @@
         first_at = None
         count = 0
         while True:
-            async with asyncio.timeout(self._gap_timeout()):
-                data = await opened.resp.content.readany()
+            data = await patience.wait(
+                opened.resp.content.readany(),
+                limit_s=self._gap_timeout(),
+                doubt_after_s=DOUBT_AFTER_S,
+                is_doubtful=lambda: self.run.is_doubtful(opened.upstream),
+            )
             if not data:
                 break
             found = splitter.feed(data)
@@ -200,13 +234,16 @@
             raise CutError("the stream ended within an event")
         span_s = time.monotonic() - first_at
         gap_s = span_s / (count - 1) if count > 1 else 0.0
+        if gap_s:
+            pace = self.shared.places.pace.of(self.call.service.name, opened.level)
+            pace.saw_write((count - 1) * self.call.service.tokens_per_event, span_s)
         self.run.note_good(opened, gap_s)
 
     def _gap_timeout(self) -> float:
         left_s = self.call.left_s()
         if not self.call.route.kind.may_repeat:
             return left_s
-        return min(left_s, max(GAP_FLOOR_S, GAP_SHARE * self.call.route.gap_s))
+        return min(left_s, GAP_SHARE * self.call.route.gap_s)
 
     async def _write(
         self, opened: tries.Opened, found: list[events.StreamEvent]
--- a/libs/masticpost-gateway/src/masticpost_gateway/tries.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/tries.py
@@ -8,19 +8,22 @@
 import attrs
 from masticpost_common import errors, retry
 
-from masticpost_gateway import call as calls
 from masticpost_gateway import (
+    beliefs,
     choice,
     conns,
     headers,
     health,
     loads,
     model,
+    patience,
     placement,
     trial,
 )
+from masticpost_gateway import call as calls
 
 WAIT_STEP_S = 0.03
+DOUBT_AFTER_S = 0.8
 WAIT_SHARE = 0.5
 RETRY_AFTER_S = 0.4
 MISDIRECTED = 421
@@ -59,6 +62,7 @@
     health: health.Health
     work: loads.Work | None = None
     unread_tokens: int = 0
+    confidence: float | None = None
 
     @property
     def is_failure(self) -> bool:
@@ -70,6 +74,7 @@
     """What every request of a gateway uses."""
 
     names: headers.HeaderNames
+    known: beliefs.Beliefs
     chooser: choice.Chooser
     pools: conns.Pools
     retries: typing.Any
@@ -115,6 +120,26 @@
         service = self.call.service.name
         return self.shared.retries.may_repeat(service, now, is_planned=is_planned)
 
+    def usable(self) -> list[model.Upstream]:
+        """Return the sound upstreams that may answer."""
+        now = time.monotonic()
+        found = self.shared.chooser.usable(self.call.service.name, now)
+        sound = [
+            u for u in found if not self.shared.chooser.health_of(u).is_ejected(now)
+        ]
+        return sound or found
+
+    def is_doubtful(self, upstream: model.Upstream) -> bool:
+        """Tell whether other signs than silence speak against an upstream."""
+        now = time.monotonic()
+        if self.shared.chooser.health_of(upstream).is_ejected(now):
+            return True
+        known = self.shared.known.upstreams(now)
+        return all(u.incarnation != upstream.incarnation for u in known)
+
+    def _may_leave(self, upstream: model.Upstream) -> bool:
+        return self.call.route.kind.may_repeat and self.is_doubtful(upstream)
+
     def has_other(self, level: str) -> bool:
         """Tell whether an upstream that was not tried is there."""
         now = time.monotonic()
@@ -193,7 +218,9 @@
         """End a try: give the connection back, or cut it if its body is not read."""
         opened.health.outstanding -= 1
         self._end_work(opened.work)
-        opened.resp.close() if result != "ok" else opened.resp.release()
+        opened.resp.release() if result == "ok" else opened.resp.close()
+        if result == "ok" and opened.confidence is not None:
+            result = f"ok {opened.confidence:.2f}"
         self._record(opened.upstream, opened.level, result, opened.sent_at)
 
     def note_good(self, opened: Opened, gap_s: float = 0.0) -> None:
@@ -309,8 +336,12 @@
     ) -> Opened:
         sent_at = time.monotonic()
         try:
-            async with asyncio.timeout(timeout_s):
-                resp = await pool.send(out)
+            resp = await patience.wait(
+                pool.send(out),
+                limit_s=timeout_s,
+                doubt_after_s=DOUBT_AFTER_S,
+                is_doubtful=lambda: self._may_leave(pool.upstream),
+            )
         except conns.NotSentError as exc:
             raise TryError(retry.Verdict.NEVER_JUDGED, "not connected") from exc
         except conns.BrokenError as exc:
