--- a/libs/masticpost-telemetry/src/masticpost_telemetry/logs.py
+++ b/libs/masticpost-telemetry/src/masticpost_telemetry/logs.py
@@ -4,7 +4,9 @@
 """
 
 import logging
+import os
 import sys
+import time
 import typing
 
 import attrs
@@ -60,6 +62,76 @@
     return rows
 
 
+class BoundedStream:
+    """A text stream that never blocks and bounds the lines it writes.
+
+    Lines over the rate, and lines that the reader of the pipe has no room for, are
+    dropped and counted; the next line that is written tells how many.
+
+    Parameters
+    ----------
+    fd : int
+        File descriptor to write to; it is made non-blocking.
+    lines_per_s : float
+        Most lines a second in the long run.
+    burst : float
+        Most lines at once.
+    """
+
+    def __init__(
+        self, *, fd: int, lines_per_s: float = 300.0, burst: float = 600.0
+    ) -> None:
+        os.set_blocking(fd, False)
+        self.fd = fd
+        self.lines_per_s = lines_per_s
+        self.burst = burst
+        self.dropped = 0
+        self._tokens = burst
+        self._filled_at = time.monotonic()
+        self._rest = b""
+
+    def write(self, line: str) -> None:
+        """Write one line, or drop it."""
+        if not self._has_token() or not self._flush_rest():
+            self.dropped += 1
+            return
+        data = line.encode()
+        if self.dropped:
+            note = {"message": "log lines dropped", "dropped": self.dropped}
+            data = msgspec.json.encode(note) + b"\n" + data
+            self.dropped = 0
+        self._rest = data
+        self._flush_rest()
+
+    def flush(self) -> None:
+        """Write what a full pipe kept back, as far as there is room now."""
+        self._flush_rest()
+
+    def _has_token(self) -> bool:
+        now = time.monotonic()
+        gained = (now - self._filled_at) * self.lines_per_s
+        self._tokens = min(self.burst, self._tokens + gained)
+        self._filled_at = now
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def _flush_rest(self) -> bool:
+        """Write the unfinished line; tell whether it is out."""
+        while self._rest:
+            try:
+                written = os.write(self.fd, self._rest)
+            except BlockingIOError:
+                return False
+            except OSError:
+                # Nobody reads any more; there is no place left to report it.
+                self._rest = b""
+                return True
+            self._rest = self._rest[written:]
+        return True
+
+
 class LibraryHandler(logging.Handler):
     """Passes the records of libraries that use the standard logging on."""
 
