List everything at once at the start; leave moved addresses at once

Cause: after all instances had ended, a new one waited for the others before it asked the store; and an upstream that came back under another name at its address answered 421 to each try of every request until its old entry went. Ruled out: reading stale lists at the start (a key taken away could be taken as valid). Change: each kind is listed once at the start by every instance, then only watchers watch; 421 ejects the run of an upstream like a refused connection. Lateness and backlog count gradually in the choice of the model; work that is being read counts by what is left.

--- a/libs/masticpost-gateway/src/masticpost_gateway/cascade.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/cascade.py
@@ -12,14 +12,16 @@
 
 ACCEPTED_CONFIDENCE = 0.6
 POOR_WORTH = 0.05
-LATE_WORTH = 0.35
+LATE_WORTH = 0.4
 LARGEST_COST_SHARE = 0.16
-BACKLOG_WEIGHT = 0.4
+BACKLOG_WEIGHT = 0.3
+CALM_BACKLOG_S = 0.3
 MAX_BACKLOG_S = 2.5
 CERTAIN_CONFIDENCE = 0.7
 DOUBT_CONFIDENCE = 0.1
 MIDDLE_GAIN = 0.2
-ON_TIME_SHARE = 0.85
+LATE_FROM = 0.7
+LATE_UNTIL = 1.3
 FINISH_SHARE = 0.9
 
 
@@ -122,6 +124,15 @@
     return min(1.0, max(0.0, (confidence - DOUBT_CONFIDENCE) / span))
 
 
+def _lateness_factor(first_s: float, left_s: float) -> float:
+    """Return what the chance of a late first event leaves of an answer's worth."""
+    if left_s <= 0:
+        return LATE_WORTH
+    late = (first_s / left_s - LATE_FROM) / (LATE_UNTIL - LATE_FROM)
+    late = min(1.0, max(0.0, late))
+    return 1.0 - late * (1.0 - LATE_WORTH)
+
+
 def _worth(good: float) -> float:
     return good + (1.0 - good) * POOR_WORTH
 
@@ -130,10 +141,9 @@
     is_largest = option.level + 1 == step.levels
     good_then = 1.0 if is_largest else good + (1.0 - good) * MIDDLE_GAIN
     worth = _worth(good_then)
-    if option.first_s > ON_TIME_SHARE * step.objective_left_s:
-        worth *= LATE_WORTH
+    worth *= _lateness_factor(option.first_s, step.objective_left_s)
     if option.total_s > FINISH_SHARE * step.deadline_left_s:
         worth = 0.0
-    backlog_s = min(step.backlog_s, MAX_BACKLOG_S)
+    backlog_s = min(max(0.0, step.backlog_s - CALM_BACKLOG_S), MAX_BACKLOG_S)
     price = LARGEST_COST_SHARE * option.cost
     return worth - price - BACKLOG_WEIGHT * backlog_s * option.read_s
--- a/libs/masticpost-gateway/src/masticpost_gateway/loads.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/loads.py
@@ -288,14 +288,16 @@
         return {name: self._own_load(name, now) for name in names}
 
     def _own_load(self, upstream: str, now: float) -> Load:
-        reading_s, streams = 0.0, 0
+        reading_s, streams, oldest = 0.0, 0, now
         for work in self._work.values():
             if work.upstream != upstream:
                 continue
             if work.is_read:
                 streams += 1
-            else:
-                reading_s += work.read_s
+                continue
+            reading_s += work.read_s
+            oldest = min(oldest, work.since)
+        reading_s = max(0.0, reading_s - (now - oldest))
         return Load(upstream=upstream, reading_s=round(reading_s, 3), streams=streams)
 
     async def _on_report(self, envelope: messages.Envelope, body: LoadReport) -> None:
--- a/libs/masticpost-gateway/src/masticpost_gateway/tries.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/tries.py
@@ -27,6 +27,8 @@
 WAIT_SHARE = 0.5
 RETRY_AFTER_S = 0.4
 MISDIRECTED = 421
+NOT_CONNECTED = "not connected"
+MOVED = "another upstream has the address"
 SERVER_ERROR = 500
 MS_PER_S = 1000.0
 URGENCY_OF_PRIORITY = (1, 4, 7)
@@ -343,7 +345,7 @@
                 is_doubtful=lambda: self._may_leave(pool.upstream),
             )
         except conns.NotSentError as exc:
-            raise TryError(retry.Verdict.NEVER_JUDGED, "not connected") from exc
+            raise TryError(retry.Verdict.NEVER_JUDGED, NOT_CONNECTED) from exc
         except conns.BrokenError as exc:
             raise TryError(retry.Verdict.NOT_KNOWN, f"broken: {exc}") from exc
         except TimeoutError as exc:
@@ -366,7 +368,9 @@
 
     def _check(self, resp: aiohttp.ClientResponse, head: headers.AnswerHead) -> None:
         """Raise unless the answer is this request's and may be passed on."""
-        if resp.status == MISDIRECTED or head.is_not_run:
+        if resp.status == MISDIRECTED:
+            raise TryError(retry.Verdict.NEVER_JUDGED, MOVED)
+        if head.is_not_run:
             raise TryError(retry.Verdict.NEVER_JUDGED, f"not run: {resp.status}")
         if head.request_id != self.call.head.request_id:
             raise TryError(retry.Verdict.NOT_KNOWN, "answer to another request")
@@ -386,7 +390,7 @@
         now = time.monotonic()
         self._record(upstream, level, exc.reason, sent_at)
         if exc.verdict is retry.Verdict.NEVER_JUDGED:
-            if exc.reason == "not connected":
+            if exc.reason in (NOT_CONNECTED, MOVED):
                 row.unreachable(now, exc.reason)
             return
         self.runs += 1
--- a/libs/masticpost-gateway/src/masticpost_gateway/watching.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/watching.py
@@ -21,7 +21,7 @@
 
 
 class Watching(mode.Service):
-    """Lists and watches every kind while this instance is to do so.
+    """Lists every kind once, and watches it while this instance is to do so.
 
     Parameters
     ----------
@@ -52,7 +52,7 @@
         pause_s = FIRST_PAUSE_S
         needs_list = True
         while not self.should_stop:
-            if not self.is_active:
+            if not self.is_active and self.known.views[kind].at >= 0:
                 self.failing_since.pop(kind, None)
                 needs_list = True
                 await asyncio.sleep(IDLE_POLL_S)
--- a/libs/masticpost-gateway/testing/test_plain.py
+++ b/libs/masticpost-gateway/testing/test_plain.py
@@ -284,3 +284,14 @@
         assert float(reply.headers["Retry-After"]) > 0
         assert reply.headers["Connection"] == "close"
         assert not worker.got
+
+
+async def test_address_that_another_upstream_has_is_left_at_once():
+    async with kit.Deployment() as dep:
+        moved = await dep.add_worker("w1", kit.not_run(421))
+        await dep.add_worker("w2", kit.answers())
+        await dep.configure()
+        await dep.add_node()
+        for _ in range(20):
+            assert (await dep.call("/lookup/")).status == 200
+        assert len(moved.got) <= 2
