--- a/testing/support/gatewaykit.py
+++ b/testing/support/gatewaykit.py
@@ -125,7 +125,9 @@
 class Worker:
     """An upstream that answers each request as its script says."""
 
-    def __init__(self, *, name, script, service="desk", domain="a", version="v1"):
+    def __init__(
+        self, *, name, script, service="desk", domain="a", version="v1", port=0
+    ):
         self.name = name
         self.script = script
         self.service = service
@@ -134,7 +136,7 @@
         self.got = []
         self.cut = 0
         self.connections = 0
-        self.port = procs.free_ports(1)[0]
+        self.port = port or procs.free_ports(1)[0]
         self._server = None
 
     async def start(self):
