Report loads on change only; serve metrics at a fixed port; check own settings

Cause: reading that progresses changed the reported load each tenth of a second, so that every instance sent ten reports a second (bytes between domains are priced); metrics had no address that the deploy file could name; a short peer secret failed with a trace. Ruled out: longer periods (an older view costs more than the bytes). Change: reports go out when work begins, is read or ends; metrics on 9464; own settings are checked together, each finding with place and remedy.

--- a/libs/masticpost-gateway/src/masticpost_gateway/loads.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/loads.py
@@ -166,6 +166,7 @@
         self._news_of_others: list[Placed] = []
         self._last_sent: dict[str, Load] = {}
         self._last_sent_at = -math.inf
+        self._is_dirty = False
         peers.hub.handle(LoadReport, self._on_report)
         peers.hub.handle(MemberLoad, self._on_member)
         peers.hub.handle(LoadSums, self._on_sums)
@@ -174,11 +175,18 @@
         """Note a request whose prompt takes `read_s` seconds to read."""
         work = Work(upstream=upstream, read_s=read_s, since=time.monotonic())
         self._work[id(work)] = work
+        self._is_dirty = True
         return work
 
+    def read(self, work: Work) -> None:
+        """Note that the prompt of a request was read and its answer is written."""
+        work.is_read = True
+        self._is_dirty = True
+
     def end(self, work: Work) -> None:
         """Note that a request is no longer at work."""
         self._work.pop(id(work), None)
+        self._is_dirty = True
 
     def place(self, upstream: str, key: str, tokens: int) -> None:
         """Note that an upstream has read a part of a prompt."""
@@ -273,13 +281,16 @@
         await self.peers.hub.broadcast(served, LoadSums(loads=sums, placed=news))
 
     def _is_new(self, loads: list[Load]) -> bool:
-        """Tell whether loads are to be sent: they changed, or others forget them."""
+        """Tell whether loads are to be sent: work changed, or others forget them.
+
+        Mere progress in reading is no change; receivers take it off by themselves.
+        """
         now = time.monotonic()
-        sent = {load.upstream: load for load in loads}
-        is_old = bool(sent) and now - self._last_sent_at > RESEND_S
-        if sent == self._last_sent and not is_old:
+        is_old = bool(loads) and now - self._last_sent_at > RESEND_S
+        if not self._is_dirty and not is_old:
             return False
-        self._last_sent = sent
+        self._is_dirty = False
+        self._last_sent = {load.upstream: load for load in loads}
         self._last_sent_at = now
         return True
 
@@ -305,6 +316,7 @@
 
     async def _on_member(self, envelope: messages.Envelope, body: MemberLoad) -> None:
         self._news += body.placed
+        self._is_dirty = True
         self._take(self._members, envelope.sender, body)
 
     async def _on_sums(self, envelope: messages.Envelope, body: LoadSums) -> None:
--- a/libs/masticpost-gateway/src/masticpost_gateway/tries.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/tries.py
@@ -270,7 +270,7 @@
 
     def _note_read(self, opened: Opened, reading: placement.Reading) -> None:
         """Note that the prompt was read, since the answer has begun."""
-        opened.work.is_read = True
+        self.shared.loads.read(opened.work)
         took_s = opened.head_at - opened.sent_at
         speed = self.shared.places.pace.of(reading.service, reading.model)
         if not opened.is_failure:
--- /dev/null
+++ b/testing/adapter/test_settings.py
@@ -0,0 +1,78 @@
+"""Settings: the platform's file and our own, each finding with place and remedy."""
+
+import os
+import pathlib
+import subprocess
+import sys
+
+import pytest
+from masticpost_common import findings
+from masticpost_platform import settings
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+SECRET = "a-secret-of-the-tests"
+TEXT = """
+node = "front-a-1"
+ipAddress = "10.1.0.40"
+zone = "a"
+internalPorts = [7340, 7355]
+seedAddresses = ["10.1.0.40:8229", "10.2.0.29:8229"]
+unknown = "is ignored"
+[listen]
+front = "10.1.0.40:8227"
+ready = "10.1.0.40:8220"
+[platform]
+address = "10.200.1.7:8223"
+[bounds]
+graceS = 6
+budgetRatio = 0.5
+budgetSlack = 40
+budgetWindowS = 8
+sessionS = 4.5
+"""
+
+
+def load(path, text):
+    path.write_text(text)
+    return settings.load(path, SECRET, 9464)
+
+
+def test_file_is_translated(tmp_path):
+    boot = load(tmp_path / "node.toml", TEXT)
+    assert boot.store_address == "10.200.1.7:8223"
+    assert boot.node.name == "front-a-1"
+    assert boot.node.callers.port == 8227
+    assert boot.node.mesh.address == "10.1.0.40:7340"
+    assert boot.node.mesh.seeds == ("10.1.0.40:7340", "10.2.0.29:7340")
+    assert boot.node.grace_s == 6.0
+    assert boot.node.session_s == 4.5
+    assert (boot.node.retries.ratio, boot.node.retries.slack) == (0.5, 40.0)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "told"),
+    [
+        ('zone = "a"', "", "zone: missing"),
+        ("graceS = 6", 'graceS = "six"', "graceS: a number"),
+        ("[listen]", "[other]", "front: missing"),
+        ("[platform]", "[platform", "node.toml"),
+    ],
+)
+def test_finding_names_its_place(tmp_path, old, new, told):
+    with pytest.raises(findings.FindingsError, match=told):
+        load(tmp_path / "node.toml", TEXT.replace(old, new))
+
+
+def test_program_reports_all_findings_together(tmp_path):
+    env = {**os.environ, "MASTICPOST_PEER_KEYS": "short"}
+    argv = [sys.executable, "platform/start.py", "--log-level", "loud"]
+    done = subprocess.run(
+        [*argv, "--metrics-port", "x"],
+        cwd=ROOT,
+        env=env,
+        capture_output=True,
+        text=True,
+    )
+    assert done.returncode == 2
+    for place in ("MASTICPOST_PEER_KEYS", "--log-level", "--metrics-port"):
+        assert place in done.stderr
--- a/testing/soak/world.py
+++ b/testing/soak/world.py
@@ -112,6 +112,7 @@
         env = {
             "MASTICPOST_BOOT": str(path),
             "MASTICPOST_PEER_KEYS": "a-secret-of-the-soak",
+            "MASTICPOST_METRICS_PORT": str(self.ports["metrics"]),
         }
         argv = [sys.executable, "platform/start.py"]
         return Proc(name, argv, env, self.folder / f"{name}.log")
