Split sending, checking and the relay's messages off; drop what nothing uses

Cause: tries.py and relay.py held several jobs; names and fields were left that nothing read. Ruled out: splitting Tries itself, its parts share one request's state. Change: sending (what is sent, which answers count), passing (messages between instances). No behaviour changed: 137 tests of gateway, adapter and soak pass.

--- a/libs/masticpost-gateway/src/masticpost_gateway/headers.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/headers.py
@@ -1,7 +1,5 @@
 """Names of the headers on both sides, and reading and writing of them."""
 
-import collections.abc
-
 import attrs
 import multidict
 
@@ -21,7 +19,6 @@
     )
 )
 MS_PER_S = 1000.0
-Raw = collections.abc.Iterable[tuple[bytes, bytes]]
 
 
 @attrs.frozen(kw_only=True)
@@ -35,7 +32,7 @@
         Sent by callers.
     expected_instance, customer, urgency
         Set by the gateway for upstreams.
-    signature, not_run, confidence, instance_id
+    signature, not_run, confidence
         Sent by upstreams.
     internal : frozenset of str
         Lower-case names that are dropped when a caller sends them.
@@ -56,7 +53,6 @@
     signature: str = "Answer-Signature"
     not_run: str = "Not-Run"
     confidence: str = "Confidence"
-    instance_id: str = "Instance-Id"
     internal: frozenset[str] = frozenset()
 
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/model.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/model.py
@@ -70,7 +70,6 @@
     levels: tuple[str, ...] = ()
     attempts: int = 1
     is_keyless: bool = False
-    shares_prefixes: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -93,7 +92,6 @@
     """
 
     name: str
-    health_path: str = "/health"
     max_connections: int = 0
     cold_rate: float = 0.0
     tokens_per_event: int = 1
@@ -112,11 +110,9 @@
 
 @attrs.frozen(kw_only=True)
 class Limits:
-    """Bounds on what a caller may send, and on its idle connections."""
+    """Bounds on what a caller may send."""
 
-    header_bytes: int = 16_384
     body_bytes: int = 4_194_304
-    idle_s: float = 75.0
 
 
 @attrs.frozen(kw_only=True)
--- a/libs/masticpost-gateway/src/masticpost_gateway/placement.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/placement.py
@@ -15,7 +15,6 @@
 STALL_WEIGHT = 0.12
 STREAM_COST_S = 0.004
 RANK_COST_S = 0.002
-COLD_COST_S = 1.0
 SMALL_LEVEL_SHARE = 0.2
 
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/plain.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/plain.py
@@ -10,7 +10,7 @@
 from masticpost_common import errors, retry
 
 from masticpost_gateway import call as calls
-from masticpost_gateway import conns, headers, tries
+from masticpost_gateway import conns, headers, sending, tries
 
 FIRST_TRY_SHARE = 0.6
 READ_BYTES = 65_536
@@ -43,7 +43,7 @@
             return _response(failed)
         try:
             whole = await _try(run, upstream)
-        except tries.TryError as exc:
+        except sending.TryError as exc:
             reason = exc.reason
             if not _may_repeat(run, exc.verdict):
                 if failed is not None:
@@ -93,7 +93,7 @@
     except (aiohttp.ClientError, OSError, TimeoutError) as exc:
         result = f"cut: {type(exc).__name__}"
         run.note_bad(opened, result)
-        raise tries.TryError(retry.Verdict.NOT_KNOWN, result) from exc
+        raise sending.TryError(retry.Verdict.NOT_KNOWN, result) from exc
     finally:
         run.close(opened, result)
     if opened.is_failure:
--- a/libs/masticpost-gateway/src/masticpost_gateway/relay.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/relay.py
@@ -10,13 +10,12 @@
 import random
 import time
 
-import attrs
 import mode
 from loguru import logger
 from masticpost_common import codec, rendezvous
 from masticpost_peers import hub, membership, messages
 
-from masticpost_gateway import beliefs, mesh, source, trial, watching
+from masticpost_gateway import beliefs, mesh, passing, source, trial, watching
 
 WATCHERS = 3
 WATCHERS_OF_MANY = 5
@@ -31,96 +30,6 @@
 MAX_AGE_S = 1e6
 
 
-@attrs.frozen(kw_only=True)
-class PassedEntry:
-    """An entry between instances; `raw` is the record, None if it cannot be read."""
-
-    name: str
-    revision: int
-    raw: bytes | None
-
-
-@messages.message("gateway-changes")
-@attrs.frozen(kw_only=True)
-class PassedChanges:
-    """What changed in a kind between two revisions of the store.
-
-    Attributes
-    ----------
-    regained_s : float
-        Time since the sender's store was back after its last outage, in seconds.
-    """
-
-    kind: source.Kind
-    since: int
-    at: int
-    age_s: float
-    regained_s: float
-    changed: list[PassedEntry]
-    removed: list[str]
-
-
-@messages.message("gateway-ask")
-@attrs.frozen(kw_only=True)
-class AskState:
-    """Asks for the whole state of a kind."""
-
-    kind: source.Kind
-
-
-@messages.message("gateway-state")
-@attrs.frozen(kw_only=True)
-class PassedState:
-    """The whole state of a kind; `at` is -1 when the sender knows none."""
-
-    kind: source.Kind
-    at: int
-    age_s: float
-    entries: list[PassedEntry]
-
-
-@attrs.frozen(kw_only=True)
-class Freshness:
-    """How new a watcher's view of a kind is.
-
-    Attributes
-    ----------
-    changed_at : int
-        Revision of the store at the last change that the watcher knows.
-    """
-
-    kind: source.Kind
-    at: int
-    changed_at: int
-    age_s: float
-
-
-@attrs.frozen(kw_only=True)
-class BadVersion:
-    """A version that the pooled evidence speaks against."""
-
-    service: str
-    target: str
-    reason: str
-
-
-@messages.message("gateway-beat")
-@attrs.frozen(kw_only=True)
-class Beat:
-    """Sent by a watcher to those that it tells, once a second."""
-
-    views: list[Freshness]
-    bad: list[BadVersion]
-
-
-@messages.message("gateway-evidence")
-@attrs.frozen(kw_only=True)
-class EvidenceReport:
-    """An instance's own evidence of the open trials."""
-
-    rows: list[trial.Evidence]
-
-
 class Relay(mode.Service):
     """Keeps the beliefs of this instance and of the others together.
 
@@ -154,10 +63,10 @@
         self._asking: set[source.Kind] = set()
         self._last_evidence: list[trial.Evidence] = []
         known.on_advance(self._advanced)
-        peers.hub.handle(PassedChanges, self._on_changes)
-        peers.hub.handle(AskState, self._on_ask)
-        peers.hub.handle(Beat, self._on_beat)
-        peers.hub.handle(EvidenceReport, self._on_evidence)
+        peers.hub.handle(passing.PassedChanges, self._on_changes)
+        peers.hub.handle(passing.AskState, self._on_ask)
+        peers.hub.handle(passing.Beat, self._on_beat)
+        peers.hub.handle(passing.EvidenceReport, self._on_evidence)
 
     @property
     def is_watcher(self) -> bool:
@@ -225,12 +134,12 @@
             )
             me = self.peers.me.name
             others = [row.address for row in self.watchers if row.name != me]
-            await self.peers.hub.broadcast(others, EvidenceReport(rows=rows))
+            await self.peers.hub.broadcast(others, passing.EvidenceReport(rows=rows))
 
-    def _beat(self) -> Beat:
+    def _beat(self) -> passing.Beat:
         now = time.monotonic()
         views = [
-            Freshness(
+            passing.Freshness(
                 kind=view.kind,
                 at=view.at,
                 changed_at=view.changed_at,
@@ -240,29 +149,31 @@
             if view.at >= 0
         ]
         bad = [
-            BadVersion(service=service, target=row.order.target, reason=row.verdict)
+            passing.BadVersion(
+                service=service, target=row.order.target, reason=row.verdict
+            )
             for service, row in self.trials.open.items()
             if row.verdict
         ]
-        return Beat(views=views, bad=bad)
+        return passing.Beat(views=views, bad=bad)
 
     def _advanced(self, step: beliefs.Advance) -> None:
         if not self.is_watcher or not (step.changed or step.removed):
             return
         age_s = self.known.views[step.kind].age_s(time.monotonic())
-        body = PassedChanges(
+        body = passing.PassedChanges(
             kind=step.kind,
             since=step.since,
             at=step.at,
             age_s=age_s,
             regained_s=min(time.monotonic() - self.known.regained_at, MAX_AGE_S),
-            changed=[_passed(entry) for entry in step.changed],
+            changed=[passing.passed(entry) for entry in step.changed],
             removed=list(step.removed),
         )
         self.add_future(self.peers.hub.broadcast(self.told_by_me(), body))
 
     async def _on_changes(
-        self, envelope: messages.Envelope, body: PassedChanges
+        self, envelope: messages.Envelope, body: passing.PassedChanges
     ) -> None:
         view = self.known.views[body.kind]
         if body.at <= view.at:
@@ -273,7 +184,7 @@
             await self._ask(envelope.sender, body.kind)
             return
         events = [
-            source.Event(entry=_entry(body.kind, row), is_removed=False)
+            source.Event(entry=passing.entry(body.kind, row), is_removed=False)
             for row in body.changed
         ]
         events += [
@@ -286,16 +197,18 @@
         changes = source.Changes(events=tuple(events), at=body.at)
         self.known.apply(body.kind, changes, time.monotonic() - body.age_s)
 
-    async def _on_ask(self, envelope: messages.Envelope, body: AskState) -> PassedState:
+    async def _on_ask(
+        self, envelope: messages.Envelope, body: passing.AskState
+    ) -> passing.PassedState:
         view = self.known.views[body.kind]
-        return PassedState(
+        return passing.PassedState(
             kind=body.kind,
             at=view.at,
             age_s=min(view.age_s(time.monotonic()), MAX_AGE_S),
-            entries=[_passed(entry) for entry in view.entries.values()],
+            entries=[passing.passed(entry) for entry in view.entries.values()],
         )
 
-    async def _on_beat(self, envelope: messages.Envelope, body: Beat) -> None:
+    async def _on_beat(self, envelope: messages.Envelope, body: passing.Beat) -> None:
         now = time.monotonic()
         for row in body.views:
             view = self.known.views[row.kind]
@@ -314,7 +227,7 @@
         self._asking.add(kind)
         try:
             state = await self.peers.hub.call(
-                member.address, AskState(kind=kind), ASK_TIMEOUT_S
+                member.address, passing.AskState(kind=kind), ASK_TIMEOUT_S
             )
         except hub.PeerUnreachableError as exc:
             logger.bind(event="relay", kind=kind.value).warning("not told: {}", exc)
@@ -323,12 +236,12 @@
             self._asking.discard(kind)
         if state.at < 0:
             return
-        entries = tuple(_entry(kind, row) for row in state.entries)
+        entries = tuple(passing.entry(kind, row) for row in state.entries)
         listing = source.Listing(entries=entries, at=state.at)
         self.known.replace(kind, listing, time.monotonic() - state.age_s)
 
     async def _on_evidence(
-        self, envelope: messages.Envelope, body: EvidenceReport
+        self, envelope: messages.Envelope, body: passing.EvidenceReport
     ) -> None:
         for row in body.rows:
             self.trials.hear((envelope.sender, envelope.incarnation), row)
@@ -346,15 +259,3 @@
                 for kind in missing:
                     await self._ask(teller.name, kind)
             await asyncio.sleep(CHOOSE_PERIOD_S)
-
-
-def _passed(entry: source.Entry) -> PassedEntry:
-    raw = None if entry.record is None else codec.to_wire(entry.record)
-    return PassedEntry(name=entry.name, revision=entry.revision, raw=raw)
-
-
-def _entry(kind: source.Kind, row: PassedEntry) -> source.Entry:
-    record = None
-    if row.raw is not None:
-        record = codec.from_wire(row.raw, source.RECORD_TYPES[kind])
-    return source.Entry(name=row.name, revision=row.revision, record=record)
--- /dev/null
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sending.py
@@ -0,0 +1,85 @@
+"""One request to one upstream: what is sent, and which answers are this request's."""
+
+import aiohttp
+from masticpost_common import retry
+
+from masticpost_gateway import call as calls
+from masticpost_gateway import conns, headers, model
+
+MISDIRECTED = 421
+NOT_CONNECTED = "not connected"
+MOVED = "another upstream has the address"
+MS_PER_S = 1000.0
+URGENCY_OF_PRIORITY = (1, 4, 7)
+
+
+class TryError(Exception):
+    """A try that brought no answer to pass on.
+
+    Parameters
+    ----------
+    verdict : retry.Verdict
+        What the failure tells about whether the request ran.
+    reason : str
+        Short cause for the log.
+    """
+
+    def __init__(self, verdict: retry.Verdict, reason: str) -> None:
+        self.verdict = verdict
+        self.reason = reason
+        super().__init__(reason)
+
+
+def outgoing(
+    call: calls.Call,
+    names: headers.HeaderNames,
+    upstream: model.Upstream,
+    level: str,
+    last_id: str,
+) -> conns.Outgoing:
+    """Return the request as an upstream gets it.
+
+    Parameters
+    ----------
+    level : str
+        Model that is to answer; empty to leave the caller's choice.
+    last_id : str
+        Id of the last event that the caller has; empty for none.
+    """
+    out = call.passed.copy()
+    out[names.deadline_ms] = str(max(1, int(call.left_s() * MS_PER_S)))
+    out[names.expected_instance] = upstream.name
+    if call.customer:
+        out[names.customer] = call.customer
+    if level:
+        out[names.model] = level
+    if last_id:
+        out[names.last_event_id] = last_id
+    if call.route.kind.is_stream:
+        rank = min(call.priority, len(URGENCY_OF_PRIORITY) - 1)
+        out[names.urgency] = str(URGENCY_OF_PRIORITY[rank])
+    return conns.Outgoing(
+        method=call.method, target=call.target, headers=out, body=call.body
+    )
+
+
+def check(
+    resp: aiohttp.ClientResponse, head: headers.AnswerHead, request_id: str
+) -> None:
+    """Raise unless an answer belongs to the request and may be passed on.
+
+    Raises
+    ------
+    TryError
+        The upstream did not run the request, or the answer is of no use.
+    """
+    if resp.status == MISDIRECTED:
+        raise TryError(retry.Verdict.NEVER_JUDGED, MOVED)
+    if head.is_not_run:
+        raise TryError(retry.Verdict.NEVER_JUDGED, f"not run: {resp.status}")
+    if head.request_id != request_id:
+        raise TryError(retry.Verdict.NOT_KNOWN, "answer to another request")
+    if resp.status < 300 and not head.is_signed:
+        raise TryError(retry.Verdict.NOT_KNOWN, "answer without signature")
+    if "Content-Encoding" in resp.headers:
+        raise TryError(retry.Verdict.NOT_KNOWN, "answer with an encoding")
--- a/libs/masticpost-gateway/src/masticpost_gateway/streaming.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/streaming.py
@@ -15,6 +15,7 @@
     headers,
     model,
     patience,
+    sending,
     tries,
 )
 
@@ -107,7 +108,7 @@
                 return await self.run.open(
                     upstream, self._model, self._first_event_timeout(), self.last_id
                 )
-            except tries.TryError as exc:
+            except sending.TryError as exc:
                 self._require_another(exc.reason, exc.verdict)
 
     def _first_event_timeout(self) -> float:
--- a/libs/masticpost-gateway/src/masticpost_gateway/table.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/table.py
@@ -1,19 +1,10 @@
 """The routes and customers of one configuration, ready for look-up."""
 
-import attrs
 from masticpost_common import rendezvous
 
 from masticpost_gateway import model
 
 
-@attrs.frozen(kw_only=True)
-class Found:
-    """A route that a request matches, and the service that takes it."""
-
-    route: model.Route
-    service: model.Service
-
-
 class Table:
     """Look-up of routes, services and customers.
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/trial.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/trial.py
@@ -4,7 +4,6 @@
 messages; a session that ran lately keeps its version while the share is narrow.
 """
 
-import collections.abc
 import math
 import time
 
@@ -220,9 +219,6 @@
             ).warning("version is bad: {}", trial.verdict)
 
 
-Judge = collections.abc.Callable[[Tally, Tally], str]
-
-
 def find_fault(row: Tally, base: Tally) -> str:
     """Return why a version on trial is worse than the others, empty if it is not.
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/tries.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/tries.py
@@ -18,6 +18,9 @@
     model,
     patience,
     placement,
+    retryshare,
+    sending,
+    sessions,
     trial,
 )
 from masticpost_gateway import call as calls
@@ -26,29 +29,7 @@
 DOUBT_AFTER_S = 0.8
 WAIT_SHARE = 0.5
 RETRY_AFTER_S = 0.4
-MISDIRECTED = 421
-NOT_CONNECTED = "not connected"
-MOVED = "another upstream has the address"
 SERVER_ERROR = 500
-MS_PER_S = 1000.0
-URGENCY_OF_PRIORITY = (1, 4, 7)
-
-
-class TryError(Exception):
-    """A try that brought no answer to pass on.
-
-    Parameters
-    ----------
-    verdict : retry.Verdict
-        What the failure tells about whether the request ran.
-    reason : str
-        Short cause for the log.
-    """
-
-    def __init__(self, verdict: retry.Verdict, reason: str) -> None:
-        self.verdict = verdict
-        self.reason = reason
-        super().__init__(reason)
 
 
 @attrs.define(kw_only=True)
@@ -79,10 +60,10 @@
     known: beliefs.Beliefs
     chooser: choice.Chooser
     pools: conns.Pools
-    retries: typing.Any
+    retries: retryshare.RetryShare
     trials: trial.Trials
-    sessions: typing.Any
-    metrics: typing.Any
+    sessions: sessions.Sessions
+    closing_at: float | None
     loads: loads.Loads
     places: placement.Placement
 
@@ -175,7 +156,7 @@
 
         Raises
         ------
-        TryError
+        sending.TryError
             The upstream did not run the request, or its answer is of no use.
         """
         now = time.monotonic()
@@ -183,7 +164,7 @@
         self.tried.add(upstream.name)
         row = self.shared.chooser.health_of(upstream)
         pool = self.shared.pools.get(upstream, self.call.service)
-        out = self._outgoing(upstream, level, last_id)
+        out = sending.outgoing(self.call, self.shared.names, upstream, level, last_id)
         row.outstanding += 1
         reading = self.reading(level)
         unread = 0
@@ -194,7 +175,7 @@
             work = self.shared.loads.begin(upstream.name, read_s)
         try:
             opened = await self._exchange(pool, out, row, level, timeout_s)
-        except TryError as exc:
+        except sending.TryError as exc:
             row.outstanding -= 1
             self._end_work(work)
             self._note_failure(upstream, level, row, now, exc)
@@ -304,30 +285,6 @@
             self.shared.retries.repeated(service, now)
         self.sent += 1
 
-    def _outgoing(
-        self, upstream: model.Upstream, level: str, last_id: str
-    ) -> conns.Outgoing:
-        names = self.shared.names
-        out = self.call.passed.copy()
-        left_ms = max(1, int(self.call.left_s() * MS_PER_S))
-        out[names.deadline_ms] = str(left_ms)
-        out[names.expected_instance] = upstream.name
-        if self.call.customer:
-            out[names.customer] = self.call.customer
-        if level:
-            out[names.model] = level
-        if last_id:
-            out[names.last_event_id] = last_id
-        if self.call.route.kind.is_stream:
-            rank = min(self.call.priority, len(URGENCY_OF_PRIORITY) - 1)
-            out[names.urgency] = str(URGENCY_OF_PRIORITY[rank])
-        return conns.Outgoing(
-            method=self.call.method,
-            target=self.call.target,
-            headers=out,
-            body=self.call.body,
-        )
-
     async def _exchange(
         self,
         pool: conns.Pool,
@@ -345,15 +302,19 @@
                 is_doubtful=lambda: self._may_leave(pool.upstream),
             )
         except conns.NotSentError as exc:
-            raise TryError(retry.Verdict.NEVER_JUDGED, NOT_CONNECTED) from exc
+            raise sending.TryError(
+                retry.Verdict.NEVER_JUDGED, sending.NOT_CONNECTED
+            ) from exc
         except conns.BrokenError as exc:
-            raise TryError(retry.Verdict.NOT_KNOWN, f"broken: {exc}") from exc
+            raise sending.TryError(retry.Verdict.NOT_KNOWN, f"broken: {exc}") from exc
         except TimeoutError as exc:
-            raise TryError(retry.Verdict.NOT_KNOWN, "no answer in time") from exc
+            raise sending.TryError(
+                retry.Verdict.NOT_KNOWN, "no answer in time"
+            ) from exc
         head = headers.read_answer(resp.headers, self.shared.names)
         try:
-            self._check(resp, head)
-        except TryError:
+            sending.check(resp, head, self.call.head.request_id)
+        except sending.TryError:
             resp.close()
             raise
         return Opened(
@@ -366,31 +327,18 @@
             health=row,
         )
 
-    def _check(self, resp: aiohttp.ClientResponse, head: headers.AnswerHead) -> None:
-        """Raise unless the answer is this request's and may be passed on."""
-        if resp.status == MISDIRECTED:
-            raise TryError(retry.Verdict.NEVER_JUDGED, MOVED)
-        if head.is_not_run:
-            raise TryError(retry.Verdict.NEVER_JUDGED, f"not run: {resp.status}")
-        if head.request_id != self.call.head.request_id:
-            raise TryError(retry.Verdict.NOT_KNOWN, "answer to another request")
-        if resp.status < 300 and not head.is_signed:
-            raise TryError(retry.Verdict.NOT_KNOWN, "answer without signature")
-        if "Content-Encoding" in resp.headers:
-            raise TryError(retry.Verdict.NOT_KNOWN, "answer with an encoding")
-
     def _note_failure(
         self,
         upstream: model.Upstream,
         level: str,
         row: health.Health,
         sent_at: float,
-        exc: TryError,
+        exc: sending.TryError,
     ) -> None:
         now = time.monotonic()
         self._record(upstream, level, exc.reason, sent_at)
         if exc.verdict is retry.Verdict.NEVER_JUDGED:
-            if exc.reason in (NOT_CONNECTED, MOVED):
+            if exc.reason in (sending.NOT_CONNECTED, sending.MOVED):
                 row.unreachable(now, exc.reason)
             return
         self.runs += 1
--- a/libs/masticpost-gateway/src/masticpost_gateway/watching.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/watching.py
@@ -38,11 +38,6 @@
         self.is_active = False
         self.failing_since: dict[source.Kind, float] = {}
 
-    @property
-    def is_failing(self) -> bool:
-        """Whether the last call for some kind failed."""
-        return bool(self.failing_since)
-
     async def on_start(self) -> None:
         """Start a task for each kind."""
         for kind in source.Kind:
