--- a/libs/masticpost-gateway/testing/test_relay.py
+++ b/libs/masticpost-gateway/testing/test_relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import result
 from masticpost_gateway import model, relay, source
 from support import gatewaykit as kit
 
@@ -45,9 +46,9 @@
 
     async def _hang(self, *args):
         await asyncio.sleep(0.2)
-        from result import Err
-
-        return Err(source.Fault(kind=source.FaultKind.NOT_KNOWN, message="silent"))
+        return result.Err(
+            source.Fault(kind=source.FaultKind.NOT_KNOWN, message="silent")
+        )
 
 
 async def test_watcher_that_the_store_turns_away_learns_from_another():
--- a/testing/adapter/test_decode.py
+++ b/testing/adapter/test_decode.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies
 from masticpost_gateway import model, source
 from masticpost_platform import decode, fields
-from support.platformrows import CONFIG, SERVER
+from support import platformrows
 
 
 def row(name, spec, status=None, revision=5):
@@ -14,7 +14,9 @@
 
 
 def test_configuration():
-    cfg = decode.entry(source.Kind.CONFIGURATION, row("main", CONFIG)).record
+    cfg = decode.entry(
+        source.Kind.CONFIGURATION, row("main", platformrows.CONFIG)
+    ).record
     chat, unsafe = cfg.routes
     assert cfg.version == 7
     assert chat.kind is model.CallKind.RESUMABLE_STREAM
@@ -29,7 +31,7 @@
 
 
 def test_upstream():
-    got = decode.entry(source.Kind.UPSTREAMS, row("i-1", SERVER)).record
+    got = decode.entry(source.Kind.UPSTREAMS, row("i-1", platformrows.SERVER)).record
     assert got.name == "i-1"
     assert got.domain == "z"
     assert got.cold_left_s == 1.5
@@ -49,7 +51,9 @@
     ],
 )
 def test_entry_of_another_writer_names_no_upstream(change):
-    got = decode.entry(source.Kind.UPSTREAMS, row("i-1", {**SERVER, **change}))
+    got = decode.entry(
+        source.Kind.UPSTREAMS, row("i-1", {**platformrows.SERVER, **change})
+    )
     assert got.record is None
     assert got.revision == 5
 
@@ -64,7 +68,7 @@
         lambda inner: (
             strategies.lists(inner, max_size=3)
             | strategies.dictionaries(
-                strategies.sampled_from(sorted(SERVER)), inner, max_size=6
+                strategies.sampled_from(sorted(platformrows.SERVER)), inner, max_size=6
             )
         ),
         max_leaves=8,
@@ -78,7 +82,7 @@
 
 def test_object_without_a_name_is_an_error():
     with pytest.raises(fields.BadFieldError):
-        decode.entry(source.Kind.UPSTREAMS, {"specification": SERVER})
+        decode.entry(source.Kind.UPSTREAMS, {"specification": platformrows.SERVER})
 
 
 @pytest.mark.parametrize(
