Let a crash of the engine stand-in cut requests that are still on the link

Cause: the stand-in noted a connection only after the link's delay, so that requests which had arrived just before a crash ran on in the restarted engine and counted as sent to it cold. Change: connections are noted on arrival; a request that waits for the link when the engine crashes is cut. Test: test_engine, seen failing before. Conclusion: a fault of the stand-in, mended.

--- a/libs/masticpost-standins/src/masticpost_standins/engine.py
+++ b/libs/masticpost-standins/src/masticpost_standins/engine.py
@@ -229,22 +229,28 @@
         parsed = msgspec.json.decode(await req.read(), type=Request)
         if parsed.model not in self.loaded:
             return web.Response(status=404, text="no such model")
-        await asyncio.sleep(2 * self.cfg.link_delay_s + self.faults.delay_s)
-        self._count(parsed)
-        if any(CRASH_MARK in m.content for m in parsed.messages):
-            await asyncio.sleep(self.cfg.step_s)
-            self.crash()
-            control.abort(req)
         transport = req.transport
         self._transports.add(transport)
         try:
-            return await self._run(req, parsed)
+            return await self._take(req, parsed)
         except asyncio.CancelledError:
             self.counts.cancelled += 1
             raise
         finally:
             self._transports.discard(transport)
 
+    async def _take(self, req: web.Request, parsed: Request) -> web.StreamResponse:
+        crashes = self.counts.crashes
+        await asyncio.sleep(2 * self.cfg.link_delay_s + self.faults.delay_s)
+        if self.counts.crashes != crashes:
+            control.abort(req)
+        self._count(parsed)
+        if any(CRASH_MARK in m.content for m in parsed.messages):
+            await asyncio.sleep(self.cfg.step_s)
+            self.crash()
+            control.abort(req)
+        return await self._run(req, parsed)
+
     def _count(self, parsed: Request) -> None:
         self.counts.requests += 1
         self.counts.last_request_at = time.time()
