--- a/libs/masticpost-bench/src/masticpost_bench/deployment.py
+++ b/libs/masticpost-bench/src/masticpost_bench/deployment.py
@@ -328,7 +328,7 @@
     async def _is_ready(self, name: str) -> bool:
         daemon = self.daemons[name]
         if not daemon.proc.is_running():
-            raise RuntimeError(f"{name} ended, see {daemon.proc.log_path}")
+            raise RuntimeError(daemon.proc.ending())
         with contextlib.suppress(aiohttp.ClientError):
             async with self.http.get(f"{daemon.url}/readyz") as resp:
                 if resp.status != 200:
--- a/libs/masticpost-bench/src/masticpost_bench/procs.py
+++ b/libs/masticpost-bench/src/masticpost_bench/procs.py
@@ -18,6 +18,7 @@
 HOST = "127.0.0.1"
 STOP_TIMEOUT_S = 20.0
 FIRST_PORT = 10_000
+LAST_BYTES = 2_000
 PORT_RANGES = 16
 PORTS_PER_RANGE = 1_300
 _PORT_COUNTER = itertools.count(random.Random(os.getpid()).randrange(PORTS_PER_RANGE))
@@ -104,6 +105,14 @@
         """Tell whether the process has not ended."""
         return self.popen is not None and self.popen.poll() is None
 
+    def ending(self) -> str:
+        """Tell how a process that has ended did so: its code and its last output."""
+        with self.log_path.open("rb") as log:
+            log.seek(max(0, log.seek(0, os.SEEK_END) - LAST_BYTES))
+            last = log.read().decode(errors="replace")
+        code = self.popen.returncode
+        return f"{self.name} ended with code {code}, see {self.log_path}:\n{last}"
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal to this process."""
         if self.is_running():
--- a/libs/masticpost-daemon/src/masticpost_daemon/settings.py
+++ b/libs/masticpost-daemon/src/masticpost_daemon/settings.py
@@ -48,6 +48,8 @@
   --drain-limit-s S      Most seconds to wait for requests at work [default: 60].
   --settle-after-s S     Seconds after which the open bill of an ended instance is
                          settled [default: 30].
+  --ask-at-once-s S      Most seconds that a caller waits while its call in doubt
+                         is asked about [default: 2].
   --log-level LEVEL      debug, info, warning or error [default: info].
   --help                 Show this.
 
@@ -99,6 +101,7 @@
     drain_grace_s: float
     drain_limit_s: float
     settle_after_s: float
+    ask_at_once_s: float
     log_level: str
 
 
@@ -213,6 +216,7 @@
         drain_grace_s=reader.number("drain-grace-s", 0, 600),
         drain_limit_s=reader.number("drain-limit-s", 0, 3600),
         settle_after_s=reader.number("settle-after-s", 0, 3600),
+        ask_at_once_s=reader.number("ask-at-once-s", 0, 600),
         log_level=reader.text("log-level"),
     )
     _check_pairs(reader, settings)
--- a/libs/masticpost-entry/src/masticpost_entry/doubts.py
+++ b/libs/masticpost-entry/src/masticpost_entry/doubts.py
@@ -21,7 +21,6 @@
 
 MAX_ASKED = 8
 ASK_TIMEOUT_S = 1.0
-AT_ONCE_S = 2.0
 AT_ONCE_PAUSE_S = 0.1
 ROUND_S = 1.0
 MAX_PER_ROUND = 50
@@ -155,7 +154,7 @@
     if inquiry is None:
         return None
     since = time.monotonic()
-    until = min(deadline, since + AT_ONCE_S)
+    until = min(deadline, since + rt.ask_at_once_s)
     pauses = retry.RetryPolicy(first_pause_s=AT_ONCE_PAUSE_S).pauses_of()
     while time.monotonic() < until:
         told = await ask(rt, inquiry)
--- a/libs/masticpost-entry/src/masticpost_entry/runtime.py
+++ b/libs/masticpost-entry/src/masticpost_entry/runtime.py
@@ -24,6 +24,7 @@
 
 from masticpost_entry import budgets, guard, subset
 
+ASK_AT_ONCE_S = 2.0
 MAX_BODY_BYTES = 1_000_000
 
 
@@ -71,6 +72,8 @@
         Failure domain of this instance.
     leaving_upstreams : set of str
         Addresses that the platform lists as leaving.
+    ask_at_once_s : float
+        Most seconds that a caller waits while its call in doubt is asked about.
     is_stopping : bool
         True once no new work is accepted.
     in_flight : int
@@ -95,6 +98,7 @@
     keys: dict[str, model.Customer] = attrs.field(factory=dict)
     pools: subset.Pools = attrs.field(factory=subset.Pools)
     leaving_upstreams: set[str] = attrs.field(factory=set)
+    ask_at_once_s: float = ASK_AT_ONCE_S
     is_draining: bool = False
     is_stopping: bool = False
     in_flight: int = 0
--- a/testing/support/workload.py
+++ b/testing/support/workload.py
@@ -59,10 +59,10 @@
             if number % 3 == 0:
                 await self._book(f"book-{name}")
             elif number % 3 == 1:
-                await self._chat(f"chat-{name}", draw, stream=True, session="")
+                await self.chat(f"chat-{name}", draw, stream=True, session="")
             else:
                 session = f"session-{number}-{serial // 12}"
-                await self._chat(f"chat-{name}", draw, stream=False, session=session)
+                await self.chat(f"chat-{name}", draw, stream=False, session=session)
             await asyncio.sleep(draw.uniform(0.0, 0.05))
 
     async def _book(self, key: str) -> None:
@@ -75,9 +75,10 @@
                 return
             await asyncio.sleep(REPEAT_PAUSE_S)
 
-    async def _chat(
+    async def chat(
         self, key: str, draw: random.Random, *, stream: bool, session: str
     ) -> None:
+        """Send one chat request, again until it is answered."""
         prompt = f"question {key} [len={draw.randint(3, 30)}]"
         kind = "stream" if stream else "whole"
         sent = Sent(kind=kind, key=key, prompt=prompt, session=session)
--- a/testing/test_config.py
+++ b/testing/test_config.py
@@ -25,8 +25,17 @@
 
 
 async def test_new_instance_starts_from_its_peers_while_the_store_is_out():
+    """The upstreams are warm: without a store no permits are given for cold ones."""
     plan = layout.small(instances=4)
     async with deployment.Deployment(plan=plan) as dep:
+
+        async def all_warm():
+            await asyncio.gather(*(dep.chat(f"{i} [len=2]") for i in range(8)))
+            rows = [r for n in dep.daemons for r in (await dep.status(n))["upstreams"]]
+            engines = {spec.name for spec in plan.engines}
+            return all(row["is_warm"] for row in rows if row["name"] in engines)
+
+        await procs.wait_for(all_warm, "engines warm")
         await dep.faults("store", outage="abort")
         dep.start_daemon("entry-9", "south")
         await dep.list_all()
