--- a/libs/masticpost-gateway/src/masticpost_gateway/call.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/call.py
@@ -21,6 +21,35 @@
     took_s: float
 
 
+@attrs.frozen(kw_only=True)
+class ModelDecision:
+    """Whether an answer was kept or asked of a larger model, and why.
+
+    Attributes
+    ----------
+    chosen : str
+        Model that is asked next, empty when the answer is kept.
+    first_s, read_s : float
+        Expected time of the largest model to its first event, and to read what its
+        upstream has not kept of the prompt.
+    """
+
+    model: str
+    chosen: str
+    confidence: float | None
+    backlog_s: float
+    first_s: float
+    read_s: float
+
+    def __str__(self) -> str:
+        outcome = f"then {self.chosen}" if self.chosen else "kept"
+        return (
+            f"{self.model} {outcome}, confidence {self.confidence}, backlog"
+            f" {self.backlog_s:.2f}, largest first {self.first_s:.2f}"
+            f" read {self.read_s:.2f}"
+        )
+
+
 @attrs.define(kw_only=True)
 class Call:
     """One request of a caller.
@@ -47,6 +76,7 @@
     started_at: float
     deadline_at: float
     records: list[TryRecord] = attrs.field(factory=list)
+    decisions: list[ModelDecision] = attrs.field(factory=list)
     first_event_s: float | None = None
     config_version: int = 0
 
@@ -81,6 +111,7 @@
             status=status,
             reason=reason,
             tries=tries,
+            models=[str(decision) for decision in self.decisions],
             first_s=None
             if self.first_event_s is None
             else round(self.first_event_s, 3),
--- a/libs/masticpost-gateway/src/masticpost_gateway/streaming.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/streaming.py
@@ -156,8 +156,11 @@
             return False
         step = self._step(opened)
         target = self.policy(step)
+        if target is not None and not self.run.may_try_again(is_planned=True):
+            target = None
         opened.confidence = step.confidence
-        if target is None or not self.run.may_try_again(is_planned=True):
+        self._note_decision(step, target)
+        if target is None:
             return False
         self.run.note_good(opened)
         self.run.close(opened, f"dropped {step.confidence:.2f} for {target}")
@@ -165,6 +168,21 @@
         self.run.tried.clear()
         return True
 
+    def _note_decision(self, step: cascade.Step, target: int | None) -> None:
+        """Keep what decided on the model, for the request's line in the log."""
+        if not step.options:
+            return
+        levels, largest = self.call.route.levels, step.options[-1]
+        decision = calls.ModelDecision(
+            model=levels[step.level],
+            chosen="" if target is None else levels[target],
+            confidence=step.confidence,
+            backlog_s=step.backlog_s,
+            first_s=largest.first_s,
+            read_s=largest.read_s,
+        )
+        self.call.decisions.append(decision)
+
     def _step(self, opened: tries.Opened) -> cascade.Step:
         levels = self.call.route.levels
         ready = self.run.usable()
