Add masticpost explain: a request's story from the instances' logs

The command reads files of several instances, prints what the instance believed in the 10 s before and the request's line with its tries and model choices; unknown ids, unreadable and dropped lines and clock steps are told. Tests read lines as the sink and the gateway write them.

--- a/libs/masticpost-cli/src/masticpost_cli/main.py
+++ b/libs/masticpost-cli/src/masticpost_cli/main.py
@@ -10,6 +10,7 @@
 from masticpost_cli import (  # noqa: F401
     bills,
     commands,
+    explain,
     report,
     session,
     status,
@@ -34,6 +35,7 @@
   masticpost doubts [options]
   masticpost budgets [options]
   masticpost report burn [--html OUT] [options]
+  masticpost explain REQUEST_ID LOG... [options]
   masticpost --help
 
 Commands:
@@ -51,6 +53,7 @@
   doubts    List non-idempotent calls whose outcome is not known.
   budgets   Show what customers with a budget spent in its present window.
   report    Show how fast the error budget is spent.
+  explain   Tell what happened to a request, from the logs of instances.
 
 Options:
   --store-url URL   The platform's object API (MASTICPOST_STORE_URL).
@@ -71,6 +74,7 @@
   masticpost check plant.yaml && masticpost apply plant.yaml --note "new manual"
   masticpost drain domain hsinchu
   masticpost report burn --json
+  masticpost explain 6946f0469c7e4215 front-*.log
 
 Exit codes: 0 done, 1 the answer is no (findings, conflict, mismatch), 2 usage,
 3 the object API or an instance could not be reached.
--- /dev/null
+++ b/libs/masticpost-cli/testing/test_explain.py
@@ -0,0 +1,133 @@
+"""`explain` finds the cause of a request's end in logs as instances write them."""
+
+import io
+import json
+import sys
+
+import loguru
+import multidict
+import pytest
+from masticpost_cli import explain, main, story
+from masticpost_gateway import call as calls
+from masticpost_gateway import headers, model
+from masticpost_telemetry import logs
+
+ID = "6946f0469c7e4215"
+
+
+@pytest.fixture
+def log():
+    """Give the text that an instance writes."""
+    stream = io.StringIO()
+    sink = logs.JsonSink(instance="front-a-1", stream=stream)
+    loguru.logger.remove()
+    loguru.logger.add(sink, level="INFO", format="{message}")
+    yield stream
+    loguru.logger.remove()
+
+
+def end(request_id=ID, outcome="refused", status=503, reason="no upstream is ready"):
+    kind = model.CallKind.IDEMPOTENT
+    route = model.Route(
+        name="r",
+        host="h",
+        path_prefix="/",
+        kind=kind,
+        targets=(),
+        timeout_s=2.0,
+        objective_s=1.0,
+    )
+    call = calls.Call(
+        head=headers.CallHead(
+            request_id=request_id,
+            deadline_s=None,
+            key=None,
+            session="",
+            last_event_id="",
+            prompt=headers.Prompt(),
+        ),
+        route=route,
+        service=model.Service(name="s"),
+        customer="c",
+        priority=1,
+        method="GET",
+        target="/",
+        passed=multidict.CIMultiDict(),
+        body=b"",
+        started_at=0.0,
+        deadline_at=1.0,
+    )
+    call.records.append(
+        calls.TryRecord(upstream="u1", model="", result="not connected", took_s=0.4)
+    )
+    call.log_end(outcome, status, reason)
+
+
+def lines_of(text):
+    lines = story.Lines()
+    lines.read(text.splitlines())
+    return lines
+
+
+def test_request_is_told_with_its_tries_and_what_was_believed_before(log):
+    loguru.logger.bind(event="store", kind="upstreams", fault="down").warning("lost")
+    end(request_id="another")
+    end()
+    found = story.tell(lines_of(log.getvalue()), ID)
+    text = "\n".join(explain.render(found))
+    assert "believes: lost kind=upstreams fault=down" in text
+    assert "outcome=refused status=503 reason=no upstream is ready" in text
+    assert "tries: u1/-:not connected@0.400" in text
+    assert "another" not in text
+
+
+def test_unreadable_and_dropped_lines_and_clock_steps_are_counted(log):
+    end()
+    row = json.loads(log.getvalue())
+    back = {**row, "at": "2001-01-01T00:00:00+08:00"}
+    text = f"""Traceback (most recent call last):
+    0.5 front-a-1 {json.dumps(row)}
+{json.dumps(back)}
+{{"message": "log lines dropped", "dropped": 17}}
+{{"at": "never", "instance": "x", "message": "y"}}
+"""
+    lines = lines_of(text)
+    assert (len(lines.entries), lines.unreadable, lines.dropped) == (2, 2, 17)
+    assert lines.steps == 1
+    assert len(explain.notes(lines)) == 3
+
+
+def test_times_of_different_zones_are_put_in_order():
+    lines = lines_of(
+        """{"at":"2026-01-01T08:00:01+08:00","instance":"b","message":"m","id":"x"}
+{"at":"2026-01-01T00:00:00+00:00","instance":"a","message":"m","id":"x"}"""
+    )
+    assert [row.instance for row in story.tell(lines, "x").ends] == ["a", "b"]
+
+
+def run(monkeypatch, *argv):
+    monkeypatch.setattr(sys, "argv", ["masticpost", "explain", *argv])
+    with pytest.raises(SystemExit) as exited:
+        main.main()
+    return exited.value.code
+
+
+def test_command_prints_the_story(log, tmp_path, monkeypatch, capsys):
+    end()
+    path = tmp_path / "front-a-1.log"
+    path.write_text(log.getvalue())
+    assert run(monkeypatch, ID, str(path)) == 0
+    assert "no upstream is ready" in capsys.readouterr().out
+    assert run(monkeypatch, ID, str(path), "--json") == 0
+    assert json.loads(capsys.readouterr().out)["request_id"] == ID
+
+
+def test_unknown_id_and_unreadable_file_say_what_to_do(
+    log, tmp_path, monkeypatch, capsys
+):
+    path = tmp_path / "front-a-1.log"
+    path.write_text("")
+    assert run(monkeypatch, "unknown", str(path)) == 1
+    assert "give the files of every instance" in capsys.readouterr().err
+    assert run(monkeypatch, ID, str(tmp_path / "missing.log")) == 2
+    assert "cannot read" in capsys.readouterr().err
