Count the store's return from when the first good call was sent; read upstreams in batches

After an outage the first watch that succeeds is answered when something changes, here 3 s after the store was back, by the very removal of an upstream; that was then taken for one that had lapsed during the outage, and requests went there for 2.2 s more (bound 2,000 ms). Ruled out: news that were lost (all eight instances logged the removal within 20 ms). Change: the outage ends when that call was sent. Test in test_watching, failing before.

--- a/libs/masticpost-gateway/src/masticpost_gateway/watching.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/watching.py
@@ -18,6 +18,7 @@
 FIRST_PAUSE_S = 0.15
 MAX_PAUSE_S = 1.0
 IDLE_POLL_S = 0.05
+BATCH_S = 0.25
 
 
 class Watching(mode.Service):
@@ -69,17 +70,22 @@
         outcome = await self.store.list_all(kind)
         if outcome.is_err():
             return outcome.unwrap_err()
-        self._note_success(kind)
+        self._note_success(kind, asked_at)
         self.known.replace(kind, outcome.unwrap(), asked_at)
         return None
 
     async def _watch(self, kind: source.Kind) -> source.Fault | None:
         view = self.known.views[kind]
+        asked_at = time.monotonic()
         outcome = await self.store.watch(kind, view.at, WAITS_S[kind])
         if outcome.is_err():
             return outcome.unwrap_err()
-        self._note_success(kind)
-        self.known.apply(kind, outcome.unwrap(), time.monotonic())
+        self._note_success(kind, asked_at)
+        changes = outcome.unwrap()
+        self.known.apply(kind, changes, time.monotonic())
+        if kind is source.Kind.UPSTREAMS and changes.events:
+            # Upstreams come and go in bursts: what follows is read together.
+            await asyncio.sleep(BATCH_S)
         return None
 
     def _note_failure(self, kind: source.Kind, fault: source.Fault) -> None:
@@ -89,12 +95,15 @@
         row = logger.bind(event="store", kind=kind.value, fault=fault.kind.value)
         row.warning("store lost: {}", fault.message)
 
-    def _note_success(self, kind: source.Kind) -> None:
+    def _note_success(self, kind: source.Kind, asked_at: float) -> None:
+        """Note that the store answers again, a call that was sent at `asked_at`.
+
+        A watch is answered when something changes: the store is back long before.
+        """
         since = self.failing_since.pop(kind, None)
         if since is None:
             return
-        now = time.monotonic()
-        lost_s = round(now - since, 3)
+        lost_s = round(asked_at - since, 3)
         logger.bind(event="store", kind=kind.value, lost_s=lost_s).info("store back")
         if kind is source.Kind.UPSTREAMS and lost_s > beliefs.OUTAGE_AFTER_S:
-            self.known.regained(now)
+            self.known.regained(asked_at)
--- /dev/null
+++ b/libs/masticpost-gateway/testing/test_watching.py
@@ -0,0 +1,59 @@
+"""A burst of changes costs the store few calls."""
+
+import asyncio
+
+from masticpost_gateway import beliefs, model, source, watching
+from support import gatewaykit as kit
+
+BURST = 40
+BETWEEN_S = 0.02
+
+
+async def test_upstreams_that_come_and_go_in_a_burst_are_read_in_batches():
+    """A roll-out replaced 45 upstreams: each watcher asked 139 times in 26 s."""
+    store, known = kit.FakeStore(), beliefs.Beliefs()
+    made = watching.Watching(store=store, known=known)
+    made.is_active = True
+    await made.start()
+    await kit.until(lambda: all(view.at >= 0 for view in known.views.values()))
+    before = store.calls
+    for number in range(BURST):
+        name = f"u{number}"
+        record = model.Upstream(
+            name=name, service="s", address="x:1", domain="a", version="v", slots=1
+        )
+        await store.put(source.Kind.UPSTREAMS, name, record)
+        await asyncio.sleep(BETWEEN_S)
+    await kit.until(lambda: len(known.views[source.Kind.UPSTREAMS].entries) == BURST)
+    used = store.calls - before
+    await made.stop()
+    assert used < BURST / 2
+
+
+async def test_upstream_that_leaves_long_after_the_store_came_back_is_gone(monkeypatch):
+    """The first watch after an outage was answered 3 s later, by just this change.
+
+    The upstream was taken for one that lapsed during the outage and got requests for
+    2.2 s more.
+    """
+    monkeypatch.setattr(beliefs, "OUTAGE_AFTER_S", 0.05)
+    monkeypatch.setattr(beliefs, "LAPSE_GRACE_S", 0.2)
+    store, known = kit.FakeStore(), beliefs.Beliefs()
+    record = model.Upstream(
+        name="u", service="s", address="x:1", domain="a", version="v", slots=1
+    )
+    await store.put(source.Kind.UPSTREAMS, "u", record)
+    made = watching.Watching(store=store, known=known)
+    made.is_active = True
+    await made.start()
+    await kit.until(lambda: all(view.at >= 0 for view in known.views.values()))
+    await store.put(source.Kind.UPSTREAMS, "u", record)
+    store.fail(source.Kind.UPSTREAMS, source.FaultKind.NOT_KNOWN)
+    await kit.until(lambda: source.Kind.UPSTREAMS in made.failing_since)
+    await asyncio.sleep(0.1)
+    store.fail(source.Kind.UPSTREAMS, None)
+    await asyncio.sleep(2 * watching.MAX_PAUSE_S)
+    await store.put(source.Kind.UPSTREAMS, "u", None)
+    await kit.until(lambda: not known.views[source.Kind.UPSTREAMS].entries)
+    await made.stop()
+    assert not known.lapsed
