Choose only instances with wide links to work for others; let watchers settle first

Ruled out: upstreams that were gone (other instances reached them at the same moment). Change: an instance tells whether it serves others (link of 20 Mbit/s or more); only such ones are chosen as hub, watcher or registered entry unless they are too few. A watcher begins after 1 s of being chosen.

--- a/libs/masticpost-gateway/src/masticpost_gateway/mesh.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/mesh.py
@@ -30,10 +30,13 @@
         Addresses to ask first; some may be out of date.
     secret : str
         Signs the messages; the same on every instance.
+    serves_others : bool
+        Whether the instance may be chosen to work for the others.
     """
 
     address: str
     seeds: tuple[str, ...] = ()
+    serves_others: bool = True
     secret: str = attrs.field(repr=False)
 
 
@@ -67,7 +70,11 @@
             ring=keys.KeyRing(secrets=[cfg.secret]),
         )
         self.members = membership.Membership(
-            peers=self.hub, domain=domain, advertise=cfg.address, seed=started
+            peers=self.hub,
+            domain=domain,
+            advertise=cfg.address,
+            seed=started,
+            serves_others=cfg.serves_others,
         )
 
     def names(self) -> set[str]:
@@ -81,9 +88,13 @@
     def chosen(self, purpose: str, count: int) -> list[membership.Member]:
         """Return `count` living instances for a purpose, spread over the domains.
 
-        Every instance that knows the same members returns the same ones.
+        Every instance that knows the same members returns the same ones. Those that
+        cannot serve others are taken only when too few can.
         """
-        by_name = {member.name: member for member in self.members.alive()}
+        alive = self.members.alive()
+        able = [member for member in alive if member.serves_others]
+        candidates = able if len(able) >= count else alive
+        by_name = {member.name: member for member in candidates}
         taken: dict[str, int] = {}
         rows = []
         for rank, name in enumerate(rendezvous.ranked(by_name, purpose)):
--- a/libs/masticpost-gateway/src/masticpost_gateway/relay.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/relay.py
@@ -24,6 +24,7 @@
 BEAT_S = 1.0
 STALE_S = 5.0
 BOOT_WAIT_S = 0.6
+SETTLE_S = 1.0
 ASK_TIMEOUT_S = 1.0
 EVIDENCE_PERIOD_S = 0.25
 CHOOSE_PERIOD_S = 0.1
@@ -60,6 +61,7 @@
         self.trials = trials
         self.watchers: list[membership.Member] = []
         self._started_at = time.monotonic()
+        self._chosen_at: float | None = None
         self._asking: set[source.Kind] = set()
         self._last_evidence: list[trial.Evidence] = []
         known.on_advance(self._advanced)
@@ -102,7 +104,7 @@
             return
         oldest_s = max(view.age_s(now) for view in self.known.views.values())
         lost = oldest_s > STALE_S and now - self._started_at > 2 * BOOT_WAIT_S
-        wanted = self.is_watcher or lost
+        wanted = self._is_chosen_for_good(now) or lost
         if wanted != self.watch.is_active:
             logger.bind(
                 event="watch",
@@ -112,6 +114,18 @@
             ).info("own watch switched")
         self.watch.is_active = wanted
 
+    def _is_chosen_for_good(self, now: float) -> bool:
+        """Tell whether this instance has been a watcher for a while.
+
+        Instances that start together choose by lists of members that are not full yet.
+        """
+        if not self.is_watcher:
+            self._chosen_at = None
+            return False
+        if self._chosen_at is None:
+            self._chosen_at = now
+        return now - self._chosen_at >= SETTLE_S
+
     @mode.Service.task
     async def beat(self) -> None:
         """Tell how fresh this watcher's views are."""
--- a/libs/masticpost-gateway/testing/test_relay.py
+++ b/libs/masticpost-gateway/testing/test_relay.py
@@ -1,9 +1,11 @@
 """What one instance learns from the store, all know, whoever reaches the store."""
 
 import asyncio
+import time
+import types
 
 import result
-from masticpost_gateway import model, relay, source
+from masticpost_gateway import beliefs, model, relay, source
 from support import gatewaykit as kit
 
 
@@ -115,3 +117,29 @@
                 for n in dep.nodes
             )
         )
+
+
+def test_instance_that_is_chosen_for_a_moment_does_not_watch():
+    """Eighty that start together: 37 watched, by member lists that were half full."""
+    me = types.SimpleNamespace(name="node-0")
+    hub = types.SimpleNamespace(handle=lambda kind, handler: None)
+    peers = types.SimpleNamespace(me=me, hub=hub, others=lambda: [me])
+    watch = types.SimpleNamespace(is_active=False)
+    known = beliefs.Beliefs()
+    made = relay.Relay(peers=peers, known=known, watch=watch, trials=None)
+    now = time.monotonic()
+    for kind in source.Kind:
+        known.replace(kind, source.Listing(entries=(), at=1), now)
+    made.watchers = [me]
+    made._switch(now)
+    assert not watch.is_active
+    made.watchers = []
+    made._switch(now + 0.9 * relay.SETTLE_S)
+    made.watchers = [me]
+    made._switch(now + relay.SETTLE_S)
+    assert not watch.is_active
+    made._switch(now + 2.1 * relay.SETTLE_S)
+    assert watch.is_active
+    made.watchers = []
+    made._switch(now + 2.2 * relay.SETTLE_S)
+    assert not watch.is_active
--- a/libs/masticpost-peers/src/masticpost_peers/membership.py
+++ b/libs/masticpost-peers/src/masticpost_peers/membership.py
@@ -50,6 +50,8 @@
         Configuration that it has in force.
     http : str
         ``host:port`` of its callers' side.
+    serves_others : bool
+        Whether it can take on work for the other instances.
     """
 
     name: str
@@ -60,6 +62,7 @@
     state: str = ALIVE
     generation: int = 0
     http: str = ""
+    serves_others: bool = True
 
     def supersedes(self, other: "Member") -> bool:
         """Tell whether this news replaces `other` about the same instance."""
@@ -138,6 +141,8 @@
         Seed of the probe order.
     http : str
         ``host:port`` of the callers' side.
+    serves_others : bool
+        Whether this instance can take on work for the others.
     """
 
     def __init__(
@@ -148,6 +153,7 @@
         advertise: str,
         seed: int,
         http: str = "",
+        serves_others: bool = True,
     ) -> None:
         super().__init__()
         self.peers = peers
@@ -159,6 +165,7 @@
             incarnation=peers.incarnation,
             started=peers.incarnation,
             http=http,
+            serves_others=serves_others,
         )
         self._members: dict[str, Member] = {self.me.name: self.me}
         self._news: dict[str, News] = {}
--- a/testing/adapter/test_settings.py
+++ b/testing/adapter/test_settings.py
@@ -49,6 +49,14 @@
     assert (boot.node.retries.ratio, boot.node.retries.slack) == (0.5, 40.0)
 
 
+@pytest.mark.parametrize(("mbps", "serves"), [(5, False), (20, True), (1000, True)])
+def test_instance_with_a_narrow_link_does_not_work_for_others(tmp_path, mbps, serves):
+    """One of 5 Mbit/s could not connect to its upstreams while it told 13 others."""
+    text = f"{TEXT}\n[limits]\nlinkMbps = {mbps}\n"
+    boot = load(tmp_path / "node.toml", text)
+    assert boot.node.mesh.serves_others is serves
+
+
 @pytest.mark.parametrize(
     ("old", "new", "told"),
     [
