Spread requests in large deployments; count prompts until they are read

Eighty instances with the same view, half a second old, all chose the upstream that it showed idle; the work told of a prompt ran off while it still waited behind others' prompts; and an instance that sees 2 requests a second took its first, queued answer for the speed of reading (three times too slow). Ruled out: too little capacity (late requests met idle upstreams elsewhere). Change: beyond 12 instances the choice is among three upstreams by rank of the prompt's beginning and two drawn ones; a prompt counts as unread until its answer begins; speed is a low one of the last 16 samples, of which one is a prior; reports are columns, a part of a prompt is told once in 15 s, and hubs tell instances of their own failure domain.

--- a/libs/masticpost-gateway/src/masticpost_gateway/loads.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/loads.py
@@ -17,133 +17,57 @@
 from masticpost_common import rendezvous
 from masticpost_peers import membership, messages
 
-from masticpost_gateway import mesh
+from masticpost_gateway import mesh, workreports
 
 DIRECT_MEMBERS = 12
 MIN_HUBS = 4
 DIRECT_PERIOD_S = 0.1
 HUB_PERIOD_S = 0.2
-TOLD_LASTS_S = 3.0
 RESEND_S = 1.0
 PLACED_LASTS_S = 90.0
+PLACED_AGAIN_S = 15.0
 DEFAULT_ROOM_TOKENS = 200_000
 
 
-@attrs.frozen(kw_only=True)
-class Load:
-    """What one instance has at work at one upstream.
-
-    Attributes
-    ----------
-    reading_s : float
-        Time that the prompts take that are not read yet.
-    streams : int
-        Answers being written.
-    """
-
-    upstream: str
-    reading_s: float = 0.0
-    streams: int = 0
-
-
-@attrs.frozen(kw_only=True)
-class Placed:
-    """A part of a prompt that an upstream has read for a model; length in tokens."""
+@attrs.define(kw_only=True)
+class Part:
+    """A part of a prompt that an upstream has read; times are monotonic seconds."""
 
-    upstream: str
-    key: str
     tokens: int
-
-
-@messages.message("gateway-load")
-@attrs.frozen(kw_only=True)
-class LoadReport:
-    """What an instance has at work, and prompts read since its last report.
-
-    A hub's report to other hubs includes what its members told it.
-    """
-
-    loads: list[Load]
-    placed: list[Placed]
-
-
-@messages.message("gateway-load-sums")
-@attrs.frozen(kw_only=True)
-class LoadSums:
-    """A hub's sums over all instances, the receiver included."""
-
-    loads: list[Load]
-    placed: list[Placed]
-
-
-@messages.message("gateway-member-load")
-@attrs.frozen(kw_only=True)
-class MemberLoad:
-    """What an instance tells its hub."""
-
-    loads: list[Load]
-    placed: list[Placed]
+    read_at: float
+    told_at: float = -math.inf
 
 
 @attrs.define(kw_only=True)
 class Kept:
     """The parts of prompts that one upstream has probably kept, oldest first."""
 
-    parts: collections.OrderedDict[str, tuple[float, int]] = attrs.field(
+    parts: collections.OrderedDict[str, Part] = attrs.field(
         factory=collections.OrderedDict
     )
     tokens: int = 0
 
-    def put(self, key: str, tokens: int, at: float, room: int) -> None:
+    def put(self, key: str, tokens: int, at: float, room: int) -> Part:
         """Add a part; the oldest ones yield when `room` tokens are exceeded."""
-        _, before = self.parts.pop(key, (at, 0))
-        self.parts[key] = (at, tokens)
-        self.tokens += tokens - before
+        part = self.parts.pop(key, None) or Part(tokens=0, read_at=at)
+        self.tokens += tokens - part.tokens
+        part.tokens, part.read_at = tokens, at
+        self.parts[key] = part
         while self.parts and self.tokens > room:
-            _, (_, dropped) = self.parts.popitem(last=False)
-            self.tokens -= dropped
+            _, dropped = self.parts.popitem(last=False)
+            self.tokens -= dropped.tokens
+        return part
 
 
 @attrs.define(kw_only=True)
 class Work:
-    """One request at work at an upstream; times are monotonic seconds."""
+    """One request at work at an upstream; `read_s` is the time to read its prompt."""
 
     upstream: str
     read_s: float
-    since: float
     is_read: bool = False
 
 
-class Told:
-    """The loads that other instances told, each valid for a few seconds."""
-
-    def __init__(self) -> None:
-        self._rows: dict[str, tuple[float, dict[str, Load]]] = {}
-
-    def put(self, sender: str, loads: list[Load], now: float) -> None:
-        """Replace what a sender told."""
-        self._rows[sender] = (now, {load.upstream: load for load in loads})
-
-    def of(self, upstream: str, now: float) -> Load:
-        """Return the sum of what was told of an upstream."""
-        reading_s, streams = 0.0, 0
-        for at, loads in self._rows.values():
-            load = loads.get(upstream)
-            if load is None or now - at > TOLD_LASTS_S:
-                continue
-            reading_s += max(0.0, load.reading_s - (now - at))
-            streams += load.streams
-        return Load(upstream=upstream, reading_s=reading_s, streams=streams)
-
-    def names(self, now: float) -> set[str]:
-        """Return the upstreams that something valid was told of."""
-        for sender in [
-            s for s, (at, _) in self._rows.items() if now - at > TOLD_LASTS_S
-        ]:
-            del self._rows[sender]
-        return {name for _, loads in self._rows.values() for name in loads}
-
-
 class Loads(mode.Service):
     """Work of this instance and of the others.
 
@@ -159,21 +83,21 @@
         self._work: dict[int, Work] = {}
         self.room_tokens = DEFAULT_ROOM_TOKENS
         self._kept: dict[str, Kept] = {}
-        self._hubs = Told()
-        self._members = Told()
-        self._sums = Told()
-        self._news: list[Placed] = []
-        self._news_of_others: list[Placed] = []
-        self._last_sent: dict[str, Load] = {}
+        self._hubs = workreports.Told()
+        self._members = workreports.Told()
+        self._sums = workreports.Told()
+        self._news: list[workreports.Placed] = []
+        self._news_of_others: list[workreports.Placed] = []
+        self._last_sent: dict[str, workreports.Load] = {}
         self._last_sent_at = -math.inf
         self._is_dirty = False
-        peers.hub.handle(LoadReport, self._on_report)
-        peers.hub.handle(MemberLoad, self._on_member)
-        peers.hub.handle(LoadSums, self._on_sums)
+        peers.hub.handle(workreports.LoadReport, self._on_report)
+        peers.hub.handle(workreports.MemberLoad, self._on_member)
+        peers.hub.handle(workreports.LoadSums, self._on_sums)
 
     def begin(self, upstream: str, read_s: float) -> Work:
         """Note a request whose prompt takes `read_s` seconds to read."""
-        work = Work(upstream=upstream, read_s=read_s, since=time.monotonic())
+        work = Work(upstream=upstream, read_s=read_s)
         self._work[id(work)] = work
         self._is_dirty = True
         return work
@@ -189,32 +113,37 @@
         self._is_dirty = True
 
     def place(self, upstream: str, key: str, tokens: int) -> None:
-        """Note that an upstream has read a part of a prompt."""
-        placed = Placed(upstream=upstream, key=key, tokens=tokens)
-        self._put(placed, time.monotonic())
-        self._news.append(placed)
+        """Note that an upstream has read a part of a prompt.
+
+        The others are told unless they were a short while ago.
+        """
+        now = time.monotonic()
+        placed = workreports.Placed(upstream=upstream, key=key, tokens=tokens)
+        part = self._put(placed, now)
+        if now - part.told_at > PLACED_AGAIN_S:
+            part.told_at = now
+            self._news.append(placed)
 
     def holds(self, upstream: str, key: str, now: float) -> bool:
         """Tell whether an upstream has probably kept a part of a prompt."""
         kept = self._kept.get(upstream)
         if kept is None or key not in kept.parts:
             return False
-        at, _ = kept.parts[key]
-        return now - at < PLACED_LASTS_S
+        return now - kept.parts[key].read_at < PLACED_LASTS_S
 
-    def of(self, upstream: str, now: float) -> Load:
+    def of(self, upstream: str, now: float) -> workreports.Load:
         """Return the work of all instances at an upstream."""
-        found = self._own_load(upstream, now)
+        found = self._own_load(upstream)
         for told in (self._hubs, self._members):
-            found = _sum(found, told.of(upstream, now))
+            found = found.plus(told.of(upstream, now))
         sums = self._sums.of(upstream, now)
-        sent = self._last_sent.get(upstream, Load(upstream=upstream))
-        others = Load(
+        sent = self._last_sent.get(upstream, workreports.Load(upstream=upstream))
+        others = workreports.Load(
             upstream=upstream,
             reading_s=max(0.0, sums.reading_s - sent.reading_s),
             streams=max(0, sums.streams - sent.streams),
         )
-        return _sum(found, others)
+        return found.plus(others)
 
     def keep_only(self, names: set[str]) -> None:
         """Forget what upstreams that are gone have read."""
@@ -225,12 +154,17 @@
         """Forget what an upstream has read, after a restart."""
         self._kept.pop(upstream, None)
 
+    @property
+    def is_direct(self) -> bool:
+        """Whether each instance tells every other, so that the view is hardly old."""
+        return len(self.peers.members.alive()) <= DIRECT_MEMBERS
+
     @mode.Service.task
     async def tell(self) -> None:
         """Report changes until the service stops."""
         while not self.should_stop:
             members = self.peers.members.alive()
-            if len(members) <= DIRECT_MEMBERS:
+            if self.is_direct:
                 hubs = members
                 await asyncio.sleep(DIRECT_PERIOD_S)
             else:
@@ -240,51 +174,49 @@
             await self._tell(hubs, time.monotonic())
 
     async def _tell(self, hubs: list[membership.Member], now: float) -> None:
-        me = self.peers.me.name
-        addresses = {member.name: member.address for member in hubs}
-        if me not in addresses:
-            hub = rendezvous.owner(addresses, me)
-            await self._tell_hub(addresses[hub], now)
+        me = self.peers.me
+        if all(hub.name != me.name for hub in hubs):
+            hub = hub_of(me.name, me.domain, hubs)
+            await self._tell_hub(hub.address)
             return
-        own, loads = self._own_loads(now), []
+        own, loads = self._own_loads(), []
         for name in sorted(own.keys() | self._members.names(now)):
-            load = own.get(name, Load(upstream=name))
-            loads.append(_sum(load, self._members.of(name, now)))
+            load = own.get(name, workreports.Load(upstream=name))
+            loads.append(load.plus(self._members.of(name, now)))
         news, self._news = self._news, []
-        others = [address for name, address in addresses.items() if name != me]
+        others = [hub.address for hub in hubs if hub.name != me.name]
         if news or self._is_new(loads):
-            report = LoadReport(loads=loads, placed=news)
+            report = workreports.LoadReport(work=workreports.columns(loads, news))
             await self.peers.hub.broadcast(others, report)
         self._news_of_others += news
-        await self._tell_members(addresses, now)
+        await self._tell_members(hubs, now)
 
-    async def _tell_hub(self, address: str, now: float) -> None:
-        loads = list(self._own_loads(now).values())
+    async def _tell_hub(self, address: str) -> None:
+        loads = list(self._own_loads().values())
         if not self._news and not self._is_new(loads):
             return
         news, self._news = self._news, []
-        await self.peers.hub.broadcast([address], MemberLoad(loads=loads, placed=news))
+        told = workreports.MemberLoad(work=workreports.columns(loads, news))
+        await self.peers.hub.broadcast([address], told)
 
-    async def _tell_members(self, addresses: dict[str, str], now: float) -> None:
-        me = self.peers.me.name
+    async def _tell_members(self, hubs: list[membership.Member], now: float) -> None:
+        names = {hub.name for hub in hubs}
         served = [
             member.address
             for member in self.peers.others()
-            if member.name not in addresses
-            and rendezvous.owner(addresses, member.name) == me
+            if member.name not in names
+            and hub_of(member.name, member.domain, hubs).name == self.peers.me.name
         ]
         news, self._news_of_others = self._news_of_others, []
         if not served:
             return
-        names = set(self._last_sent) | self._hubs.names(now)
-        sums = [self.of(name, now) for name in sorted(names)]
-        await self.peers.hub.broadcast(served, LoadSums(loads=sums, placed=news))
-
-    def _is_new(self, loads: list[Load]) -> bool:
-        """Tell whether loads are to be sent: work changed, or others forget them.
+        upstreams = set(self._last_sent) | self._hubs.names(now)
+        sums = [self.of(name, now) for name in sorted(upstreams)]
+        told = workreports.LoadSums(work=workreports.columns(sums, news))
+        await self.peers.hub.broadcast(served, told)
 
-        Mere progress in reading is no change; receivers take it off by themselves.
-        """
+    def _is_new(self, loads: list[workreports.Load]) -> bool:
+        """Tell whether loads are to be sent: work changed, or others forget them."""
         now = time.monotonic()
         is_old = bool(loads) and now - self._last_sent_at > RESEND_S
         if not self._is_dirty and not is_old:
@@ -294,52 +226,55 @@
         self._last_sent_at = now
         return True
 
-    def _own_loads(self, now: float) -> dict[str, Load]:
+    def _own_loads(self) -> dict[str, workreports.Load]:
         names = {work.upstream for work in self._work.values()}
-        return {name: self._own_load(name, now) for name in names}
-
-    def _own_load(self, upstream: str, now: float) -> Load:
-        reading_s, streams, oldest = 0.0, 0, now
-        for work in self._work.values():
-            if work.upstream != upstream:
-                continue
-            if work.is_read:
-                streams += 1
-                continue
-            reading_s += work.read_s
-            oldest = min(oldest, work.since)
-        reading_s = max(0.0, reading_s - (now - oldest))
-        return Load(upstream=upstream, reading_s=round(reading_s, 3), streams=streams)
-
-    async def _on_report(self, envelope: messages.Envelope, body: LoadReport) -> None:
-        self._take(self._hubs, envelope.sender, body)
-
-    async def _on_member(self, envelope: messages.Envelope, body: MemberLoad) -> None:
-        self._news += body.placed
+        return {name: self._own_load(name) for name in names}
+
+    def _own_load(self, upstream: str) -> workreports.Load:
+        """Return what this instance has at work; a prompt counts until it is read.
+
+        How much of it is read is not known, as it waits behind others' prompts.
+        """
+        here = [work for work in self._work.values() if work.upstream == upstream]
+        return workreports.Load(
+            upstream=upstream,
+            reading_s=round(sum(work.read_s for work in here if not work.is_read), 3),
+            streams=sum(work.is_read for work in here),
+        )
+
+    async def _on_report(
+        self, envelope: messages.Envelope, body: workreports.LoadReport
+    ) -> None:
+        self._news_of_others += self._take(self._hubs, envelope.sender, body.work)
+
+    async def _on_member(
+        self, envelope: messages.Envelope, body: workreports.MemberLoad
+    ) -> None:
+        self._news += self._take(self._members, envelope.sender, body.work)
         self._is_dirty = True
-        self._take(self._members, envelope.sender, body)
 
-    async def _on_sums(self, envelope: messages.Envelope, body: LoadSums) -> None:
-        self._take(self._sums, "hub", body)
+    async def _on_sums(
+        self, envelope: messages.Envelope, body: workreports.LoadSums
+    ) -> None:
+        self._take(self._sums, "hub", body.work)
 
     def _take(
-        self, told: "Told", sender: str, body: LoadReport | MemberLoad | LoadSums
-    ) -> None:
+        self, told: workreports.Told, sender: str, work: workreports.Columns
+    ) -> list[workreports.Placed]:
         now = time.monotonic()
-        told.put(sender, body.loads, now)
-        if told is self._hubs:
-            self._news_of_others += body.placed
-        for placed in body.placed:
-            self._put(placed, now)
+        told.put(sender, work.loads(), now)
+        parts = work.parts()
+        for placed in parts:
+            self._put(placed, now).told_at = now
+        return parts
 
-    def _put(self, placed: Placed, now: float) -> None:
+    def _put(self, placed: workreports.Placed, now: float) -> Part:
         kept = self._kept.setdefault(placed.upstream, Kept())
-        kept.put(placed.key, placed.tokens, now, self.room_tokens)
+        return kept.put(placed.key, placed.tokens, now, self.room_tokens)
 
 
-def _sum(one: Load, other: Load) -> Load:
-    return Load(
-        upstream=one.upstream,
-        reading_s=round(one.reading_s + other.reading_s, 3),
-        streams=one.streams + other.streams,
-    )
+def hub_of(name: str, domain: str, hubs: list[membership.Member]) -> membership.Member:
+    """Return the hub of an instance: one in its own failure domain if there is one."""
+    near = [hub for hub in hubs if hub.domain == domain] or hubs
+    by_name = {hub.name: hub for hub in near}
+    return by_name[rendezvous.owner(by_name, name)]
--- a/libs/masticpost-gateway/src/masticpost_gateway/placement.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/placement.py
@@ -5,6 +5,7 @@
 costs the answers that it writes meanwhile. What it has read already costs nothing.
 """
 
+import random
 import time
 
 import attrs
@@ -16,6 +17,8 @@
 STREAM_COST_S = 0.004
 RANK_COST_S = 0.002
 SMALL_LEVEL_SHARE = 0.2
+NEAR_SAMPLE = 3
+FAR_SAMPLE = 2
 
 
 @attrs.frozen(kw_only=True)
@@ -46,11 +49,20 @@
         Work at each upstream and the prompts it has read.
     pace : speeds.Speeds
         Speed of each model.
+    draw : random.Random, optional
+        Draws samples of upstreams.
     """
 
-    def __init__(self, *, work: loads.Loads, pace: speeds.Speeds) -> None:
+    def __init__(
+        self,
+        *,
+        work: loads.Loads,
+        pace: speeds.Speeds,
+        draw: random.Random | None = None,
+    ) -> None:
         self.work = work
         self.pace = pace
+        self.draw = draw or random.Random()
 
     def unread_tokens(self, upstream: str, reading: Reading) -> int:
         """Return how many tokens of a prompt an upstream has probably not kept."""
@@ -74,19 +86,30 @@
             names = _of_level(names, reading)
         key = reading.keys()[-2] if len(reading.prompt.parts) > 1 else reading.model
         ranked = rendezvous.ranked(names, key)
+        if not self.work.is_direct:
+            ranked = self._sample(ranked)
         scores = {
             name: self._score(name, reading) + RANK_COST_S * rank
             for rank, name in enumerate(ranked)
         }
         return names[min(ranked, key=scores.__getitem__)]
 
+    def _sample(self, ranked: list[str]) -> list[str]:
+        """Return a few of the upstreams, those of the highest rank among them.
+
+        The view of the work is old in a large deployment: the upstream that it shows
+        idle would get what all instances send until they see the next one.
+        Source: Mitzenmacher, "How Useful Is Old Information?", IEEE Transactions on
+        Parallel and Distributed Systems 11(1), 2000.
+        """
+        near, far = ranked[:NEAR_SAMPLE], ranked[NEAR_SAMPLE:]
+        return near + self.draw.sample(far, min(FAR_SAMPLE, len(far)))
+
     def first_s(self, ready: list[model.Upstream], reading: Reading) -> float:
         """Return the time until the best of some upstreams would have read a prompt."""
-        now = time.monotonic()
-        return min(
-            self.work.of(u.name, now).reading_s + self.read_s(u.name, reading)
-            for u in ready
-        )
+        name = self.best(ready, reading).name
+        load = self.work.of(name, time.monotonic())
+        return load.reading_s + self.read_s(name, reading)
 
     def backlog_s(self, ready: list[model.Upstream]) -> float:
         """Return the mean time of reading that waits at some upstreams."""
--- a/libs/masticpost-gateway/src/masticpost_gateway/speeds.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/speeds.py
@@ -1,11 +1,14 @@
 """How fast each model reads prompts and writes tokens, learnt from its answers."""
 
+import collections
+
 import attrs
 
 FIRST_READ_S = 5e-5
 FIRST_WRITE_S = 0.01
-DOWN_WEIGHT = 0.4
-UP_WEIGHT = 0.02
+KEPT_SAMPLES = 16
+LOW_PART = 10
+MIN_TOKENS = 400
 MEAN_WEIGHT = 0.1
 
 
@@ -19,27 +22,25 @@
         Time to read a token of a prompt at an idle upstream.
     write_s : float
         Mean time to write a token beside other requests.
-    first_s : float
-        Mean time to the first event.
     """
 
     read_s: float = FIRST_READ_S
     write_s: float = FIRST_WRITE_S
-    first_s: float = 0.0
-    reads: int = 0
     writes: int = 0
+    _reads: collections.deque[float] = attrs.field(
+        factory=lambda: collections.deque([FIRST_READ_S], maxlen=KEPT_SAMPLES)
+    )
 
     def saw_read(self, tokens: int, took_s: float) -> None:
         """Note the time from sending a prompt with `tokens` unread ones to its head.
 
-        Queues only make it longer, so that low values count for more.
+        Queues only make it longer: of the last samples a low one is taken. The way
+        there counts for too much in that of a short prompt.
         """
-        self.first_s += MEAN_WEIGHT * (took_s - self.first_s)
-        sample = took_s / max(tokens, 1)
-        weight = DOWN_WEIGHT if sample < self.read_s else UP_WEIGHT
-        self.read_s = sample if not self.reads else self.read_s
-        self.read_s += weight * (sample - self.read_s)
-        self.reads += 1
+        if tokens < MIN_TOKENS:
+            return
+        self._reads.append(took_s / tokens)
+        self.read_s = sorted(self._reads)[len(self._reads) // LOW_PART]
 
     def saw_write(self, tokens: int, took_s: float) -> None:
         """Note the time in which `tokens` were written."""
--- /dev/null
+++ b/libs/masticpost-gateway/testing/test_herding.py
@@ -0,0 +1,127 @@
+"""Eighty instances whose view of the work is half a second old: nobody is herded.
+
+If each sent its request to the upstream that the view shows idle, all would go to the
+same one until the next view.
+"""
+
+import random
+import types
+
+import attrs
+from masticpost_gateway import headers, loads, model, placement, speeds, workreports
+
+UPSTREAMS = [
+    model.Upstream(
+        name=f"engine-{i}", service="s", address="x:1", domain="a", version="v", slots=9
+    )
+    for i in range(36)
+]
+VIEW_AGE_S = 0.5
+VIEW_PERIOD_S = 0.2
+ARRIVALS_PER_S = 62.0
+READ_S = 5.3e-5
+RUN_S = 40.0
+CUSTOMER_WEIGHTS = (8, 6, 4) + 21 * (1,)
+
+
+@attrs.frozen(kw_only=True)
+class Kind:
+    """A kind of request; lengths in tokens."""
+
+    weight: int
+    shared: int
+    own: int
+    aim_s: float
+
+
+KINDS = (
+    Kind(weight=45, shared=13_300, own=3_720, aim_s=3.0),
+    Kind(weight=19, shared=6_300, own=2_890, aim_s=2.3),
+    Kind(weight=48, shared=350, own=1_110, aim_s=1.5),
+)
+
+
+@attrs.define(kw_only=True)
+class Engines:
+    """Upstreams that read one prompt after the other, and an old view of them."""
+
+    is_direct: bool
+    free_at: dict[str, float] = attrs.field(factory=dict)
+    held: set[tuple[str, str]] = attrs.field(factory=set)
+    history: list[tuple[float, dict[str, float]]] = attrs.field(factory=list)
+    now: float = 0.0
+
+    def of(self, name, now):
+        """Return the work as it was seen last, less what was done since then."""
+        since = self.now - VIEW_AGE_S
+        at, view = next(
+            (row for row in reversed(self.history) if row[0] <= since), (0.0, {})
+        )
+        left_s = max(0.0, view.get(name, 0.0) - (self.now - at))
+        return workreports.Load(upstream=name, reading_s=left_s)
+
+    def holds(self, upstream, key, now):
+        return (upstream, key) in self.held
+
+    def move_to(self, now):
+        """Let time pass and keep what the work was on the way."""
+        while not self.history or self.history[-1][0] + VIEW_PERIOD_S <= now:
+            at = self.history[-1][0] + VIEW_PERIOD_S if self.history else 0.0
+            row = {name: max(0.0, free - at) for name, free in self.free_at.items()}
+            self.history.append((at, row))
+        self.now = now
+
+    def put(self, name, tokens):
+        """Return the seconds until a prompt that arrives now is read."""
+        begin = max(self.now, self.free_at.get(name, 0.0))
+        self.free_at[name] = begin + tokens * READ_S
+        return self.free_at[name] - self.now
+
+
+def prompt_of(kind, customer, number):
+    parts = (
+        headers.Part(name=f"kind-{kind.shared}", tokens=kind.shared // 3),
+        headers.Part(name=f"of-{customer}", tokens=kind.shared - kind.shared // 3),
+        headers.Part(name=f"own-{number}", tokens=kind.own),
+    )
+    return headers.Prompt(parts=parts, tokens_in=kind.shared + kind.own, tokens_out=9)
+
+
+def late_share(is_direct):
+    """Return the share of requests that are read after what they aim at."""
+    draw = random.Random(1)
+    engines = Engines(is_direct=is_direct)
+    pace = speeds.Speeds()
+    pace.of("s", "large").read_s = READ_S
+    places = placement.Placement(work=engines, pace=pace, draw=random.Random(3))
+    late, number, now = 0, 0, 0.0
+    while now < RUN_S:
+        now += draw.expovariate(ARRIVALS_PER_S)
+        number += 1
+        engines.move_to(now)
+        kind = draw.choices(KINDS, [kind.weight for kind in KINDS])[0]
+        customer = draw.choices(range(len(CUSTOMER_WEIGHTS)), CUSTOMER_WEIGHTS)[0]
+        prompt = prompt_of(kind, customer, number)
+        reading = placement.Reading(service="s", model="large", prompt=prompt)
+        name = places.best(UPSTREAMS, reading).name
+        took_s = engines.put(name, places.unread_tokens(name, reading))
+        engines.held.update((name, key) for key in reading.keys())  # noqa: SIM118
+        late += took_s > kind.aim_s
+    return late / number
+
+
+def test_requests_are_spread_though_all_instances_see_the_same_old_view():
+    spread, herded = late_share(is_direct=False), late_share(is_direct=True)
+    assert herded > 0.03
+    assert spread < 0.01
+
+
+def test_instances_that_tell_each_other_directly_take_the_best_of_all():
+    assert loads.Loads(peers=mesh_of(3)).is_direct
+    assert not loads.Loads(peers=mesh_of(80)).is_direct
+
+
+def mesh_of(count):
+    members = types.SimpleNamespace(alive=lambda: [None] * count)
+    hub = types.SimpleNamespace(handle=lambda kind, handler: None)
+    return types.SimpleNamespace(members=members, hub=hub)
--- a/libs/masticpost-gateway/testing/test_loads.py
+++ b/libs/masticpost-gateway/testing/test_loads.py
@@ -3,8 +3,11 @@
 import asyncio
 import time
 
+import attrs
 from masticpost_bench import procs
-from masticpost_gateway import loads, mesh
+from masticpost_common import codec
+from masticpost_gateway import loads, mesh, workreports
+from masticpost_peers import membership
 from support import gatewaykit as kit
 
 
@@ -77,3 +80,76 @@
     kept.put("part-6", 100, 11.0, room=450)
     kept.put("part-10", 100, 12.0, room=450)
     assert "part-6" in kept.parts
+
+
+def hub(name, domain):
+    return membership.Member(
+        name=name, address=name, domain=domain, incarnation=1, started=1
+    )
+
+
+def test_instance_tells_a_hub_of_its_own_failure_domain():
+    """Eighty instances tell their hubs many times a second: not between domains."""
+    hubs = [hub(f"hub-{i}", f"d{i % 3}") for i in range(6)]
+    for number in range(80):
+        domain = f"d{number % 3}"
+        assert loads.hub_of(f"node-{number}", domain, hubs).domain == domain
+    chosen = {loads.hub_of(f"node-{i}", "d0", hubs).name for i in range(80)}
+    assert chosen == {"hub-0", "hub-3"}
+    assert loads.hub_of("node-0", "no-hub-here", hubs) in hubs
+
+
+def test_hubs_are_instances_that_can_serve_others():
+    cfg = mesh.MeshSettings(address="127.0.0.1:1", secret=kit.SECRET)
+    peers = mesh.Mesh(name="node-0", domain="d0", cfg=cfg, store=kit.FakeStore())
+    peers.members.alive = lambda: [
+        attrs.evolve(hub(f"node-{i}", f"d{i % 3}"), serves_others=i % 2 == 0)
+        for i in range(40)
+    ]
+    assert all(member.serves_others for member in peers.chosen("load", 6))
+    assert len(peers.chosen("load", 30)) == 30
+
+
+class NoPeers:
+    def __init__(self):
+        self.hub = self
+
+    def handle(self, kind, handler):
+        return
+
+
+def test_part_that_is_read_again_is_told_once_in_a_while(monkeypatch):
+    """A shared part of a prompt is sent to its upstream a hundred times a minute."""
+    work = loads.Loads(peers=NoPeers())
+    for _ in range(100):
+        work.place("u1", "model/shared", 13_300)
+    assert len(work._news) == 1
+    monkeypatch.setattr(loads, "PLACED_AGAIN_S", -1.0)
+    work.place("u1", "model/shared", 13_300)
+    assert len(work._news) == 2
+
+
+def test_prompt_counts_until_it_is_read(monkeypatch):
+    """It waits behind those of other instances; what it takes must not just run off.
+
+    An upstream with 2 s of them looked idle and got small requests besides.
+    """
+    work = loads.Loads(peers=NoPeers())
+    row = work.begin("u1", 0.9)
+    late = time.monotonic() + 2.0
+    assert work.of("u1", late).reading_s == 0.9
+    told = workreports.Told()
+    told.put("another", [workreports.Load(upstream="u1", reading_s=0.9)], late)
+    assert told.of("u1", late + 0.5).reading_s == 0.9
+    work.read(row)
+    assert work.of("u1", late) == workreports.Load(upstream="u1", streams=1)
+
+
+def test_report_on_many_upstreams_is_short():
+    rows = [
+        workreports.Load(upstream=f"plan-llm-{i}", reading_s=i / 8, streams=i)
+        for i in range(45)
+    ]
+    report = workreports.LoadReport(work=workreports.columns(rows, []))
+    assert report.work.loads() == rows
+    assert len(codec.to_wire(report)) < 45 * 24
--- a/libs/masticpost-gateway/testing/test_placement.py
+++ b/libs/masticpost-gateway/testing/test_placement.py
@@ -15,7 +15,12 @@
         def handle(self, kind, handler):
             return None
 
+    class Members:
+        def alive(self):
+            return []
+
     hub = Hub()
+    members = Members()
 
 
 def upstream(name):
