Know a prompt where it was sent; learn the pace of writing from each event

Change: the parts of a prompt are noted when it is sent; each event of a stream is a sample of the pace; the log tells the expected time to the last event. Tests in test_streaming, failing before.

--- a/libs/masticpost-gateway/src/masticpost_gateway/call.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/call.py
@@ -29,9 +29,9 @@
     ----------
     chosen : str
         Model that is asked next, empty when the answer is kept.
-    first_s, read_s : float
-        Expected time of the largest model to its first event, and to read what its
-        upstream has not kept of the prompt.
+    first_s, total_s, read_s : float
+        Expected time of the largest model to its first event, to its last one, and
+        for which it reads the prompt.
     """
 
     model: str
@@ -39,6 +39,7 @@
     confidence: float | None
     backlog_s: float
     first_s: float
+    total_s: float
     read_s: float
 
     def __str__(self) -> str:
@@ -46,7 +47,7 @@
         return (
             f"{self.model} {outcome}, confidence {self.confidence}, backlog"
             f" {self.backlog_s:.2f}, largest first {self.first_s:.2f}"
-            f" read {self.read_s:.2f}"
+            f" last {self.total_s:.2f} read {self.read_s:.2f}"
         )
 
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/streaming.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/streaming.py
@@ -179,6 +179,7 @@
             confidence=step.confidence,
             backlog_s=step.backlog_s,
             first_s=largest.first_s,
+            total_s=largest.total_s,
             read_s=largest.read_s,
         )
         self.call.decisions.append(decision)
@@ -231,7 +232,7 @@
     async def _pass_events(self, opened: tries.Opened) -> None:
         splitter = events.Splitter()
         ending = conns.Ending(opened.resp)
-        first_at = None
+        first_at = last_at = None
         count = 0
         while True:
             data = await patience.wait(
@@ -245,7 +246,10 @@
             found = splitter.feed(data)
             if not found:
                 continue
-            first_at = first_at or time.monotonic()
+            now = time.monotonic()
+            if last_at is not None:
+                self._note_pace(opened, len(found), now - last_at)
+            first_at, last_at = first_at or now, now
             count += len(found)
             await self._write(opened, found)
         ending.check()
@@ -253,11 +257,12 @@
             raise CutError("the stream ended within an event")
         span_s = time.monotonic() - first_at
         gap_s = span_s / (count - 1) if count > 1 else 0.0
-        if gap_s:
-            pace = self.shared.places.pace.of(self.call.service.name, opened.level)
-            pace.saw_write((count - 1) * self.call.service.tokens_per_event, span_s)
         self.run.note_good(opened, gap_s)
 
+    def _note_pace(self, opened: tries.Opened, events_read: int, took_s: float) -> None:
+        pace = self.shared.places.pace.of(self.call.service.name, opened.level)
+        pace.saw_write(events_read * self.call.service.tokens_per_event, took_s)
+
     def _gap_timeout(self) -> float:
         left_s = self.call.left_s()
         if not self.call.route.kind.may_repeat:
--- a/libs/masticpost-gateway/src/masticpost_gateway/tries.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/tries.py
@@ -173,6 +173,7 @@
             unread = self.shared.places.unread_tokens(upstream.name, reading)
             read_s = self.shared.places.read_s(upstream.name, reading)
             work = self.shared.loads.begin(upstream.name, read_s)
+            self._place(upstream, reading)
         try:
             opened = await self._exchange(pool, out, row, level, timeout_s)
         except sending.TryError as exc:
@@ -256,8 +257,11 @@
         speed = self.shared.places.pace.of(reading.service, reading.model)
         if not opened.is_failure:
             speed.saw_read(opened.unread_tokens, took_s)
+
+    def _place(self, upstream: model.Upstream, reading: placement.Reading) -> None:
+        """Note that a prompt will be read, so that what begins like it follows it."""
         for key, part in zip(reading.keys(), reading.prompt.parts, strict=True):
-            self.shared.loads.place(opened.upstream.name, key, part.tokens)
+            self.shared.loads.place(upstream.name, key, part.tokens)
 
     def _wanted(self, level: str) -> choice.Wanted:
         return choice.Wanted(
--- a/libs/masticpost-gateway/testing/test_streaming.py
+++ b/libs/masticpost-gateway/testing/test_streaming.py
@@ -4,7 +4,7 @@
 import time
 
 import attrs
-from masticpost_gateway import model
+from masticpost_gateway import headers, model, placement
 from support import gatewaykit as kit
 
 PROMPT = {"Token_Counts": "100,50", "Prompt_Prefix": "a1:60,b2:40"}
@@ -87,6 +87,22 @@
         await kit.until(lambda: worker.cut)
 
 
+async def test_slow_writing_is_noticed_before_the_stream_ends():
+    """Overloaded upstreams: answers were cut 8 s after the model was chosen."""
+    async with kit.Deployment() as dep:
+        await dep.add_worker("w1", kit.streams(60, pause_s=0.05))
+        await dep.configure()
+        made = await dep.add_node()
+        pace = made.shared.places.pace.of("desk", "small")
+        task = asyncio.create_task(
+            dep.call("/chat/", method="POST", body=b"p", **PROMPT)
+        )
+        await kit.until(lambda: pace.writes)
+        assert not task.done()
+        assert pace.write_s > 0.03
+        task.cancel()
+
+
 async def test_connection_of_a_stream_closes_after_it_when_stopping():
     async with kit.Deployment() as dep:
         await dep.add_worker("w1", kit.streams(10, pause_s=0.05))
@@ -102,3 +118,33 @@
         reply = await task
         assert (reply.body, reply.is_whole) == (events(10), True)
         await kit.until(lambda: conn.transport is None)
+
+
+async def test_prompt_is_known_where_it_was_sent_before_it_is_read():
+    """A manual of 12,000 tokens was read by several upstreams at once, in vain."""
+    go = asyncio.Event()
+
+    async def script(got, writer):
+        await go.wait()
+        await kit.streams(2)(got, writer)
+
+    async with kit.Deployment() as dep:
+        worker = await dep.add_worker("w1", script)
+        await dep.configure()
+        made = await dep.add_node()
+        manual = {"Token_Counts": "12500,50", "Prompt_Prefix": "a1:12000,b1:500"}
+        call = dep.call("/chat/", method="POST", body=b"p", **manual)
+        task = asyncio.create_task(call)
+        await kit.until(lambda: worker.got)
+        assert made.shared.places.unread_tokens("w1", reading()) == 500
+        go.set()
+        await task
+
+
+def reading():
+    parts = (
+        headers.Part(name="a1", tokens=12_000),
+        headers.Part(name="new", tokens=500),
+    )
+    prompt = headers.Prompt(parts=parts, tokens_in=12_500, tokens_out=50)
+    return placement.Reading(service="desk", model="small", prompt=prompt)
