--- /dev/null
+++ b/libs/masticpost-standins/src/masticpost_standins/answers.py
@@ -0,0 +1,107 @@
+"""Answers of the engine stand-in: words that can be checked one by one.
+
+They depend on version, prompt and position alone, so that a resumed or moved stream can
+be checked word by word. The first word carries the answer's quality, which the rating
+stand-in reads.
+"""
+
+import asyncio
+import hashlib
+import re
+import time
+
+import attrs
+import msgspec
+from aiohttp import web
+
+LENGTH_MARK = re.compile(r"\[len=(\d+)\]")
+DEFAULT_LENGTH = 24
+
+
+@attrs.define(kw_only=True)
+class Message:
+    """A message of a conversation."""
+
+    role: str
+    content: str = ""
+
+
+@attrs.define(kw_only=True)
+class Request:
+    """The fields of a chat request that matter here."""
+
+    model: str
+    messages: list[Message]
+    stream: bool = False
+    max_tokens: int | None = None
+    priority: int = 0
+    continue_final_message: bool = False
+
+
+@attrs.define(kw_only=True)
+class Sequence:
+    """A request that runs."""
+
+    words: list[str]
+    out: asyncio.Queue
+    kv: int
+    prefill_s: float
+    sent: int = 0
+    priority: int = 0
+    answer_id: str = ""
+
+
+def split_prompt(parsed: Request) -> tuple[str, list[str]]:
+    """Return the prompt, and the words that the caller has of a resumed answer."""
+    messages = parsed.messages
+    have: list[str] = []
+    if parsed.continue_final_message:
+        have = messages[-1].content.split()
+        messages = messages[:-1]
+    prompt = "\n".join(f"{m.role}: {m.content}" for m in messages)
+    return prompt, have
+
+
+def answer_words(
+    version: str, prompt: str, quality: float, parsed: Request, have: int
+) -> list[str]:
+    """Return the words of the answer that are still to come."""
+    found = LENGTH_MARK.search(prompt)
+    length = int(found.group(1)) if found else DEFAULT_LENGTH
+    if parsed.max_tokens is not None:
+        length = min(length, have + parsed.max_tokens)
+    return [_word(version, prompt, quality, i) for i in range(have, length)]
+
+
+def _word(version: str, prompt: str, quality: float, index: int) -> str:
+    if index == 0:
+        return f"q={quality:.3f}"
+    digest = hashlib.blake2b(f"{version}|{prompt}|{index}".encode(), digest_size=3)
+    return " " + digest.hexdigest()
+
+
+def usage(prompt: int, completion: int) -> dict[str, int]:
+    """Return a usage object."""
+    return {
+        "prompt_tokens": prompt,
+        "completion_tokens": completion,
+        "total_tokens": prompt + completion,
+    }
+
+
+async def write_event(
+    resp: web.StreamResponse,
+    answer_id: str,
+    model: str,
+    delta: dict[str, str],
+    finish: str | None,
+) -> None:
+    """Write one event of a stream."""
+    event = {
+        "id": answer_id,
+        "object": "chat.completion.chunk",
+        "created": int(time.time()),
+        "model": model,
+        "choices": [{"index": 0, "delta": delta, "finish_reason": finish}],
+    }
+    await resp.write(b"data: " + msgspec.json.encode(event) + b"\n\n")
--- a/libs/masticpost-standins/src/masticpost_standins/engine.py
+++ b/libs/masticpost-standins/src/masticpost_standins/engine.py
@@ -1,13 +1,11 @@
 """Stand-in for a model engine: an OpenAI-compatible server that only keeps time.
 
-Answers are made of words that depend on version, prompt and position alone, so that
-a resumed or moved stream can be checked word by word. The first word carries the
-answer's quality, which the rating stand-in reads.
+It reads prompts and writes all answers at work one word at a time, as engines do that
+batch; `answers` makes the words.
 """
 
 import asyncio
 import collections
-import hashlib
 import re
 import time
 
@@ -16,16 +14,11 @@
 import msgspec
 from aiohttp import web
 
-from masticpost_standins import control
+from masticpost_standins import answers, batch, control
 
-LENGTH_MARK = re.compile(r"\[len=(\d+)\]")
 HARD_MARK = re.compile(r"\[hard=([0-9.]+)\]")
 CRASH_MARK = "[crash]"
-PREFIX_CHARS = 256
-DEFAULT_LENGTH = 24
-CHARS_PER_TOKEN = 4
 REPORT_TICK_S = 0.1
-COLD_SLOWDOWN = 4.0
 
 
 @attrs.define(kw_only=True)
@@ -101,39 +94,6 @@
     loaded: list[str] = attrs.field(factory=list)
 
 
-@attrs.define(kw_only=True)
-class Message:
-    """A message of a conversation."""
-
-    role: str
-    content: str = ""
-
-
-@attrs.define(kw_only=True)
-class Request:
-    """The fields of a chat request that matter here."""
-
-    model: str
-    messages: list[Message]
-    stream: bool = False
-    max_tokens: int | None = None
-    priority: int = 0
-    continue_final_message: bool = False
-
-
-@attrs.define(kw_only=True)
-class Sequence:
-    """A request that runs."""
-
-    words: list[str]
-    out: asyncio.Queue
-    kv: int
-    prefill_s: float
-    sent: int = 0
-    priority: int = 0
-    answer_id: str = ""
-
-
 class Engine(control.StandIn):
     """The engine."""
 
@@ -145,12 +105,9 @@
         self.loaded = set(cfg.qualities)
         self.counts.loaded = sorted(self.loaded)
         self.adapters: set[str] = set()
-        self._waiting: list[Sequence] = []
-        self._running: list[Sequence] = []
+        self.batch = batch.Batch(cfg=cfg, is_cold=lambda: self.is_cold)
         self._transports: set[asyncio.Transport] = set()
-        self._prefixes: collections.OrderedDict[str, None] = collections.OrderedDict()
         self._reports: collections.deque[tuple[float, int, int]] = collections.deque()
-        self._work = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
         self.actions["make-cold"] = self._make_cold
         self.actions["crash"] = self._crash_action
@@ -165,7 +122,7 @@
         app.router.add_post("/v1/load_lora_adapter", self.load_adapter)
         app.router.add_post("/v1/unload_lora_adapter", self.unload_adapter)
         self._tasks = [
-            asyncio.ensure_future(self._step_loop()),
+            asyncio.ensure_future(self.batch.run()),
             asyncio.ensure_future(self._report_loop()),
         ]
         return app
@@ -197,9 +154,7 @@
         self.counts.crashes += 1
         self.down_until = time.monotonic() + self.faults.down_s
         self.started_at = self.down_until
-        self._running.clear()
-        self._waiting.clear()
-        self._prefixes.clear()
+        self.batch.clear()
         for transport in list(self._transports):
             transport.abort()
 
@@ -226,7 +181,7 @@
             await control.hang()
         if self.faults.outage == "error":
             return web.Response(status=500, text="fault")
-        parsed = msgspec.json.decode(await req.read(), type=Request)
+        parsed = msgspec.json.decode(await req.read(), type=answers.Request)
         if parsed.model not in self.loaded:
             return web.Response(status=404, text="no such model")
         transport = req.transport
@@ -239,7 +194,9 @@
         finally:
             self._transports.discard(transport)
 
-    async def _take(self, req: web.Request, parsed: Request) -> web.StreamResponse:
+    async def _take(
+        self, req: web.Request, parsed: answers.Request
+    ) -> web.StreamResponse:
         crashes = self.counts.crashes
         await asyncio.sleep(2 * self.cfg.link_delay_s + self.faults.delay_s)
         if self.counts.crashes != crashes:
@@ -251,42 +208,42 @@
             control.abort(req)
         return await self._run(req, parsed)
 
-    def _count(self, parsed: Request) -> None:
+    def _count(self, parsed: answers.Request) -> None:
         self.counts.requests += 1
         self.counts.last_request_at = time.time()
         self.counts.dispatches.setdefault(parsed.model, []).append(time.time())
         if self.is_cold:
-            now = len(self._running) + len(self._waiting) + 1
+            now = len(self.batch) + 1
             self.counts.cold_peak = max(self.counts.cold_peak, now)
             if now > self.cfg.cold_bears:
                 self.counts.cold_over += 1
 
-    async def _run(self, req: web.Request, parsed: Request) -> web.StreamResponse:
+    async def _run(
+        self, req: web.Request, parsed: answers.Request
+    ) -> web.StreamResponse:
         seq = self._sequence(parsed)
         if self.faults.cross_answers > 0:
             self.faults.cross_answers -= 1
             seq.words = [f"another's {word}" for word in seq.words]
             seq.answer_id = "chatcmpl-of-another-request"
-        self._waiting.append(seq)
-        self._waiting.sort(key=lambda s: s.priority)
-        self._work.set()
+        self.batch.put(seq)
         try:
             if parsed.stream:
                 return await self._stream(req, parsed, seq)
             return await self._whole(req, parsed, seq)
         finally:
-            for queue in (self._waiting, self._running):
-                if seq in queue:
-                    queue.remove(seq)
+            self.batch.drop(seq)
+            self.counts.tokens = self.batch.words_written
 
-    def _sequence(self, parsed: Request) -> Sequence:
-        prompt, have = split_prompt(parsed)
-        words = answer_words(
+    def _sequence(self, parsed: answers.Request) -> answers.Sequence:
+        prompt, have = answers.split_prompt(parsed)
+        words = answers.answer_words(
             parsed.model, prompt, self._quality(parsed.model, prompt), parsed, len(have)
         )
-        tokens = max(1, len(prompt) // CHARS_PER_TOKEN)
-        cached = self._prefix_tokens(prompt)
-        return Sequence(
+        tokens = max(1, len(prompt) // batch.CHARS_PER_TOKEN)
+        cached = self.batch.kept_tokens(prompt)
+        self.counts.prefix_hits += cached > 0
+        return answers.Sequence(
             words=words,
             out=asyncio.Queue(),
             kv=tokens + len(words),
@@ -300,51 +257,6 @@
         hard = float(found.group(1)) if found else 0.0
         return min(1.0, max(0.0, base - hard * (1 - base)))
 
-    def _prefix_tokens(self, prompt: str) -> int:
-        prefix = prompt[:PREFIX_CHARS]
-        hit = prefix in self._prefixes
-        self._prefixes[prefix] = None
-        self._prefixes.move_to_end(prefix)
-        if len(self._prefixes) > 64:
-            self._prefixes.popitem(last=False)
-        if not hit:
-            return 0
-        self.counts.prefix_hits += 1
-        return len(prompt) // CHARS_PER_TOKEN * 3 // 4
-
-    async def _step_loop(self) -> None:
-        """Admit what fits, then give every running request one word per step."""
-        while True:
-            self._admit()
-            if not self._running:
-                self._work.clear()
-                await self._work.wait()
-                continue
-            pause = self.cfg.step_s + self.cfg.step_per_seq_s * len(self._running)
-            pause += sum(seq.prefill_s for seq in self._running if seq.sent == 0)
-            await asyncio.sleep(pause * (COLD_SLOWDOWN if self.is_cold else 1.0))
-            for seq in list(self._running):
-                self._emit(seq)
-
-    def _admit(self) -> None:
-        used = sum(seq.kv for seq in self._running)
-        while self._waiting and len(self._running) < self.cfg.max_running:
-            if used + self._waiting[0].kv > self.cfg.kv_tokens and self._running:
-                return
-            seq = self._waiting.pop(0)
-            used += seq.kv
-            self._running.append(seq)
-
-    def _emit(self, seq: Sequence) -> None:
-        if seq.sent < len(seq.words):
-            seq.out.put_nowait(seq.words[seq.sent])
-            seq.sent += 1
-            self.counts.tokens += 1
-        if seq.sent >= len(seq.words):
-            seq.out.put_nowait(None)
-            if seq in self._running:
-                self._running.remove(seq)
-
     def _answer_id(self, req: web.Request) -> str:
         return "chatcmpl-" + req.headers.get("X-Request-Id", "none")
 
@@ -365,14 +277,14 @@
 
     async def _report_loop(self) -> None:
         while True:
-            row = (time.monotonic(), len(self._running), len(self._waiting))
+            row = (time.monotonic(), len(self.batch.running), len(self.batch.waiting))
             self._reports.append(row)
             while self._reports[0][0] < row[0] - 5 - self.cfg.report_lag_s:
                 self._reports.popleft()
             await asyncio.sleep(REPORT_TICK_S)
 
     async def _whole(
-        self, req: web.Request, parsed: Request, seq: Sequence
+        self, req: web.Request, parsed: answers.Request, seq: answers.Sequence
     ) -> web.Response:
         words = []
         while (word := await seq.out.get()) is not None:
@@ -391,7 +303,7 @@
                     "finish_reason": "stop",
                 }
             ],
-            "usage": usage(prompt_tokens, len(words)),
+            "usage": answers.usage(prompt_tokens, len(words)),
         }
         return web.Response(
             body=msgspec.json.encode(body),
@@ -400,7 +312,7 @@
         )
 
     async def _stream(
-        self, req: web.Request, parsed: Request, seq: Sequence
+        self, req: web.Request, parsed: answers.Request, seq: answers.Sequence
     ) -> web.StreamResponse:
         resp = web.StreamResponse(
             headers={"Content-Type": "text/event-stream", **self._load_header()}
@@ -409,18 +321,22 @@
         answer_id = seq.answer_id or self._answer_id(req)
         cut_after = self._take_cut()
         sent = 0
-        await _event(resp, answer_id, parsed.model, {"role": "assistant"}, None)
+        await answers.write_event(
+            resp, answer_id, parsed.model, {"role": "assistant"}, None
+        )
         while (word := await seq.out.get()) is not None:
             if cut_after is not None and sent >= cut_after:
                 control.abort(req)
-            await _event(resp, answer_id, parsed.model, {"content": word}, None)
+            await answers.write_event(
+                resp, answer_id, parsed.model, {"content": word}, None
+            )
             sent += 1
-        await _event(resp, answer_id, parsed.model, {}, "stop")
+        await answers.write_event(resp, answer_id, parsed.model, {}, "stop")
         tail = {
             "id": answer_id,
             "model": parsed.model,
             "choices": [],
-            "usage": usage(seq.kv - len(seq.words), sent),
+            "usage": answers.usage(seq.kv - len(seq.words), sent),
         }
         await resp.write(b"data: " + msgspec.json.encode(tail) + b"\n\n")
         await resp.write(b"data: [DONE]\n\n")
@@ -472,58 +388,3 @@
     async with aiohttp.ClientSession() as http, http.get(url) as resp:
         await resp.read()
         return resp.status == 200
-
-
-def split_prompt(parsed: Request) -> tuple[str, list[str]]:
-    """Return the prompt, and the words that the caller has of a resumed answer."""
-    messages = parsed.messages
-    have: list[str] = []
-    if parsed.continue_final_message:
-        have = messages[-1].content.split()
-        messages = messages[:-1]
-    prompt = "\n".join(f"{m.role}: {m.content}" for m in messages)
-    return prompt, have
-
-
-def answer_words(
-    version: str, prompt: str, quality: float, parsed: Request, have: int
-) -> list[str]:
-    """Return the words of the answer that are still to come."""
-    found = LENGTH_MARK.search(prompt)
-    length = int(found.group(1)) if found else DEFAULT_LENGTH
-    if parsed.max_tokens is not None:
-        length = min(length, have + parsed.max_tokens)
-    return [_word(version, prompt, quality, i) for i in range(have, length)]
-
-
-def _word(version: str, prompt: str, quality: float, index: int) -> str:
-    if index == 0:
-        return f"q={quality:.3f}"
-    digest = hashlib.blake2b(f"{version}|{prompt}|{index}".encode(), digest_size=3)
-    return " " + digest.hexdigest()
-
-
-def usage(prompt: int, completion: int) -> dict[str, int]:
-    """Return a usage object."""
-    return {
-        "prompt_tokens": prompt,
-        "completion_tokens": completion,
-        "total_tokens": prompt + completion,
-    }
-
-
-async def _event(
-    resp: web.StreamResponse,
-    answer_id: str,
-    model: str,
-    delta: dict[str, str],
-    finish: str | None,
-) -> None:
-    event = {
-        "id": answer_id,
-        "object": "chat.completion.chunk",
-        "created": int(time.time()),
-        "model": model,
-        "choices": [{"index": 0, "delta": delta, "finish_reason": finish}],
-    }
-    await resp.write(b"data: " + msgspec.json.encode(event) + b"\n\n")
--- a/testing/support/workload.py
+++ b/testing/support/workload.py
@@ -5,7 +5,7 @@
 
 import attrs
 from masticpost_bench import deployment
-from masticpost_standins import engine
+from masticpost_standins import answers
 
 REPEATS = 6
 REPEAT_PAUSE_S = 0.25
@@ -96,8 +96,8 @@
 
 def expected_words(prompt: str, version: str, quality: float) -> list[str]:
     """Return the words that the engine stand-in gives for a prompt."""
-    parsed = engine.Request(
-        model=version, messages=[engine.Message(role="user", content=prompt)]
+    parsed = answers.Request(
+        model=version, messages=[answers.Message(role="user", content=prompt)]
     )
-    text, _ = engine.split_prompt(parsed)
-    return engine.answer_words(version, text, quality, parsed, 0)
+    text, _ = answers.split_prompt(parsed)
+    return answers.answer_words(version, text, quality, parsed, 0)
