--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	$(BIN)/masticpost-bench demo
 
 test: $(STAMP)
-	$(BIN)/pytest -n 4 --dist loadgroup
+	$(BIN)/pytest -n 4 --dist loadgroup -rs
 
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
--- a/libs/masticpost-bench/src/masticpost_bench/demo.py
+++ b/libs/masticpost-bench/src/masticpost_bench/demo.py
@@ -7,7 +7,7 @@
 from masticpost_cli import bills
 from masticpost_shards import log
 
-from masticpost_bench import bencharms, deployment, layout
+from masticpost_bench import bencharms, callers, deployment, layout
 
 LONG_PROMPT = "Plan the changeover from water to juice. [hard=0.9] [len=40]"
 SHORT_PROMPT = "Which cap torque for line 3? [len=16]"
@@ -70,7 +70,7 @@
         await resp.content.readline()
         first_s = time.monotonic() - started
         await resp.read()
-    reply = deployment.Reply(
+    reply = callers.Reply(
         status=resp.status,
         headers=resp.headers,
         elapsed_s=time.monotonic() - started,
@@ -97,7 +97,7 @@
     what: str,
     service: str,
     instance: str,
-    reply: deployment.Reply,
+    reply: callers.Reply,
     first_ms: float,
 ) -> Row:
     return Row(
--- a/libs/masticpost-bench/src/masticpost_bench/deployment.py
+++ b/libs/masticpost-bench/src/masticpost_bench/deployment.py
@@ -1,7 +1,5 @@
 """A whole deployment on loopback: stand-ins, daemons, and calls to them."""
 
-import asyncio
-import collections.abc
 import contextlib
 import json
 import pathlib
@@ -11,98 +9,18 @@
 import typing
 
 import aiohttp
-import attrs
 import result
 from masticpost_confsync import head
 from masticpost_store import client
 
-from masticpost_bench import layout, procs
+from masticpost_bench import callers, layout, procs, programs
 
 NAMESPACE = "masticpost"
 TLS_KINDS = ("engine", "plain", "rating")
 READY_TIMEOUT_S = 40.0
 
 
-@attrs.define(kw_only=True)
-class StandIn:
-    """A running stand-in and its ports."""
-
-    name: str
-    proc: procs.Proc
-    port: int
-    control_port: int
-    scheme: str = "http"
-
-    @property
-    def url(self) -> str:
-        """URL of the service port."""
-        return f"{self.scheme}://{procs.HOST}:{self.port}"
-
-    @property
-    def control_url(self) -> str:
-        """URL of the control port."""
-        return f"http://{procs.HOST}:{self.control_port}"
-
-
-@attrs.define(kw_only=True)
-class Daemon:
-    """A running `masticpostd` and its ports."""
-
-    name: str
-    domain: str
-    proc: procs.Proc
-    port: int
-    peer_port: int
-    scheme: str = "http"
-    was_ready: bool = False
-
-    @property
-    def url(self) -> str:
-        """URL for callers."""
-        return f"{self.scheme}://{procs.HOST}:{self.port}"
-
-
-@attrs.frozen(kw_only=True)
-class Tls:
-    """Files of a certificate for loopback, its key, and its authority."""
-
-    cert: str
-    key: str
-    ca: str
-
-    @property
-    def server_args(self) -> list[str]:
-        """Options of a program that listens with TLS."""
-        return [f"--tls-cert={self.cert}", f"--tls-key={self.key}"]
-
-
-@attrs.frozen(kw_only=True)
-class Reply:
-    """An answer that a caller got; `status` 0 means that the connection broke."""
-
-    status: int
-    body: bytes = b""
-    headers: collections.abc.Mapping[str, str] = attrs.field(factory=dict)
-    elapsed_s: float = 0.0
-
-    def json(self) -> typing.Any:
-        """Return the body as JSON."""
-        return json.loads(self.body)
-
-    @property
-    def ran(self) -> str:
-        """What the answer says about whether the request ran."""
-        return self.headers.get("X-Request-Ran", "")
-
-    @property
-    def code(self) -> str:
-        """Error code, empty for an answer or a broken connection."""
-        if self.status < 400 or not self.body.startswith(b'{"error"'):
-            return ""
-        return self.json()["error"]["code"]
-
-
-class Deployment:
+class Deployment(callers.Callers):
     """Starts everything and stops everything it started.
 
     Parameters
@@ -113,7 +31,7 @@
         Further arguments of every daemon.
     daemon_program : list of str
         Command that starts a daemon, `masticpostd` if not given.
-    tls : Tls, optional
+    tls : programs.Tls, optional
         Has daemons, upstreams and the rating service listen with TLS.
     """
 
@@ -123,19 +41,16 @@
         plan: layout.Layout,
         daemon_args: list[str] | None = None,
         daemon_program: list[str] | None = None,
-        tls: Tls | None = None,
+        tls: programs.Tls | None = None,
     ) -> None:
+        super().__init__(plan=plan)
         self.tls = tls
-        self.plan = plan
         self.daemon_args = daemon_args or []
         self.daemon_program = daemon_program or [procs.program("masticpostd")]
         self.dir = pathlib.Path(tempfile.mkdtemp(prefix="masticpost-"))
         self.peer_key = f"{layout.PEER_KEY}-{self.dir.name}"
-        self.standins: dict[str, StandIn] = {}
-        self.daemons: dict[str, Daemon] = {}
+        self.standins: dict[str, programs.StandIn] = {}
         self.generation = 0
-        self.http: aiohttp.ClientSession | None = None
-        self._next_caller = 0
 
     async def __aenter__(self) -> "Deployment":
         trust = ssl.create_default_context(cafile=self.tls.ca) if self.tls else True
@@ -175,7 +90,7 @@
         for standin in self.standins.values():
             await procs.wait_for(lambda s=standin: self._is_up(s), standin.name)
 
-    async def _is_up(self, standin: StandIn) -> bool:
+    async def _is_up(self, standin: programs.StandIn) -> bool:
         with contextlib.suppress(aiohttp.ClientError):
             async with self.http.get(f"{standin.control_url}/counts") as resp:
                 return resp.status == 200
@@ -198,7 +113,7 @@
             args += self.tls.server_args
         proc = procs.Proc(name=name, args=args, log_path=self.dir / f"{name}.log")
         proc.start()
-        self.standins[name] = StandIn(
+        self.standins[name] = programs.StandIn(
             name=name,
             proc=proc,
             port=port,
@@ -206,7 +121,7 @@
             scheme="https" if has_tls else "http",
         )
 
-    def start_daemon(self, name: str, domain: str, *extra: str) -> Daemon:
+    def start_daemon(self, name: str, domain: str, *extra: str) -> programs.Daemon:
         """Start a daemon on fresh ports."""
         port, peer_port = procs.free_ports(2)
         args = [
@@ -232,7 +147,7 @@
         log_path = self.dir / f"{name}.{starts}.log"
         proc = procs.Proc(name=name, args=args, log_path=log_path, env=env)
         proc.start()
-        daemon = Daemon(
+        daemon = programs.Daemon(
             name=name,
             domain=domain,
             proc=proc,
@@ -356,7 +271,7 @@
                     timeout_s,
                 )
 
-    async def _has_generation(self, daemon: Daemon, generation: int) -> bool:
+    async def _has_generation(self, daemon: programs.Daemon, generation: int) -> bool:
         with contextlib.suppress(aiohttp.ClientError):
             return (await self.status(daemon.name))["generation"] >= generation
         return False
@@ -380,75 +295,6 @@
             resp.raise_for_status()
             return await resp.json()
 
-    def pick(self, name: str | None = None) -> Daemon:
-        """Return a daemon by name, or the next ready one, as a balancer would."""
-        if name is not None:
-            return self.daemons[name]
-        running = [
-            d for d in self.daemons.values() if d.was_ready and d.proc.is_running()
-        ]
-        self._next_caller += 1
-        return running[self._next_caller % len(running)]
-
-    async def call(
-        self,
-        method: str,
-        path: str,
-        *,
-        via: str | None = None,
-        customer: int = 0,
-        headers: dict[str, str] | None = None,
-        body: object = None,
-    ) -> Reply:
-        """Send a request as a caller would."""
-        daemon = self.pick(via)
-        sent = {
-            "Authorization": f"Bearer {self.plan.customers[customer].key}",
-            **(headers or {}),
-        }
-        data = body if isinstance(body, bytes | None) else json.dumps(body).encode()
-        started = time.monotonic()
-        try:
-            async with self.http.request(
-                method, f"{daemon.url}{path}", data=data, headers=sent
-            ) as resp:
-                content = await resp.read()
-        except (aiohttp.ClientError, TimeoutError, OSError):
-            return Reply(status=0, elapsed_s=time.monotonic() - started)
-        return Reply(
-            status=resp.status,
-            body=content,
-            headers=resp.headers,
-            elapsed_s=time.monotonic() - started,
-        )
-
-    async def chat(
-        self,
-        prompt: str = "hello",
-        *,
-        service: str = "setup",
-        stream: bool = False,
-        **kwargs: typing.Any,
-    ) -> Reply:
-        """Send a chat request."""
-        body = {
-            "model": service,
-            "messages": [{"role": "user", "content": prompt}],
-            "stream": stream,
-            "stream_options": {"include_usage": True} if stream else None,
-        }
-        return await self.call("POST", "/v1/chat/completions", body=body, **kwargs)
-
-    async def book(self, key: str, body: str = "crew", **kwargs: typing.Any) -> Reply:
-        """Book a crew under an idempotency key."""
-        return await self.call(
-            "POST",
-            "/v1/services/crews/bookings",
-            headers={"Idempotency-Key": key},
-            body={"crew": body},
-            **kwargs,
-        )
-
     async def booking_runs(self) -> dict[str, int]:
         """Return how often each booking ran, over all stand-ins, by callers' keys."""
         total: dict[str, int] = {}
@@ -478,29 +324,3 @@
         "port": port,
         "zone": zone,
     }
-
-
-def stream_words(body: bytes) -> list[str]:
-    """Return the content pieces of a streamed answer."""
-    words = []
-    for line in body.splitlines():
-        if not line.startswith(b"data: {"):
-            continue
-        event = json.loads(line[6:])
-        for choice in event.get("choices", []):
-            if choice["delta"].get("content"):
-                words.append(choice["delta"]["content"])
-    return words
-
-
-async def gather_limited(
-    limit: int, works: list[typing.Coroutine[None, None, typing.Any]]
-) -> list[typing.Any]:
-    """Run coroutines, at most `limit` at a time."""
-    gate = asyncio.Semaphore(limit)
-
-    async def run(work: typing.Coroutine[None, None, typing.Any]) -> typing.Any:
-        async with gate:
-            return await work
-
-    return await asyncio.gather(*(run(work) for work in works))
--- a/libs/masticpost-bench/src/masticpost_bench/overhead.py
+++ b/libs/masticpost-bench/src/masticpost_bench/overhead.py
@@ -10,7 +10,7 @@
 import msgspec
 from hdrh import histogram
 
-from masticpost_bench import bencharms, deployment, layout, procs
+from masticpost_bench import bencharms, callers, deployment, layout, procs
 
 PROMPT = "quick question [len=1]"
 WARM_UP_REQUESTS = 200
@@ -62,7 +62,7 @@
 
 async def _warm_up(dep: deployment.Deployment) -> None:
     works = [dep.chat(PROMPT) for _ in range(WARM_UP_REQUESTS)]
-    await deployment.gather_limited(4, works)
+    await callers.gather_limited(4, works)
 
 
 async def _measure(
--- a/libs/masticpost-bench/src/masticpost_bench/runs.py
+++ b/libs/masticpost-bench/src/masticpost_bench/runs.py
@@ -12,7 +12,7 @@
 import aiohttp
 import attrs
 
-from masticpost_bench import bencharms, bound, deployment, layout, scenarios
+from masticpost_bench import bencharms, bound, callers, deployment, layout, scenarios
 
 QUALITY = re.compile(rb"q=([0-9.]+)")
 USAGE = re.compile(rb'"completion_tokens":(\d+),"prompt_tokens":(\d+)')
@@ -133,7 +133,7 @@
     draw = random.Random(0)
     mix = scenarios.MIXES[dep.plan.name]
     works = [_shoot(dep, _draw(mix, draw), 0.0, f"warm-{i}") for i in range(WARM_UP)]
-    await deployment.gather_limited(WARM_UP_AT_ONCE, works)
+    await callers.gather_limited(WARM_UP_AT_ONCE, works)
 
 
 def _draw(mix: tuple[scenarios.Ask, ...], draw: random.Random) -> scenarios.Ask:
--- a/libs/masticpost-bench/src/masticpost_bench/scenarios.py
+++ b/libs/masticpost-bench/src/masticpost_bench/scenarios.py
@@ -6,7 +6,7 @@
 import attrs
 from masticpost_common import registry
 
-from masticpost_bench import deployment, layout
+from masticpost_bench import callers, deployment, layout
 
 Timeline = collections.abc.Callable[
     [deployment.Deployment], collections.abc.Awaitable[None]
@@ -111,7 +111,7 @@
     """One large customer sends four times all others' load."""
     await asyncio.sleep(5)
     works = [dep.chat(f"flood {number} [len=40]", customer=0) for number in range(1200)]
-    await deployment.gather_limited(120, works)
+    await callers.gather_limited(120, works)
 
 
 @scenario("cold-restart", rate_s=30, seconds=30, window=(6, 30))
--- a/libs/masticpost-shards/testing/test_permits.py
+++ b/libs/masticpost-shards/testing/test_permits.py
@@ -2,27 +2,13 @@
 
 import attrs
 from masticpost_shards import owner, permits, records, views
+from support import fakepeers
 
 SHARD = 0
 ENGINE = "engine-0"
 RESOURCE = views.warmth_key(ENGINE)
 
 
-@attrs.define(kw_only=True)
-class FakePeers:
-    name: str = "entry-0"
-
-    def handle(self, kind, handler):
-        return
-
-
-@attrs.define(kw_only=True)
-class FakeShards:
-    peers: FakePeers = attrs.field(factory=FakePeers)
-    shard_count: int = 1
-    held_permits: object = None
-
-
 @attrs.define(kw_only=True)
 class Room:
     """A desk, the view that it follows, and what it found to be warm."""
@@ -40,7 +26,7 @@
 
 
 def make_room():
-    shards = FakeShards()
+    shards = fakepeers.FakeShards()
     room = Room(view=views.Views(shards=shards), desk=permits.Desk(shards=shards))
     room.desk.listen(room.warm.append, room.view.note_failure)
     room.view.on_cold(room.desk.begin_streak_anew)
--- a/libs/masticpost-shards/testing/test_views.py
+++ b/libs/masticpost-shards/testing/test_views.py
@@ -6,28 +6,14 @@
 import pytest
 from masticpost_peers import hub
 from masticpost_shards import ops, owner, records, state, views
+from support import fakepeers
 
 HOUR_MS = 60 * state.MINUTE_MS
 
 
-@attrs.define(kw_only=True)
-class FakePeers:
-    name: str = "entry-0"
-
-    def handle(self, kind, handler):
-        return
-
-
-@attrs.define(kw_only=True)
-class FakeShards:
-    peers: FakePeers = attrs.field(factory=FakePeers)
-    shard_count: int = 1
-    members: object = None
-
-
 @pytest.fixture
 def view():
-    return views.Views(shards=FakeShards())
+    return views.Views(shards=fakepeers.FakeShards())
 
 
 def news(count, at):
@@ -86,7 +72,7 @@
 
 
 @attrs.define(kw_only=True)
-class DeafPeers(FakePeers):
+class DeafPeers(fakepeers.FakePeers):
     """The first messages to a peer get no answer in time."""
 
     lost: int
@@ -103,7 +89,7 @@
 async def test_news_that_an_instance_did_not_confirm_are_sent_again(monkeypatch):
     """Else it goes on sending to a cold upstream as to a warm one for seconds."""
     monkeypatch.setattr(views, "PUSH_PAUSE_S", 0.001)
-    shards = FakeShards(peers=DeafPeers(lost=2), members=FakeMembers())
+    shards = fakepeers.FakeShards(peers=DeafPeers(lost=2), members=FakeMembers())
     view = views.Views(shards=shards)
     cold = records.Warmth(upstream="engine-0", warm=False, at=1)
     await view._push(views.ViewNews(warmth=[cold]))
@@ -114,7 +100,7 @@
 
 
 @attrs.define(kw_only=True)
-class SlowShards(FakeShards):
+class SlowShards(fakepeers.FakeShards):
     """Commits wait until they are let go."""
 
     go: asyncio.Event = attrs.field(factory=asyncio.Event)
--- a/testing/support/oracle.py
+++ b/testing/support/oracle.py
@@ -3,7 +3,7 @@
 import collections
 
 import attrs
-from masticpost_bench import deployment, layout
+from masticpost_bench import callers, deployment, layout
 from masticpost_cli import bills as cli_bills
 from masticpost_common import codec, registry
 from masticpost_shards import bills, claims, log, state
@@ -117,7 +117,7 @@
 
 def _stream_faults(item: workload.Sent, wanted: list[str]) -> list[str]:
     body = item.final.body
-    words = deployment.stream_words(body)
+    words = callers.stream_words(body)
     is_whole = body.endswith(b"data: [DONE]\n\n")
     has_error = b'"error"' in body
     if is_whole and words == wanted:
--- a/testing/support/workload.py
+++ b/testing/support/workload.py
@@ -4,7 +4,7 @@
 import random
 
 import attrs
-from masticpost_bench import deployment
+from masticpost_bench import callers, deployment
 from masticpost_standins import answers
 
 REPEATS = 6
@@ -20,10 +20,10 @@
     key: str
     prompt: str = ""
     session: str = ""
-    replies: list[deployment.Reply] = attrs.field(factory=list)
+    replies: list[callers.Reply] = attrs.field(factory=list)
 
     @property
-    def final(self) -> deployment.Reply:
+    def final(self) -> callers.Reply:
         return self.replies[-1]
 
     @property
--- a/testing/test_entry.py
+++ b/testing/test_entry.py
@@ -7,7 +7,7 @@
 import attrs
 import pytest
 import pytest_asyncio
-from masticpost_bench import deployment, layout, procs
+from masticpost_bench import callers, deployment, layout, procs
 from support import workload
 
 pytestmark = [
@@ -41,7 +41,7 @@
     reply = await dep.chat("hello [len=7]", stream=True)
     assert reply.headers["Content-Type"].startswith("text/event-stream")
     wanted = workload.expected_words("hello [len=7]", "small-1", 0.8)
-    assert deployment.stream_words(reply.body) == wanted
+    assert callers.stream_words(reply.body) == wanted
     assert reply.body.endswith(b"data: [DONE]\n\n")
     ids = {
         json.loads(line[6:])["id"]
--- a/testing/test_hostile.py
+++ b/testing/test_hostile.py
@@ -6,7 +6,7 @@
 import hypothesis
 import pytest
 from hypothesis import strategies
-from masticpost_bench import deployment, layout, procs
+from masticpost_bench import callers, deployment, layout, procs
 
 EXAMPLES = 500
 PER_EXAMPLE = 20
@@ -118,7 +118,7 @@
         nonlocal sent
         sent += len(batch)
         works = [send(daemon.port, render(request, key)) for request in batch]
-        statuses.update(loop.run_until_complete(deployment.gather_limited(10, works)))
+        statuses.update(loop.run_until_complete(callers.gather_limited(10, works)))
 
     try:
         fire()
--- a/testing/test_learning.py
+++ b/testing/test_learning.py
@@ -1,7 +1,7 @@
 """What cascades learnt outlives the instances that learnt it."""
 
 import attrs
-from masticpost_bench import deployment, layout, procs
+from masticpost_bench import callers, deployment, layout, procs
 
 HARD = "hard {number} [len=2] [hard=0.6]"
 HARD_TARGET = 0.75
@@ -25,7 +25,7 @@
     works = [
         dep.chat(EASY.format(number=n), stream=True, via=via) for n in range(count)
     ]
-    replies = await deployment.gather_limited(4, works)
+    replies = await callers.gather_limited(4, works)
     versions = [reply.headers["X-Model-Version"] for reply in replies]
     return versions.count("small-1") / count
 
@@ -63,7 +63,7 @@
             works = [
                 dep.chat(HARD.format(number=n), via="entry-0") for n in range(ASKED)
             ]
-            replies = await deployment.gather_limited(4, works)
+            replies = await callers.gather_limited(4, works)
             versions = [reply.headers["X-Model-Version"] for reply in replies]
             return versions.count("large-1") / ASKED
 
--- a/testing/test_leaving.py
+++ b/testing/test_leaving.py
@@ -6,7 +6,7 @@
 
 import attrs
 import pytest
-from masticpost_bench import deployment, layout, procs
+from masticpost_bench import callers, deployment, layout, procs
 from support import workload
 
 AFTER_S = 2.0
@@ -113,7 +113,7 @@
         assert await daemon.proc.stop() == 0
         for i, reply in enumerate(replies):
             wanted = workload.expected_words(f"{i} [len=300]", "small-1", 0.8)
-            assert deployment.stream_words(reply.body) == wanted
+            assert callers.stream_words(reply.body) == wanted
         assert {reply.status for reply in booked} == {201}
         assert set((await dep.booking_runs()).values()) == {1}
 
@@ -154,7 +154,7 @@
         async def every_engine_is_used():
             """An owner that is new gives out no permits for some seconds."""
             works = [dep.chat(f"{i} [len=3]") for i in range(60)]
-            replies.extend(await deployment.gather_limited(24, works))
+            replies.extend(await callers.gather_limited(24, works))
             rows = [await dep.counts(spec.name) for spec in plan.engines]
             return all(row["requests"] for row in rows)
 
--- a/testing/test_rollout.py
+++ b/testing/test_rollout.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import attrs
-from masticpost_bench import deployment, layout, procs
+from masticpost_bench import callers, deployment, layout, procs
 
 QUALITIES = {"small-1": 0.80, "small-2": 0.55, "large-1": 0.96}
 MAX_EXPOSED = 400
@@ -28,7 +28,7 @@
 async def served(dep, count):
     """Return how many of some requests the new version answers."""
     works = [dep.chat(f"{i} [len=2]", stream=i % 2 == 0) for i in range(count)]
-    replies = await deployment.gather_limited(6, works)
+    replies = await callers.gather_limited(6, works)
     good = [reply for reply in replies if reply.status == 200]
     return sum(r.headers["X-Model-Version"] == "small-2" for r in good)
 
--- a/testing/test_tls.py
+++ b/testing/test_tls.py
@@ -9,7 +9,7 @@
 import pytest
 import pytest_asyncio
 import trustme
-from masticpost_bench import deployment, layout, procs
+from masticpost_bench import deployment, layout, procs, programs
 
 pytestmark = [
     pytest.mark.asyncio(loop_scope="module"),
@@ -22,7 +22,7 @@
     folder = tmp_path_factory.mktemp("tls")
     authority = trustme.CA()
     cert = authority.issue_cert(procs.HOST)
-    files = deployment.Tls(
+    files = programs.Tls(
         cert=str(folder / "cert.pem"),
         key=str(folder / "key.pem"),
         ca=str(folder / "ca.pem"),
