Show what gateways believe, and count their burn

Cause: operators had only log lines and five metrics of a gateway: the age of its beliefs, the state of its upstreams and its store calls could not be asked for, and `masticpost status` and `report burn` knew masticpostd only.

Change: `/status` and `/burn` beside `/metrics` on the metrics address, a registry of pages; `masticpost status ADDRESS...` and `masticpost report burn ADDRESS...` read them; the burn meter (HdrHistogram) of the product counts the gateway's requests too. New metrics: belief age, upstreams by state, store calls, requests at work, confidence, left out log lines.

Found by these tests and mended: a stream whose caller tells no prompt size was answered with 500 on routes with several models (AttributeError in Streaming._option); a cut stream left "Error handling request" of the server next to its own line. Both tests fail without the mend.

Ruled out: asking through the callers' port with an operators' key, as masticpostd does: the platform's callers reach that port, and nothing on these pages is secret.

--- /dev/null
+++ b/libs/masticpost-cli/src/masticpost_cli/gateways.py
@@ -0,0 +1,177 @@
+"""What gateways believe, asked one by one at the addresses of their metrics."""
+
+import asyncio
+import collections
+import collections.abc
+import time
+import typing
+
+import attrs
+from masticpost_gateway import gateway, status
+from masticpost_telemetry import burn
+
+from masticpost_cli import session
+
+T = typing.TypeVar("T")
+STALE_S = gateway.FRESH_S
+
+
+@attrs.define(kw_only=True)
+class Overview:
+    """The gateways that answered, and the addresses of those that did not."""
+
+    instances: list[status.Status]
+    unreachable: list[str] = attrs.field(factory=list)
+
+    def findings(self) -> list[str]:
+        """Return what is not as it should be, one sentence each."""
+        found = [f"{url} does not answer" for url in self.unreachable]
+        newest = max((row.config_version for row in self.instances), default=-1)
+        for row in self.instances:
+            found += _findings(row, newest)
+        return found
+
+
+def _findings(row: status.Status, newest: int) -> collections.abc.Iterator[str]:
+    if not row.is_ready:
+        yield f"{row.instance} is not ready"
+    if row.config_version < newest:
+        yield f"{row.instance} has configuration {row.config_version}, not {newest}"
+    for belief in row.beliefs:
+        if belief.age_s is None:
+            yield f"{row.instance} knows no {belief.kind.value} yet"
+        elif belief.age_s > STALE_S:
+            age = f"{belief.age_s:.1f} s old"
+            yield f"{row.instance}'s view of the {belief.kind.value} is {age}"
+        if belief.lost_s is not None:
+            lost = f"for {belief.lost_s:.1f} s"
+            yield f"{row.instance} cannot read the {belief.kind.value} {lost}"
+
+
+def addresses(ses: session.Session) -> list[str]:
+    """Return the base URLs that were given, empty when none were."""
+    return [_url(str(text)) for text in ses.args.get("ADDRESS") or []]
+
+
+def _url(text: str) -> str:
+    base = text if "://" in text else f"http://{text}"
+    return base.rstrip("/")
+
+
+async def collect(ses: session.Session) -> Overview:
+    """Ask each gateway for its status."""
+    urls = addresses(ses)
+    answers = await _ask(ses, urls, "/status", status.Status)
+    overview = Overview(instances=[])
+    for url, answer in zip(urls, answers, strict=True):
+        if isinstance(answer, session.UnreachableError):
+            overview.unreachable.append(url)
+        else:
+            overview.instances.append(answer)
+    return overview
+
+
+async def burn_rows(ses: session.Session) -> list[burn.BurnRow]:
+    """Return the burn of each series, merged over the gateways.
+
+    Raises
+    ------
+    session.UnreachableError
+        A gateway did not answer: the sums would be too small.
+    """
+    kind = list[burn.SeriesReport]
+    answers = await _ask(ses, addresses(ses), "/burn", kind)
+    for answer in answers:
+        if isinstance(answer, session.UnreachableError):
+            raise answer
+    series = [item for answer in answers for item in answer]
+    return burn.merge(series, now_s=time.time())
+
+
+async def _ask(
+    ses: session.Session, urls: list[str], path: str, kind: type[T]
+) -> list[T | session.UnreachableError]:
+    calls = (_fetch(ses, url + path, kind) for url in urls)
+    return await asyncio.gather(*calls)
+
+
+async def _fetch(
+    ses: session.Session, url: str, kind: type[T]
+) -> T | session.UnreachableError:
+    try:
+        return await ses.fetch(url, kind, has_key=False)
+    except session.UnreachableError as exc:
+        return exc
+
+
+def show(ses: session.Session, overview: Overview) -> None:
+    """Print the instances, the upstreams, the roll-outs and the findings."""
+    ses.print_table(
+        ["INSTANCE", "DOMAIN", "STATE", "CONFIGURATION", "AT WORK", "MEMBERS", *_AGES],
+        [_instance(row) for row in overview.instances],
+    )
+    ses.print("")
+    ses.print_table(["UPSTREAM", "SERVICE", "DOMAIN", "STATES"], _upstreams(overview))
+    for line in _trials(overview):
+        ses.print(line)
+    for line in overview.findings():
+        ses.print_error(line)
+
+
+_AGES = ["CONFIG AGE", "UPSTREAMS AGE", "ROLL-OUTS AGE", "DOMAINS-OUT AGE"]
+
+
+def _instance(row: status.Status) -> list[object]:
+    state = "ready" if row.is_ready else "not ready"
+    if row.is_draining:
+        state = "stopping"
+    if row.instance in row.watchers:
+        state += ", watcher"
+    ages = [_age(belief.age_s) for belief in row.beliefs]
+    return [
+        row.instance,
+        row.domain,
+        state,
+        row.config_version,
+        row.requests_in_flight,
+        len(row.members),
+        *ages,
+    ]
+
+
+def _age(age_s: float | None) -> str:
+    return "never read" if age_s is None else f"{age_s:.1f} s"
+
+
+def _upstreams(overview: Overview) -> list[list[object]]:
+    """Return a row for each upstream, with the number of instances by state."""
+    states: dict[str, collections.Counter[str]] = {}
+    seen: dict[str, status.UpstreamStatus] = {}
+    for row in overview.instances:
+        for up in row.upstreams:
+            seen[up.name] = up
+            states.setdefault(up.name, collections.Counter())[up.state.value] += 1
+    return [
+        [name, seen[name].service, seen[name].domain, _counts(states[name])]
+        for name in sorted(seen)
+    ]
+
+
+def _counts(states: collections.Counter[str]) -> str:
+    return ", ".join(f"{state} at {count}" for state, count in sorted(states.items()))
+
+
+def _trials(overview: Overview) -> list[str]:
+    """Return a line for each open roll-out, from who knows most of its answers."""
+    best: dict[str, status.TrialStatus] = {}
+    for row in overview.instances:
+        for trial in row.trials:
+            known = best.get(trial.service)
+            if known is None or trial.calls > known.calls:
+                best[trial.service] = trial
+    return [
+        f"version {row.version} of {row.service} is rolled out: {row.share:.0%},"
+        f" {row.failures} of {row.calls} answers failed"
+        + (f", taken back: {row.verdict}" if row.verdict else "")
+        for row in best.values()
+    ]
--- a/libs/masticpost-cli/src/masticpost_cli/main.py
+++ b/libs/masticpost-cli/src/masticpost_cli/main.py
@@ -26,7 +26,7 @@
   masticpost diff FILE [options]
   masticpost diff --from N --to N [options]
   masticpost history [options]
-  masticpost status [options]
+  masticpost status [ADDRESS...] [options]
   masticpost drain (domain | upstream | version) NAME [options]
   masticpost restore (domain | upstream | version) NAME [options]
   masticpost hash-key [options]
@@ -34,7 +34,7 @@
   masticpost audit FILE [options]
   masticpost doubts [options]
   masticpost budgets [options]
-  masticpost report burn [--html OUT] [options]
+  masticpost report burn [ADDRESS...] [--html OUT] [options]
   masticpost explain REQUEST_ID LOG... [options]
   masticpost --help
 
@@ -45,6 +45,8 @@
   diff      Compare a file with the text in force, or two generations.
   history   List the generations.
   status    Show every instance, its generation, its shards, and the upstreams.
+            With the metrics addresses of gateways: what each believes and how
+            old it is.
   drain     Take a failure domain, upstream or version out: an edit of the text.
   restore   Bring it back.
   hash-key  Read an API key from standard input, print what the text holds of it.
@@ -52,7 +54,7 @@
   audit     Compare the bills with a file of what upstreams ran.
   doubts    List non-idempotent calls whose outcome is not known.
   budgets   Show what customers with a budget spent in its present window.
-  report    Show how fast the error budget is spent.
+  report    Show how fast the error budget is spent, of gateways too.
   explain   Tell what happened to a request, from the logs of instances.
 
 Options:
@@ -74,6 +76,7 @@
   masticpost check plant.yaml && masticpost apply plant.yaml --note "new manual"
   masticpost drain domain hsinchu
   masticpost report burn --json
+  masticpost status 10.0.0.11:9464 10.0.0.12:9464
   masticpost explain 6946f0469c7e4215 front-*.log
 
 Exit codes: 0 done, 1 the answer is no (findings, conflict, mismatch), 2 usage,
--- a/libs/masticpost-cli/src/masticpost_cli/report.py
+++ b/libs/masticpost-cli/src/masticpost_cli/report.py
@@ -10,7 +10,7 @@
 from masticpost_entry import admin
 from masticpost_telemetry import burn
 
-from masticpost_cli import commands, session, status
+from masticpost_cli import commands, gateways, session, status
 
 PAGE = """<!doctype html><html lang="en"><meta charset="utf-8">
 <title>masticpost: service-level burn</title>
@@ -40,7 +40,8 @@
 @commands.COMMANDS.register("report")
 async def report_burn(ses: session.Session) -> int:
     """Print the burn report; exit 1 when a series asks for a page."""
-    rows = await collect(ses)
+    is_of_gateways = bool(gateways.addresses(ses))
+    rows = await (gateways.burn_rows(ses) if is_of_gateways else collect(ses))
     if ses.args["--html"]:
         pathlib.Path(str(ses.args["--html"])).write_text(render_html(rows))
     if ses.wants_json:
--- a/libs/masticpost-cli/src/masticpost_cli/session.py
+++ b/libs/masticpost-cli/src/masticpost_cli/session.py
@@ -99,9 +99,14 @@
         except (OSError, ssl.SSLError) as exc:
             raise UsageError(f"cannot read --ca {name}: {exc}") from exc
 
-    async def fetch(self, url: str, kind: type[T]) -> T:
+    async def fetch(self, url: str, kind: type[T], *, has_key: bool = True) -> T:
         """Return an operators' page of an instance.
 
+        Parameters
+        ----------
+        has_key : bool
+            Whether the page asks for the operators' key.
+
         Raises
         ------
         UnreachableError
@@ -111,7 +116,9 @@
             timeout = aiohttp.ClientTimeout(total=HTTP_TIMEOUT_S)
             connector = aiohttp.TCPConnector(ssl=self._tls())
             self.http = aiohttp.ClientSession(timeout=timeout, connector=connector)
-        headers = {"Authorization": f"Bearer {self.needed('admin-key')}"}
+        headers = {}
+        if has_key:
+            headers["Authorization"] = f"Bearer {self.needed('admin-key')}"
         try:
             async with self.http.get(url, headers=headers) as resp:
                 if resp.status == 401:
--- a/libs/masticpost-cli/src/masticpost_cli/status.py
+++ b/libs/masticpost-cli/src/masticpost_cli/status.py
@@ -6,7 +6,7 @@
 from masticpost_confsync import head
 from masticpost_entry import admin, stages
 
-from masticpost_cli import commands, session
+from masticpost_cli import commands, gateways, session
 
 
 @attrs.define(kw_only=True)
@@ -53,6 +53,8 @@
 @commands.COMMANDS.register("status")
 async def status(ses: session.Session) -> int:
     """Print the overview; exit 1 when an instance is behind or silent."""
+    if gateways.addresses(ses):
+        return await _gateways(ses)
     overview = await collect(ses)
     wanted = overview.head_generation
     newest = max(row.generation for row in overview.instances)
@@ -69,6 +71,15 @@
     return commands.EXIT_OK if is_good else commands.EXIT_NO
 
 
+async def _gateways(ses: session.Session) -> int:
+    overview = await gateways.collect(ses)
+    if ses.wants_json:
+        ses.print_json(overview)
+    else:
+        gateways.show(ses, overview)
+    return commands.EXIT_NO if overview.findings() else commands.EXIT_OK
+
+
 def _print(ses: session.Session, overview: Overview) -> None:
     if overview.head_generation is not None:
         ses.print(f"generation {overview.head_generation} is the accepted one")
--- /dev/null
+++ b/libs/masticpost-cli/testing/test_gateways.py
@@ -0,0 +1,91 @@
+"""`status` and `report burn` of gateways, run by the real tool."""
+
+import asyncio
+import json
+import os
+
+from masticpost_bench import procs
+from masticpost_gateway import node
+from support import gatewaykit as kit
+
+
+async def tool(*args):
+    """Run the tool without an operators' key; return exit code, output and errors."""
+    env = {k: v for k, v in os.environ.items() if not k.startswith("MASTICPOST_")}
+    proc = await asyncio.create_subprocess_exec(
+        procs.program("masticpost"),
+        *args,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+        env=env,
+    )
+    out, err = await proc.communicate()
+    return proc.returncode, out.decode(), err.decode()
+
+
+async def add_nodes(dep, count):
+    """Add nodes that know each other; return the addresses of their metrics."""
+    found = []
+    for number in range(count):
+        port = procs.free_ports(1)[0]
+        seeds = [made.cfg.mesh.address for made in dep.nodes]
+        await dep.add_node(
+            f"n{number}",
+            seeds=seeds,
+            metrics=node.Address(host="127.0.0.1", port=port),
+        )
+        found.append(f"127.0.0.1:{port}")
+    return found
+
+
+async def test_status_shows_each_gateways_beliefs_and_exits_well():
+    async with kit.Deployment() as dep:
+        await dep.add_worker("w1", kit.answers())
+        await dep.configure()
+        urls = await add_nodes(dep, 2)
+        await kit.until(lambda: all(len(made.members()) == 2 for made in dep.nodes))
+        code, out, err = await tool("status", *urls)
+        assert (code, err) == (0, "")
+        assert "n0" in out
+        assert "ready at 2" in out
+        code, out, _ = await tool("status", *urls, "--json")
+        assert code == 0
+        rows = json.loads(out)["instances"]
+        assert {row["instance"] for row in rows} == {"n0", "n1"}
+        assert all(belief["age_s"] < 10 for row in rows for belief in row["beliefs"])
+
+
+async def test_status_says_what_is_wrong():
+    async with kit.Deployment() as dep:
+        await dep.configure()
+        urls = await add_nodes(dep, 1)
+        dead = f"127.0.0.1:{procs.free_ports(1)[0]}"
+        dep.nodes[0].shared.closing_at = 0.0
+        code, _, err = await tool("status", *urls, dead)
+        assert code == 1
+        assert f"http://{dead} does not answer" in err
+        assert "n0 is not ready" in err
+
+
+async def test_burn_report_is_merged_over_gateways():
+    async with kit.Deployment() as dep:
+        await dep.add_worker("w1", kit.answers(500))
+        await dep.configure()
+        urls = await add_nodes(dep, 2)
+        await dep.call("/book/", method="POST", via=0)
+        await dep.call("/book/", method="POST", via=1)
+        code, out, _ = await tool("report", "burn", *urls, "--json")
+        assert code == 1
+        (row,) = json.loads(out)
+        assert (row["good"], row["bad"], row["alert"]) == (0, 2, "page")
+        assert row["series"] == {"service": "desk", "customer": "acme", "domain": "a"}
+
+
+async def test_burn_report_is_not_given_of_some_gateways_only():
+    async with kit.Deployment() as dep:
+        await dep.configure()
+        urls = await add_nodes(dep, 1)
+        dead = f"127.0.0.1:{procs.free_ports(1)[0]}"
+        code, _, err = await tool("report", "burn", *urls, dead)
+        assert code == 3
+        assert dead in err
--- a/libs/masticpost-gateway/src/masticpost_gateway/call.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/call.py
@@ -6,7 +6,7 @@
 import multidict
 from loguru import logger
 
-from masticpost_gateway import headers, model
+from masticpost_gateway import headers, model, outcomes
 
 ANSWER_MARGIN_S = 0.04
 
@@ -90,11 +90,15 @@
         """Return the seconds until the answer is due."""
         return self.answer_by - time.monotonic()
 
+    def age_s(self) -> float:
+        """Return the seconds since the request arrived."""
+        return time.monotonic() - self.started_at
+
     def objective_left_s(self) -> float:
         """Return the seconds until the objective has passed."""
         return self.started_at + self.route.objective_s - time.monotonic()
 
-    def log_end(self, outcome: str, status: int, reason: str = "") -> None:
+    def log_end(self, outcome: outcomes.Outcome, status: int, reason: str = "") -> None:
         """Write the one line that tells the request's story."""
         tries = [
             f"{r.upstream}/{r.model or '-'}:{r.result}@{r.took_s:.3f}"
@@ -116,5 +120,5 @@
             first_s=None
             if self.first_event_s is None
             else round(self.first_event_s, 3),
-            took_s=round(time.monotonic() - self.started_at, 3),
+            took_s=round(self.age_s(), 3),
         ).info("request ended")
--- /dev/null
+++ b/libs/masticpost-gateway/src/masticpost_gateway/counted.py
@@ -0,0 +1,83 @@
+"""A store whose calls are counted by kind and result."""
+
+import collections.abc
+import typing
+
+import prometheus_client
+import result
+
+from masticpost_gateway import model, source
+
+T = typing.TypeVar("T")
+GOOD = "good"
+
+
+class CountedStore:
+    """Passes calls on to another `source.Source` and counts them.
+
+    Parameters
+    ----------
+    store : source.Source
+        Takes the calls.
+    registry : prometheus_client.CollectorRegistry
+        Where the counter is registered.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: source.Source,
+        registry: prometheus_client.CollectorRegistry,
+    ) -> None:
+        self.store = store
+        self._calls = prometheus_client.Counter(
+            "masticpost_gateway_store_calls",
+            "Calls to the store by what was called and how it ended.",
+            ["call", "result"],
+            registry=registry,
+        )
+
+    async def list_all(
+        self, kind: source.Kind
+    ) -> result.Result[source.Listing, source.Fault]:
+        """Return all entries of a kind."""
+        return await self._count(f"list {kind.value}", self.store.list_all(kind))
+
+    async def watch(
+        self, kind: source.Kind, at: int, wait_s: float
+    ) -> result.Result[source.Changes, source.Fault]:
+        """Return the changes after `at`."""
+        call = self.store.watch(kind, at, wait_s)
+        return await self._count(f"watch {kind.value}", call)
+
+    async def decide(
+        self, entry: source.Entry, order: model.RollOut
+    ) -> result.Result[source.Entry, source.Fault]:
+        """Write the state of a roll-out."""
+        return await self._count("decide", self.store.decide(entry, order))
+
+    async def register(
+        self, me: source.InstanceEntry
+    ) -> result.Result[None, source.Fault]:
+        """Enter this instance."""
+        return await self._count("register", self.store.register(me))
+
+    async def instances(
+        self,
+    ) -> result.Result[list[source.InstanceEntry], source.Fault]:
+        """Return the registered instances."""
+        return await self._count("instances", self.store.instances())
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self.store.close()
+
+    async def _count(
+        self,
+        name: str,
+        call: collections.abc.Awaitable[result.Result[T, source.Fault]],
+    ) -> result.Result[T, source.Fault]:
+        outcome = await call
+        told = GOOD if outcome.is_ok() else outcome.unwrap_err().kind.value
+        self._calls.labels(name, told).inc()
+        return outcome
--- a/libs/masticpost-gateway/src/masticpost_gateway/gateway.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/gateway.py
@@ -19,6 +19,7 @@
     loads,
     measures,
     model,
+    outcomes,
     placement,
     plain,
     retryshare,
@@ -103,16 +104,18 @@
             resp = await self._serve(item, req)
         except errors.RefusalError as exc:
             refusal = exc.refusal
-            self._end(item, refusal.code, refusal.status, refusal.message)
+            outcome = outcomes.Outcome(refusal.code)
+            self._end(item, outcome, refusal.status, refusal.message)
             return refusal_response(refusal)
         except streaming.CutError as exc:
-            self._end(item, "cut", 200, str(exc))
+            self._end(item, outcomes.Outcome.CUT, 200, str(exc))
             req.transport.close()
-            raise
+            # The server would log any other error next to this request's line.
+            raise asyncio.CancelledError from exc
         except asyncio.CancelledError:
-            self._end(item, "caller gone", SERVER_GONE)
+            self._end(item, outcomes.Outcome.CALLER_GONE, SERVER_GONE)
             raise
-        self._end(item, "answered", resp.status)
+        self._end(item, outcomes.Outcome.ANSWERED, resp.status)
         return resp
 
     async def _serve(self, item: call.Call, req: web.BaseRequest) -> web.StreamResponse:
@@ -128,7 +131,7 @@
         if found is None:
             raise errors.refuse(
                 503,
-                "no-configuration",
+                outcomes.Outcome.NO_CONFIGURATION,
                 "no configuration is known yet",
                 retry_after_s=NO_CONFIG_RETRY_S,
             )
@@ -137,7 +140,9 @@
         self._refuse_while_closing(started_at)
         route = found.route(req.headers.get("Host", ""), path)
         if route is None:
-            raise self._unknown(404, "no-route", "no route matches host and path")
+            raise self._unknown(
+                404, outcomes.Outcome.NO_ROUTE, "no route matches host and path"
+            )
         head = headers.read_call(req.headers, self.shared.names)
         customer = self._customer(found, route, head)
         body = await self._body(req, found.cfg.limits)
@@ -167,7 +172,10 @@
         closing_at = self.shared.closing_at
         if closing_at is not None and now > closing_at + TAKES_NEW_S:
             raise errors.refuse(
-                503, "stopping", "this instance stops", retry_after_s=STOPPING_RETRY_S
+                503,
+                outcomes.Outcome.STOPPING,
+                "this instance stops",
+                retry_after_s=STOPPING_RETRY_S,
             )
 
     def _customer(
@@ -177,7 +185,9 @@
             return None
         customer = found.customer(head.key)
         if customer is None:
-            raise self._unknown(401, "unknown-key", "the key is not known")
+            raise self._unknown(
+                401, outcomes.Outcome.UNKNOWN_KEY, "the key is not known"
+            )
         return customer
 
     def _unknown(self, status: int, code: str, message: str) -> errors.RefusalError:
@@ -188,7 +198,7 @@
             return errors.refuse(status, code, message)
         return errors.refuse(
             503,
-            "configuration-too-old",
+            outcomes.Outcome.CONFIGURATION_TOO_OLD,
             f"{message}, by a configuration confirmed {age_s:.1f} s ago",
             retry_after_s=NO_CONFIG_RETRY_S,
         )
@@ -200,7 +210,9 @@
         async for chunk in req.content.iter_any():
             size += len(chunk)
             if size > limits.body_bytes:
-                raise errors.refuse(413, "too-large", "the body is over the limit")
+                raise errors.refuse(
+                    413, outcomes.Outcome.TOO_LARGE, "the body is over the limit"
+                )
             chunks.append(chunk)
         return b"".join(chunks)
 
@@ -208,7 +220,11 @@
         return headers.passed_on(req.headers, self._dropped)
 
     def _end(
-        self, item: call.Call, outcome: str, status: int, reason: str = ""
+        self,
+        item: call.Call,
+        outcome: outcomes.Outcome,
+        status: int,
+        reason: str = "",
     ) -> None:
         item.log_end(outcome, status, reason)
         self.shared.metrics.ended(item, outcome, status)
--- a/libs/masticpost-gateway/src/masticpost_gateway/measures.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/measures.py
@@ -2,19 +2,30 @@
 
 import prometheus_client
 from masticpost_common import errors
+from masticpost_telemetry import burn
 from prometheus_client import exposition
 
-from masticpost_gateway import call
+from masticpost_gateway import call, outcomes
 
 BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0)
+CONFIDENCE_BUCKETS = (0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9)
 CONTENT_TYPE = exposition.CONTENT_TYPE_LATEST
+SERVER_ERROR = 500
 
 
 class Measures:
-    """Counters of one process."""
+    """Counters of one process, and its burn meter.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    domain : str
+        Failure domain of the instance, a part of each burn series.
+    """
+
+    def __init__(self, *, domain: str) -> None:
+        self.domain = domain
         self.registry = prometheus_client.CollectorRegistry()
+        self.burn = burn.BurnMeter()
         self.requests = prometheus_client.Counter(
             "masticpost_gateway_requests",
             "Requests by route, kind, outcome and status.",
@@ -40,15 +51,49 @@
             buckets=BUCKETS_S,
             registry=self.registry,
         )
+        self.confidence = prometheus_client.Histogram(
+            "masticpost_gateway_confidence_ratio",
+            "A model's opinion of its own answer, by model and whether it was kept.",
+            ["model", "kept"],
+            buckets=CONFIDENCE_BUCKETS,
+            registry=self.registry,
+        )
 
-    def ended(self, item: call.Call, outcome: str, status: int) -> None:
+    def ended(
+        self, item: call.Call, outcome: outcomes.Outcome, status_code: int
+    ) -> None:
         """Count a request that ended."""
         kind = item.route.kind.value
-        self.requests.labels(item.route.name, kind, outcome, str(status)).inc()
+        self.requests.labels(item.route.name, kind, outcome, str(status_code)).inc()
         for row in item.records:
             self.tries.labels(row.model, row.result.split(":")[0].split(" ")[0]).inc()
+        for row in item.decisions:
+            if row.confidence is not None:
+                kept = "no" if row.chosen else "yes"
+                self.confidence.labels(row.model, kept).observe(row.confidence)
         if item.first_event_s is not None:
             self.first_event.labels(item.route.name).observe(item.first_event_s)
+        self._burn(item, outcome, status_code)
+
+    def _burn(
+        self, item: call.Call, outcome: outcomes.Outcome, status_code: int
+    ) -> None:
+        """Count a request for the burn report, unless its caller gave it up."""
+        if outcome is outcomes.Outcome.CALLER_GONE:
+            return
+        took_s = item.first_event_s
+        if took_s is None:
+            took_s = item.age_s()
+        is_answered = outcome is outcomes.Outcome.ANSWERED
+        is_good = is_answered and status_code < SERVER_ERROR
+        series = burn.Series(
+            service=item.service.name, customer=item.customer, domain=self.domain
+        )
+        self.burn.record(
+            series,
+            good=is_good and took_s <= item.route.objective_s,
+            latency_s=took_s,
+        )
 
     def refused(self, refusal: errors.Refusal) -> None:
         """Count a refusal."""
--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -1,6 +1,7 @@
 """One instance of the gateway: its parts, their start and their graceful end."""
 
 import asyncio
+import collections.abc
 import time
 
 import attrs
@@ -14,11 +15,14 @@
     choice,
     coldpace,
     conns,
+    counted,
     gateway,
+    gauges,
     headers,
     loads,
     measures,
     mesh,
+    pages,
     placement,
     relay,
     retryshare,
@@ -26,6 +30,7 @@
     source,
     speeds,
     stages,
+    status,
     trial,
     watching,
 )
@@ -86,6 +91,8 @@
         The platform's store.
     names : headers.HeaderNames
         How both sides spell the headers.
+    dropped_lines : callable, optional
+        Returns how many log lines were left out.
     """
 
     def __init__(
@@ -94,10 +101,14 @@
         cfg: NodeSettings,
         store: source.Source,
         names: headers.HeaderNames,
+        dropped_lines: collections.abc.Callable[[], int] = lambda: 0,
     ) -> None:
         super().__init__()
         self.cfg = cfg
         self.store = store
+        self.dropped_lines = dropped_lines
+        self.metrics = measures.Measures(domain=cfg.domain)
+        store = counted.CountedStore(store=store, registry=self.metrics.registry)
         self.known = beliefs.Beliefs()
         self.mesh = mesh.Mesh(
             name=cfg.name, domain=cfg.domain, cfg=cfg.mesh, store=store
@@ -120,7 +131,7 @@
             ),
             trials=trials,
             sessions=memory,
-            metrics=measures.Measures(),
+            metrics=self.metrics,
             policy=cascade.POLICIES.get(cfg.policy),
             loads=self.loads,
             places=places,
@@ -136,6 +147,8 @@
             members=lambda: {row.name for row in self.relay.watchers},
         )
         self.gateway = gateway.Gateway(shared=self.shared)
+        gauge = gauges.StatusGauges(read=lambda: status.of(self))
+        self.metrics.registry.register(gauge)
         self._runners: list[web.ServerRunner] = []
         self.known.listen(self._on_change)
 
@@ -158,7 +171,7 @@
         await self._listen(self.cfg.callers, self.gateway.handle)
         await self._listen(self.cfg.ready, self._ready)
         if self.cfg.metrics is not None:
-            await self._listen(self.cfg.metrics, self._metrics)
+            await self._listen(self.cfg.metrics, self._page)
         logger.bind(event="start", name=self.cfg.name).info("listening")
 
     async def on_stop(self) -> None:
@@ -213,9 +226,8 @@
     async def _ready(self, req: web.BaseRequest) -> web.Response:
         return web.Response(status=200 if self.is_ready else 503)
 
-    async def _metrics(self, req: web.BaseRequest) -> web.Response:
-        body = self.shared.metrics.render()
-        return web.Response(body=body, headers={"Content-Type": measures.CONTENT_TYPE})
+    async def _page(self, req: web.BaseRequest) -> web.Response:
+        return pages.respond(self, req.path)
 
     def _on_change(self, kind: source.Kind) -> None:
         if kind is source.Kind.UPSTREAMS:
--- /dev/null
+++ b/libs/masticpost-gateway/src/masticpost_gateway/pages.py
@@ -0,0 +1,57 @@
+"""What an instance serves to operators: its metrics, its status, its burn counts."""
+
+import collections.abc
+import typing
+
+import attrs
+from aiohttp import web
+from masticpost_common import codec, registry
+
+from masticpost_gateway import measures, status
+
+JSON = "application/json"
+
+
+@attrs.frozen(kw_only=True)
+class Page:
+    """The content of a page."""
+
+    content_type: str
+    body: bytes
+
+
+class Parts(status.Parts, typing.Protocol):
+    """The parts of an instance that its pages show."""
+
+    metrics: measures.Measures
+
+
+Writer = collections.abc.Callable[[Parts], Page]
+PAGES: registry.Registry[Writer] = registry.Registry(kind="page")
+
+
+@PAGES.register("/metrics")
+def metrics(parts: Parts) -> Page:
+    """Return every metric in the Prometheus text format."""
+    return Page(content_type=measures.CONTENT_TYPE, body=parts.metrics.render())
+
+
+@PAGES.register("/status")
+def status_page(parts: Parts) -> Page:
+    """Return what the instance believes, as `status.Status`."""
+    return Page(content_type=JSON, body=codec.to_json(status.of(parts)))
+
+
+@PAGES.register("/burn")
+def burn(parts: Parts) -> Page:
+    """Return its counts for the burn report, a list of `burn.SeriesReport`."""
+    return Page(content_type=JSON, body=codec.to_json(parts.metrics.burn.report()))
+
+
+def respond(parts: Parts, path: str) -> web.Response:
+    """Return the answer to a request for a page."""
+    if path not in PAGES.names():
+        known = ", ".join(PAGES.names())
+        return web.Response(status=404, text=f"no page {path}; there are {known}\n")
+    page = PAGES.get(path)(parts)
+    return web.Response(body=page.body, headers={"Content-Type": page.content_type})
--- a/libs/masticpost-gateway/src/masticpost_gateway/plain.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/plain.py
@@ -10,7 +10,7 @@
 from masticpost_common import errors, retry
 
 from masticpost_gateway import call as calls
-from masticpost_gateway import conns, headers, sending, tries
+from masticpost_gateway import conns, headers, outcomes, sending, tries
 
 FIRST_TRY_SHARE = 0.6
 READ_BYTES = 65_536
@@ -75,7 +75,9 @@
 
 def _given_up(run: tries.Tries, reason: str) -> errors.RefusalError:
     if run.may_have_run and run.call.left_s() <= 0:
-        return errors.refuse(504, "timeout", reason, ran=errors.RAN_MAYBE)
+        return errors.refuse(
+            504, outcomes.Outcome.TIMEOUT, reason, ran=errors.RAN_MAYBE
+        )
     return run.refusal(reason)
 
 
--- /dev/null
+++ b/libs/masticpost-gateway/src/masticpost_gateway/status.py
@@ -0,0 +1,200 @@
+"""What an instance believes and how old it is, for operators."""
+
+import collections.abc
+import enum
+import time
+import typing
+
+import attrs
+
+from masticpost_gateway import (
+    beliefs,
+    choice,
+    gateway,
+    mesh,
+    model,
+    relay,
+    source,
+    trial,
+    watching,
+)
+
+DECIMALS = 3
+
+
+class UpstreamState(enum.Enum):
+    """Whether an upstream gets new work from an instance, and why not."""
+
+    READY = "ready"
+    COLD = "cold"
+    EJECTED = "ejected"
+    DRAINING = "draining"
+    DOMAIN_OUT = "domain out"
+
+
+@attrs.frozen(kw_only=True)
+class BeliefStatus:
+    """One kind of the store's records as an instance knows it.
+
+    Attributes
+    ----------
+    at : int
+        Revision up to which it is complete, -1 before the first.
+    age_s : float or None
+        Seconds since the store was last known to hold nothing newer.
+    lost_s : float or None
+        Seconds since this instance's own calls fail, None while they do not.
+    """
+
+    kind: source.Kind
+    entries: int
+    at: int
+    age_s: float | None
+    lost_s: float | None
+
+
+@attrs.frozen(kw_only=True)
+class UpstreamStatus:
+    """An upstream as an instance sees it.
+
+    Attributes
+    ----------
+    outstanding : int
+        Requests of this instance at work there.
+    """
+
+    name: str
+    service: str
+    domain: str
+    version: str
+    state: UpstreamState
+    outstanding: int
+
+
+@attrs.frozen(kw_only=True)
+class TrialStatus:
+    """A roll-out that is open; counts are of all instances that told theirs."""
+
+    service: str
+    version: str
+    share: float
+    calls: int
+    failures: int
+    verdict: str
+
+
+@attrs.frozen(kw_only=True)
+class Status:
+    """One instance.
+
+    Attributes
+    ----------
+    config_version : int
+        Version of the configuration in force, -1 before the first.
+    dropped_lines : int
+        Log lines left out since the start.
+    members : list of str
+        Instances that it knows to be alive, itself included.
+    watchers : list of str
+        Instances that watch the store for all.
+    """
+
+    instance: str
+    domain: str
+    is_ready: bool
+    is_draining: bool
+    config_version: int
+    requests_in_flight: int
+    dropped_lines: int
+    members: list[str]
+    watchers: list[str]
+    beliefs: list[BeliefStatus]
+    upstreams: list[UpstreamStatus]
+    trials: list[TrialStatus]
+
+
+class Parts(typing.Protocol):
+    """The parts of an instance that its status is read from."""
+
+    mesh: mesh.Mesh
+    known: beliefs.Beliefs
+    watching: watching.Watching
+    relay: relay.Relay
+    shared: gateway.Shared
+    gateway: gateway.Gateway
+    is_ready: bool
+    dropped_lines: collections.abc.Callable[[], int]
+
+
+def of(parts: Parts) -> Status:
+    """Return the status of an instance."""
+    now = time.monotonic()
+    known = parts.known
+    me = parts.mesh.me
+    return Status(
+        instance=me.name,
+        domain=me.domain,
+        is_ready=parts.is_ready,
+        is_draining=parts.shared.closing_at is not None,
+        config_version=known.table.cfg.version if known.table is not None else -1,
+        requests_in_flight=len(parts.gateway.busy),
+        dropped_lines=parts.dropped_lines(),
+        members=sorted(parts.mesh.names()),
+        watchers=[member.name for member in parts.relay.watchers],
+        beliefs=[_belief(view, parts.watching, now) for view in known.views.values()],
+        upstreams=[
+            _upstream(upstream, parts.shared.chooser, now)
+            for upstream in known.upstreams(now)
+        ],
+        trials=[_trial(row) for row in parts.shared.trials.open.values()],
+    )
+
+
+def _belief(view: beliefs.View, watch: watching.Watching, now: float) -> BeliefStatus:
+    since = watch.failing_since.get(view.kind)
+    return BeliefStatus(
+        kind=view.kind,
+        entries=len(view.entries),
+        at=view.at,
+        age_s=None if view.at < 0 else round(view.age_s(now), DECIMALS),
+        lost_s=None if since is None else round(now - since, DECIMALS),
+    )
+
+
+def _upstream(
+    upstream: model.Upstream, chooser: choice.Chooser, now: float
+) -> UpstreamStatus:
+    return UpstreamStatus(
+        name=upstream.name,
+        service=upstream.service,
+        domain=upstream.domain,
+        version=upstream.version,
+        state=_state(upstream, chooser, now),
+        outstanding=chooser.health_of(upstream).outstanding,
+    )
+
+
+def _state(
+    upstream: model.Upstream, chooser: choice.Chooser, now: float
+) -> UpstreamState:
+    if upstream.is_draining:
+        return UpstreamState.DRAINING
+    if upstream.domain in chooser.known.domains_out():
+        return UpstreamState.DOMAIN_OUT
+    if chooser.health_of(upstream).is_ejected(now):
+        return UpstreamState.EJECTED
+    if chooser.is_cold(upstream, now):
+        return UpstreamState.COLD
+    return UpstreamState.READY
+
+
+def _trial(row: trial.Trial) -> TrialStatus:
+    tally, _ = row.pooled()
+    return TrialStatus(
+        service=row.order.service,
+        version=row.order.target,
+        share=row.order.share,
+        calls=tally.calls,
+        failures=tally.failures,
+        verdict=row.verdict,
+    )
--- a/libs/masticpost-gateway/src/masticpost_gateway/streaming.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/streaming.py
@@ -14,6 +14,7 @@
     events,
     headers,
     model,
+    outcomes,
     patience,
     sending,
     tries,
@@ -127,7 +128,11 @@
         if may_repeat and self.run.may_try_again():
             return
         if self.run.may_have_run and self.call.left_s() <= 0:
-            self._give_up(errors.refuse(504, "timeout", reason, ran=errors.RAN_MAYBE))
+            self._give_up(
+                errors.refuse(
+                    504, outcomes.Outcome.TIMEOUT, reason, ran=errors.RAN_MAYBE
+                )
+            )
         self._give_up(self.run.refusal(reason))
 
     def _give_up(self, exc: errors.RefusalError) -> None:
@@ -205,7 +210,9 @@
         levels, costs = self.call.route.levels, self.call.service.costs
         reading = self.run.reading(levels[number])
         pace = self.shared.places.pace.of(self.call.service.name, levels[number])
-        first_s = self.shared.places.first_s(ready, reading) if ready else 0.0
+        first_s = 0.0
+        if ready and reading is not None:
+            first_s = self.shared.places.first_s(ready, reading)
         tokens = self.call.head.prompt.tokens_expected
         return cascade.Option(
             level=number,
--- a/libs/masticpost-gateway/src/masticpost_gateway/tries.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/tries.py
@@ -16,6 +16,7 @@
     health,
     loads,
     model,
+    outcomes,
     patience,
     placement,
     retryshare,
@@ -249,8 +250,12 @@
     def refusal(self, reason: str) -> errors.RefusalError:
         """Return the error for a caller whose request was given up."""
         if self.may_have_run:
-            return errors.refuse(502, "upstream-failed", reason, ran=errors.RAN_MAYBE)
-        return errors.refuse(503, "not-run", reason, retry_after_s=RETRY_AFTER_S)
+            return errors.refuse(
+                502, outcomes.Outcome.UPSTREAM_FAILED, reason, ran=errors.RAN_MAYBE
+            )
+        return errors.refuse(
+            503, outcomes.Outcome.NOT_RUN, reason, retry_after_s=RETRY_AFTER_S
+        )
 
     def _end_work(self, work: loads.Work | None) -> None:
         if work is not None:
--- a/libs/masticpost-gateway/testing/test_streaming.py
+++ b/libs/masticpost-gateway/testing/test_streaming.py
@@ -50,6 +50,18 @@
         assert not reply.is_whole
 
 
+async def test_cut_stream_leaves_one_line_in_the_log(caplog):
+    async with kit.Deployment() as dep:
+        await dep.add_worker("w1", kit.streams(5, cut_after=2))
+        chat = attrs.evolve(kit.CHAT, attempts=1)
+        await dep.configure(kit.configuration(routes=(chat,)))
+        made = await dep.add_node()
+        reply = await dep.call("/chat/", method="POST", body=b"x")
+        assert (reply.is_whole, reply.body) == (False, events(2))
+        await kit.until(lambda: not made.gateway.busy)
+    assert not [row for row in caplog.records if row.name == "aiohttp.server"]
+
+
 async def test_doubtful_answer_is_asked_of_the_largest_model():
     async def script(got, writer):
         doubtful = got.headers["request-model"] == "small"
@@ -64,6 +76,25 @@
         assert [g.headers["request-model"] for g in worker.got] == ["small", "large"]
 
 
+async def test_answer_to_a_prompt_of_unknown_size_is_judged_by_its_confidence():
+    """A caller need not tell the size and the parts of its prompt."""
+    async with kit.Deployment() as dep:
+
+        async def script(got, writer):
+            is_small = got.headers["request-model"] == "small"
+            await kit.streams(2, confidence=20 if is_small else 95)(got, writer)
+
+        worker = await dep.add_worker("w1", script)
+        await dep.configure()
+        await dep.add_node()
+        reply = await dep.call("/chat/", method="POST", body=b"x")
+        assert (reply.status, reply.body) == (200, events(2))
+        assert [got.headers["request-model"] for got in worker.got] == [
+            "small",
+            "large",
+        ]
+
+
 async def test_failed_stream_is_tried_elsewhere_and_then_reported():
     async with kit.Deployment() as dep:
         await dep.add_worker("w1", kit.answers(500, b"failed"))
--- a/libs/masticpost-telemetry/src/masticpost_telemetry/logs.py
+++ b/libs/masticpost-telemetry/src/masticpost_telemetry/logs.py
@@ -76,6 +76,11 @@
         Most lines a second in the long run.
     burst : float
         Most lines at once.
+
+    Attributes
+    ----------
+    dropped, dropped_in_all : int
+        Lines left out since the last written line, and since the start.
     """
 
     def __init__(
@@ -86,6 +91,7 @@
         self.lines_per_s = lines_per_s
         self.burst = burst
         self.dropped = 0
+        self.dropped_in_all = 0
         self._tokens = burst
         self._filled_at = time.monotonic()
         self._rest = b""
@@ -94,6 +100,7 @@
         """Write one line, or drop it."""
         if not self._has_token() or not self._flush_rest():
             self.dropped += 1
+            self.dropped_in_all += 1
             return
         data = line.encode()
         if self.dropped:
