--- a/libs/masticpost-gateway/src/masticpost_gateway/relay.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/relay.py
@@ -2,11 +2,17 @@
 
 The watchers are chosen by rendezvous hashing, spread over the failure domains. Each
 other instance is told by two of them; an instance that hears nothing fresh watches by
-itself. What one watcher learns it passes on to the other watchers, so that one with a
-way to the store is enough. Watchers also pool the evidence on versions on trial.
+itself for a while and tells the watchers what it learns. What one watcher learns it
+passes on to the other watchers, so that one with a way to the store is enough. Watchers
+also pool the evidence on versions on trial.
+
+When no watcher reaches the store, all others come to help at the same time: those that
+hear the watchers spread their calls, so that all together call no more often than the
+watchers do.
 """
 
 import asyncio
+import math
 import random
 import time
 
@@ -23,6 +29,7 @@
 TOLD_BY = 2
 BEAT_S = 1.0
 STALE_S = 5.0
+HELP_S = 10.0
 BOOT_WAIT_S = 0.6
 SETTLE_S = 1.0
 ASK_TIMEOUT_S = 1.0
@@ -62,6 +69,8 @@
         self.watchers: list[membership.Member] = []
         self._started_at = time.monotonic()
         self._chosen_at: float | None = None
+        self._heard_at = -math.inf
+        self._helps_until = -math.inf
         self._asking: set[source.Kind] = set()
         self._last_evidence: list[trial.Evidence] = []
         known.on_advance(self._advanced)
@@ -78,7 +87,8 @@
     def told_by_me(self) -> list[str]:
         """Return the addresses that this instance passes changes on to."""
         if not self.is_watcher:
-            return []
+            helps = self.watch.is_active
+            return [row.address for row in self.watchers] if helps else []
         names = [row.name for row in self.watchers]
         found = []
         for member in self.peers.others():
@@ -104,7 +114,10 @@
             return
         oldest_s = max(view.age_s(now) for view in self.known.views.values())
         lost = oldest_s > STALE_S and now - self._started_at > 2 * BOOT_WAIT_S
-        wanted = self._is_chosen_for_good(now) or lost
+        if lost and not self.watch.is_active:
+            self._helps_until = now + HELP_S
+        wanted = self._is_chosen_for_good(now) or lost or now < self._helps_until
+        self.watch.sharers = self._sharers(now)
         if wanted != self.watch.is_active:
             logger.bind(
                 event="watch",
@@ -114,6 +127,13 @@
             ).info("own watch switched")
         self.watch.is_active = wanted
 
+    def _sharers(self, now: float) -> float:
+        """Return how many instances call the store for each watcher that would."""
+        hears_watchers = now - self._heard_at < STALE_S
+        if self.is_watcher or not hears_watchers:
+            return 1.0
+        return max(1.0, len(self.peers.members.alive()) / len(self.watchers))
+
     def _is_chosen_for_good(self, now: float) -> bool:
         """Tell whether this instance has been a watcher for a while.
 
@@ -172,7 +192,8 @@
         return passing.Beat(views=views, bad=bad)
 
     def _advanced(self, step: beliefs.Advance) -> None:
-        if not self.is_watcher or not (step.changed or step.removed):
+        addresses = self.told_by_me()
+        if not addresses or not (step.changed or step.removed):
             return
         age_s = self.known.views[step.kind].age_s(time.monotonic())
         body = passing.PassedChanges(
@@ -184,7 +205,7 @@
             changed=[passing.passed(entry) for entry in step.changed],
             removed=list(step.removed),
         )
-        self.add_future(self.peers.hub.broadcast(self.told_by_me(), body))
+        self.add_future(self.peers.hub.broadcast(addresses, body))
 
     async def _on_changes(
         self, envelope: messages.Envelope, body: passing.PassedChanges
@@ -224,6 +245,8 @@
 
     async def _on_beat(self, envelope: messages.Envelope, body: passing.Beat) -> None:
         now = time.monotonic()
+        if any(row.name == envelope.sender for row in self.watchers):
+            self._heard_at = now
         for row in body.views:
             view = self.known.views[row.kind]
             if view.at < row.changed_at:
--- a/libs/masticpost-gateway/src/masticpost_gateway/watching.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/watching.py
@@ -30,6 +30,14 @@
         The platform's store.
     known : beliefs.Beliefs
         Filled from the store.
+
+    Attributes
+    ----------
+    is_active : bool
+        Whether this instance is to watch the store.
+    sharers : float
+        How many instances call the store for the same reason: the more, the longer
+        each pauses before its first call and after a failed one.
     """
 
     def __init__(self, *, store: source.Source, known: beliefs.Beliefs) -> None:
@@ -37,6 +45,7 @@
         self.store = store
         self.known = known
         self.is_active = False
+        self.sharers = 1.0
         self.failing_since: dict[source.Kind, float] = {}
 
     async def on_start(self) -> None:
@@ -48,10 +57,10 @@
         pause_s = FIRST_PAUSE_S
         needs_list = True
         while not self.should_stop:
-            if not self.is_active and self.known.views[kind].at >= 0:
+            if not self._is_needed(kind):
                 self.failing_since.pop(kind, None)
                 needs_list = True
-                await asyncio.sleep(IDLE_POLL_S)
+                await self._until_active(kind)
                 continue
             fault = await (self._list(kind) if needs_list else self._watch(kind))
             if fault is None:
@@ -62,9 +71,28 @@
                 needs_list = True
                 continue
             self._note_failure(kind, fault)
-            await asyncio.sleep(pause_s * random.uniform(0.5, 1.0))
+            shared_s = pause_s * self.sharers
+            await self._pause(kind, shared_s * random.uniform(0.5, 1.0))
             pause_s = min(MAX_PAUSE_S, pause_s * 2)
 
+    def _is_needed(self, kind: source.Kind) -> bool:
+        return self.is_active or self.known.views[kind].at < 0
+
+    async def _until_active(self, kind: source.Kind) -> None:
+        while not self.is_active and not self.should_stop:
+            await asyncio.sleep(IDLE_POLL_S)
+        spread_s = (self.sharers - 1.0) * MAX_PAUSE_S
+        await self._pause(kind, spread_s * random.random())
+
+    async def _pause(self, kind: source.Kind, pause_s: float) -> None:
+        """Wait, at most for as long as the store is to be asked about a kind."""
+        ends_at = time.monotonic() + pause_s
+        while self._is_needed(kind) and not self.should_stop:
+            left_s = ends_at - time.monotonic()
+            if left_s <= 0:
+                return
+            await asyncio.sleep(min(IDLE_POLL_S, left_s))
+
     async def _list(self, kind: source.Kind) -> source.Fault | None:
         asked_at = time.monotonic()
         outcome = await self.store.list_all(kind)
--- a/libs/masticpost-gateway/testing/test_relay.py
+++ b/libs/masticpost-gateway/testing/test_relay.py
@@ -5,7 +5,7 @@
 import types
 
 import result
-from masticpost_gateway import beliefs, model, relay, source
+from masticpost_gateway import beliefs, model, passing, relay, source
 from support import gatewaykit as kit
 
 
@@ -71,6 +71,22 @@
         assert reply.status == 401
 
 
+async def test_what_one_helper_learns_all_know_though_no_watcher_is_served(monkeypatch):
+    monkeypatch.setattr(relay, "STALE_S", 0.5)
+    async with kit.Deployment() as dep:
+        await dep.configure()
+        stores = [Deaf(dep.store) for _ in range(5)]
+        await deployment(dep, 5, stores)
+        await kit.until(
+            lambda: sum(n.watching.is_active for n in dep.nodes) >= relay.WATCHERS
+        )
+        helper = next(k for k in range(5) if not dep.nodes[k].relay.is_watcher)
+        for number in set(range(5)) - {helper}:
+            stores[number].is_deaf = True
+        await dep.configure(kit.configuration(2))
+        await kit.until(lambda: all(version(n) == 2 for n in dep.nodes))
+
+
 async def test_instance_that_hears_nothing_watches_by_itself(monkeypatch):
     monkeypatch.setattr(relay, "STALE_S", 0.5)
     async with kit.Deployment() as dep:
@@ -119,14 +135,56 @@
         )
 
 
-def test_instance_that_is_chosen_for_a_moment_does_not_watch():
-    """Eighty that start together: 37 watched, by member lists that were half full."""
-    me = types.SimpleNamespace(name="node-0")
+def lone_relay(count=1):
+    """Return a relay that neither sends nor hears, one of `count` instances."""
+    rows = [
+        types.SimpleNamespace(name=f"node-{k}", address=f"x:{k}") for k in range(count)
+    ]
     hub = types.SimpleNamespace(handle=lambda kind, handler: None)
-    peers = types.SimpleNamespace(me=me, hub=hub, others=lambda: [me])
-    watch = types.SimpleNamespace(is_active=False)
+    members = types.SimpleNamespace(alive=lambda: rows)
+    peers = types.SimpleNamespace(
+        me=rows[0], hub=hub, others=lambda: rows, members=members
+    )
+    watch = types.SimpleNamespace(is_active=False, sharers=1.0)
     known = beliefs.Beliefs()
     made = relay.Relay(peers=peers, known=known, watch=watch, trials=None)
+    made.watchers = rows[-relay.WATCHERS_OF_MANY :]
+    return made
+
+
+async def test_eighty_instances_help_at_the_pace_of_the_watchers():
+    """A store that was lost to all got the calls of 75 instances beside five."""
+    made = lone_relay(80)
+    now = made._started_at + 10.0
+    made._switch(now)
+    assert made.watch.is_active
+    assert made.watch.sharers == 1.0
+    sender = made.watchers[0].name
+    envelope = types.SimpleNamespace(sender=sender, incarnation=1)
+    await made._on_beat(envelope, passing.Beat(views=[], bad=[]))
+    made._switch(time.monotonic())
+    assert made.watch.sharers == 80 / relay.WATCHERS_OF_MANY
+
+
+def test_helper_stays_for_a_while():
+    """Else it would list everything anew each time its view is five seconds old."""
+    made = lone_relay(80)
+    now = made._started_at + 10.0
+    made._switch(now)
+    for kind in source.Kind:
+        made.known.replace(kind, source.Listing(entries=(), at=1), now)
+    made._switch(now + 0.9 * relay.HELP_S)
+    assert made.watch.is_active
+    for kind in source.Kind:
+        made.known.confirm(kind, now + relay.HELP_S)
+    made._switch(now + 1.1 * relay.HELP_S)
+    assert not made.watch.is_active
+
+
+def test_instance_that_is_chosen_for_a_moment_does_not_watch():
+    """Eighty that start together: 37 watched, by member lists that were half full."""
+    made = lone_relay()
+    known, watch, me = made.known, made.watch, made.peers.me
     now = time.monotonic()
     for kind in source.Kind:
         known.replace(kind, source.Listing(entries=(), at=1), now)
--- a/libs/masticpost-gateway/testing/test_streaming.py
+++ b/libs/masticpost-gateway/testing/test_streaming.py
@@ -1,6 +1,7 @@
 """Streams: whole, resumed where they were cut, and asked of a larger model in time."""
 
 import asyncio
+import math
 import time
 
 import attrs
@@ -179,3 +180,77 @@
     )
     prompt = headers.Prompt(parts=parts, tokens_in=12_500, tokens_out=50)
     return placement.Reading(service="desk", model="small", prompt=prompt)
+
+
+SLOW_S = 1.2
+HASTY = attrs.evolve(kit.CHAT, objective_s=0.2, gap_s=0.1)
+
+
+def late_streams(count, wait_s):
+    """Return a script that writes a stream after a pause."""
+
+    async def script(got, writer):
+        await asyncio.sleep(wait_s)
+        await kit.streams(count)(got, writer)
+
+    return script
+
+
+async def test_busy_upstream_is_not_left_while_no_other_is_sound():
+    """Fewer upstreams under load: the last sound one answers late, but it answers."""
+    async with kit.Deployment() as dep:
+        await dep.add_worker("busy", late_streams(3, SLOW_S))
+        await dep.configure(kit.configuration(routes=(HASTY,)))
+        made = await dep.add_node()
+        dead = await dep.add_worker("dead", kit.cut)
+        await kit.until(lambda: len(made.known.upstreams(0.0)) == 2)
+        entry = next(u for u in made.known.upstreams(0.0) if u.name == "dead")
+        made.shared.chooser.health_of(entry).ejected_until = math.inf
+        reply = await dep.call("/chat/", method="POST", body=b"p", **PROMPT)
+        assert (reply.status, reply.body) == (200, events(3))
+        assert not dead.got
+
+
+async def test_last_allowed_run_is_not_cut_for_being_slow():
+    async with kit.Deployment() as dep:
+        for name in ("w1", "w2"):
+            await dep.add_worker(name, late_streams(3, SLOW_S))
+        once = attrs.evolve(HASTY, attempts=1)
+        await dep.configure(kit.configuration(routes=(once,)))
+        await dep.add_node()
+        reply = await dep.call("/chat/", method="POST", body=b"p", **PROMPT)
+        assert (reply.status, reply.body) == (200, events(3))
+        assert sum(len(worker.got) for worker in dep.workers) == 1
+
+
+async def test_pause_in_a_stream_is_waited_out_while_nobody_can_go_on():
+    async def script(got, writer):
+        lead = kit.head(got, Confidence=90, Content_Type="text/event-stream")
+        writer.write((lead + "Transfer-Encoding: chunked\r\n\r\n").encode())
+        writer.write(kit.chunk(kit.event(1)))
+        await writer.drain()
+        await asyncio.sleep(SLOW_S)
+        writer.write(kit.chunk(kit.event(2)) + b"0\r\n\r\n")
+
+    async with kit.Deployment() as dep:
+        await dep.add_worker("w1", script)
+        await dep.configure(kit.configuration(routes=(HASTY,)))
+        await dep.add_node()
+        reply = await dep.call("/chat/", method="POST", body=b"p", **PROMPT)
+        assert (reply.body, reply.is_whole) == (events(2), True)
+
+
+async def test_silent_upstream_is_left_for_a_faster_one():
+    async with kit.Deployment() as dep:
+        slow = await dep.add_worker("w1", late_streams(3, 30.0))
+        await dep.configure(kit.configuration(routes=(HASTY,)))
+        made = await dep.add_node()
+        task = asyncio.create_task(
+            dep.call("/chat/", method="POST", body=b"p", **PROMPT)
+        )
+        await kit.until(lambda: slow.got)
+        await dep.add_worker("w2", kit.streams(3))
+        await kit.until(lambda: len(made.known.upstreams(0.0)) == 2)
+        reply = await task
+        assert (reply.status, reply.body) == (200, events(3))
+        assert slow.cut or slow.got
--- a/libs/masticpost-gateway/testing/test_watching.py
+++ b/libs/masticpost-gateway/testing/test_watching.py
@@ -57,3 +57,23 @@
     await kit.until(lambda: not known.views[source.Kind.UPSTREAMS].entries)
     await made.stop()
     assert not known.lapsed
+
+
+async def test_calls_to_a_lost_store_are_as_rare_as_many_share_them(monkeypatch):
+    pauses = []
+
+    async def note(self, kind, pause_s):
+        pauses.append(pause_s)
+        await asyncio.sleep(0.0)
+
+    monkeypatch.setattr(watching.Watching, "_pause", note)
+    store = kit.FakeStore()
+    for kind in source.Kind:
+        store.fail(kind, source.FaultKind.NOT_DONE)
+    made = watching.Watching(store=store, known=beliefs.Beliefs())
+    made.is_active = True
+    made.sharers = 16.0
+    await made.start()
+    await kit.until(lambda: len(pauses) >= 40)
+    await made.stop()
+    assert min(pauses[-4:]) >= 0.5 * watching.MAX_PAUSE_S * made.sharers
