Leave a slow upstream only for a sound one that is faster

A wait was cut when any other upstream was registered, also one that was ejected, also when the request had no run or retry budget left, and a pause in a stream was cut in any case.

Ruled out: dead upstreams behind silent connections (those refused connections within 2 ms); the upstream's failure (it answered those that were not cut after 4 to 6 s).

Change: a wait ends early only if a sound, untried upstream would take the request now, a run and the budget are left, and, where a prompt is to be read, that upstream is expected to begin sooner than this one was waited for. `patience.wait` takes reasons to leave, each with the time from which it counts.

--- a/libs/masticpost-gateway/src/masticpost_gateway/choice.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/choice.py
@@ -92,12 +92,7 @@
     def pick(self, wanted: Wanted) -> model.Upstream | None:
         """Return the upstream for a try, None when none may be used now."""
         now = time.monotonic()
-        found = [
-            upstream
-            for upstream in self.usable(wanted.service.name, now)
-            if upstream.name not in wanted.tried
-            and upstream.version != wanted.plan.excluded
-        ]
+        found = self._untried(wanted, now)
         for group in self._by_preference(found, wanted.plan, now):
             ready = [u for u in group if self._is_paced(u, wanted.service, now)]
             if ready:
@@ -106,6 +101,23 @@
                 return chosen
         return None
 
+    def ready(self, wanted: Wanted, now: float) -> list[model.Upstream]:
+        """Return the sound upstreams that would take a try now."""
+        return [
+            upstream
+            for upstream in self._untried(wanted, now)
+            if not self.health_of(upstream).is_ejected(now)
+            and self._is_paced(upstream, wanted.service, now)
+        ]
+
+    def _untried(self, wanted: Wanted, now: float) -> list[model.Upstream]:
+        return [
+            upstream
+            for upstream in self.usable(wanted.service.name, now)
+            if upstream.name not in wanted.tried
+            and upstream.version != wanted.plan.excluded
+        ]
+
     def _by_preference(
         self, found: list[model.Upstream], plan: trial.VersionPlan, now: float
     ) -> list[list[model.Upstream]]:
--- a/libs/masticpost-gateway/src/masticpost_gateway/patience.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/patience.py
@@ -5,17 +5,38 @@
 import time
 import typing
 
+import attrs
+
 POLL_S = 0.25
 
 T = typing.TypeVar("T")
 
 
+@attrs.frozen(kw_only=True)
+class Leave:
+    """A reason to end a wait early.
+
+    Attributes
+    ----------
+    after_s : float
+        Wait from which on it counts, in seconds.
+    holds : callable
+        Tells, given the seconds waited, whether the wait is to end.
+    """
+
+    after_s: float
+    holds: collections.abc.Callable[[float], bool]
+
+    def applies(self, waited_s: float) -> bool:
+        """Tell whether the wait is to end now."""
+        return waited_s >= self.after_s and self.holds(waited_s)
+
+
 async def wait(
     work: collections.abc.Coroutine[typing.Any, typing.Any, T],
     *,
     limit_s: float,
-    doubt_after_s: float,
-    is_doubtful: collections.abc.Callable[[], bool],
+    leaves: collections.abc.Sequence[Leave] = (),
 ) -> T:
     """Return the result of `work`.
 
@@ -23,10 +44,8 @@
     ----------
     limit_s : float
         Longest wait, in seconds.
-    doubt_after_s : float
-        Wait after which `is_doubtful` may end it, in seconds.
-    is_doubtful : callable
-        Whether other signs speak against the upstream.
+    leaves : sequence of Leave
+        Reasons to end the wait before, looked at each `POLL_S`.
 
     Raises
     ------
@@ -35,16 +54,27 @@
     """
     began = time.monotonic()
     task = asyncio.ensure_future(work)
+    waited_s = 0.0
     try:
         while True:
-            left_s = began + limit_s - time.monotonic()
-            done, _ = await asyncio.wait((task,), timeout=max(0.0, min(left_s, POLL_S)))
+            pause_s = _pause_s(waited_s, limit_s, leaves)
+            done, _ = await asyncio.wait((task,), timeout=pause_s)
             if done:
                 return task.result()
             waited_s = time.monotonic() - began
-            if waited_s >= limit_s or (waited_s >= doubt_after_s and is_doubtful()):
+            if waited_s >= limit_s:
+                raise TimeoutError
+            if any(leave.applies(waited_s) for leave in leaves):
                 raise TimeoutError
     finally:
         if not task.done():
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
+
+
+def _pause_s(
+    waited_s: float, limit_s: float, leaves: collections.abc.Sequence[Leave]
+) -> float:
+    """Return the time until something is to be looked at."""
+    ahead = [leave.after_s for leave in leaves if leave.after_s > waited_s]
+    return max(0.0, min([limit_s, waited_s + POLL_S, *ahead]) - waited_s)
--- a/libs/masticpost-gateway/src/masticpost_gateway/plain.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/plain.py
@@ -1,6 +1,6 @@
 """Requests with one whole answer: idempotent and non-idempotent calls."""
 
-import asyncio
+import math
 import time
 
 import aiohttp
@@ -10,7 +10,7 @@
 from masticpost_common import errors, retry
 
 from masticpost_gateway import call as calls
-from masticpost_gateway import conns, headers, outcomes, sending, tries
+from masticpost_gateway import conns, headers, outcomes, patience, sending, tries
 
 FIRST_TRY_SHARE = 0.6
 READ_BYTES = 65_536
@@ -82,15 +82,19 @@
 
 
 async def _try(run: tries.Tries, upstream) -> Whole:
-    timeout_s = run.call.left_s()
-    may_repeat = run.call.route.kind.may_repeat and run.call.route.attempts > 1
-    if may_repeat and run.runs == 0 and run.has_other(""):
-        timeout_s = min(timeout_s, FIRST_TRY_SHARE * run.call.route.objective_s)
-    ends_at = time.monotonic() + timeout_s
-    opened = await run.open(upstream, "", timeout_s)
+    began = time.monotonic()
+    overdue_after_s = math.inf
+    if run.runs == 0:
+        overdue_after_s = FIRST_TRY_SHARE * run.call.route.objective_s
+    opened = await run.open(upstream, "", overdue_after_s)
     result = "cancelled"
     try:
-        body = await _read(opened, ends_at - time.monotonic())
+        overdue_after_s -= time.monotonic() - began
+        body = await patience.wait(
+            _read(opened),
+            limit_s=run.call.left_s(),
+            leaves=run.leaves(upstream, "", overdue_after_s, is_counted=True),
+        )
         result = "ok" if not opened.is_failure else f"failed {opened.resp.status}"
     except (aiohttp.ClientError, OSError, TimeoutError) as exc:
         result = f"cut: {type(exc).__name__}"
@@ -106,12 +110,11 @@
     return Whole(status=opened.resp.status, headers=passed, body=body)
 
 
-async def _read(opened: tries.Opened, timeout_s: float) -> bytes:
+async def _read(opened: tries.Opened) -> bytes:
     ending = conns.Ending(opened.resp)
     chunks = []
-    async with asyncio.timeout(timeout_s):
-        while chunk := await opened.resp.content.read(READ_BYTES):
-            chunks.append(chunk)
+    while chunk := await opened.resp.content.read(READ_BYTES):
+        chunks.append(chunk)
     ending.check()
     return b"".join(chunks)
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/streaming.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/streaming.py
@@ -21,7 +21,6 @@
 )
 
 FIRST_EVENT_SHARE = 1.5
-DOUBT_AFTER_S = 0.8
 GAP_SHARE = 3.0
 GAP_EVENTS = 2
 READ_BYTES = 65_536
@@ -107,18 +106,13 @@
             except errors.RefusalError as exc:
                 self._give_up(exc)
             try:
+                overdue_after_s = FIRST_EVENT_SHARE * self.call.route.objective_s
                 return await self.run.open(
-                    upstream, self._model, self._first_event_timeout(), self.last_id
+                    upstream, self._model, overdue_after_s, self.last_id
                 )
             except sending.TryError as exc:
                 self._require_another(exc.reason, exc.verdict)
 
-    def _first_event_timeout(self) -> float:
-        left_s = self.call.left_s()
-        if not self.call.route.kind.may_repeat or not self.run.has_other(self._model):
-            return left_s
-        return min(left_s, FIRST_EVENT_SHARE * self.call.route.objective_s)
-
     def _require_another(
         self, reason: str, verdict: retry.Verdict = retry.Verdict.NOT_KNOWN
     ) -> None:
@@ -146,7 +140,7 @@
         self.run.note_bad(opened, result)
         self.run.leave_version(opened.upstream.version)
         try:
-            async with asyncio.timeout(self._gap_timeout()):
+            async with asyncio.timeout(self._failure_timeout()):
                 body = await opened.resp.read()
         except (aiohttp.ClientError, OSError, TimeoutError):
             result += ", then cut"
@@ -156,6 +150,9 @@
         passed = headers.passed_on(opened.resp.headers, frozenset())
         self.failed = web.Response(status=opened.resp.status, headers=passed, body=body)
 
+    def _failure_timeout(self) -> float:
+        return min(self.call.left_s(), GAP_SHARE * self.call.route.gap_s)
+
     def _escalates(self, opened: tries.Opened) -> bool:
         """Drop an answer that is to be asked of a larger model."""
         if self.resp is not None or not self.call.route.levels:
@@ -246,9 +243,13 @@
         while True:
             data = await patience.wait(
                 opened.resp.content.readany(),
-                limit_s=self._gap_timeout(),
-                doubt_after_s=DOUBT_AFTER_S,
-                is_doubtful=lambda: self.run.is_doubtful(opened.upstream),
+                limit_s=self.call.left_s(),
+                leaves=self.run.leaves(
+                    opened.upstream,
+                    opened.level,
+                    GAP_SHARE * self.call.route.gap_s,
+                    is_counted=True,
+                ),
             )
             if not data:
                 break
@@ -275,12 +276,6 @@
         pace = self.shared.places.pace.of(self.call.service.name, opened.level)
         pace.saw_write(events_read * self.call.service.tokens_per_event, took_s)
 
-    def _gap_timeout(self) -> float:
-        left_s = self.call.left_s()
-        if not self.call.route.kind.may_repeat:
-            return left_s
-        return min(left_s, GAP_SHARE * self.call.route.gap_s)
-
     async def _write(
         self, opened: tries.Opened, found: list[events.StreamEvent]
     ) -> None:
--- a/libs/masticpost-gateway/src/masticpost_gateway/tries.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/tries.py
@@ -1,6 +1,7 @@
 """The tries of one request: who gets it next, and what a failed try allows."""
 
 import asyncio
+import math
 import time
 import typing
 
@@ -121,14 +122,58 @@
         known = self.shared.known.upstreams(now)
         return all(u.incarnation != upstream.incarnation for u in known)
 
-    def _may_leave(self, upstream: model.Upstream) -> bool:
-        return self.call.route.kind.may_repeat and self.is_doubtful(upstream)
+    def may_move(self, level: str, *, is_counted: bool) -> bool:
+        """Tell whether another sound upstream would take the request now.
 
-    def has_other(self, level: str) -> bool:
-        """Tell whether an upstream that was not tried is there."""
+        Parameters
+        ----------
+        is_counted : bool
+            Whether the run that would be left is counted in `runs`.
+        """
+        runs = self.runs if is_counted else self.runs + 1
+        if not self.call.route.kind.may_repeat or runs >= self.call.route.attempts:
+            return False
         now = time.monotonic()
-        usable = self.shared.chooser.usable(self.call.service.name, now)
-        return any(u.name not in self.tried for u in usable)
+        if not self.shared.retries.may_repeat(self.call.service.name, now):
+            return False
+        return bool(self.shared.chooser.ready(self._wanted(level), now))
+
+    def leaves(
+        self,
+        upstream: model.Upstream,
+        level: str,
+        overdue_after_s: float,
+        *,
+        is_counted: bool,
+    ) -> tuple[patience.Leave, ...]:
+        """Return the reasons to leave an upstream for another.
+
+        Parameters
+        ----------
+        overdue_after_s : float
+            Wait after which one that only is slow may be left.
+        """
+
+        def may_leave(waited_s: float) -> bool:
+            moves = self.may_move(level, is_counted=is_counted)
+            return moves and self.is_doubtful(upstream)
+
+        def is_overdue(waited_s: float) -> bool:
+            moves = self.may_move(level, is_counted=is_counted)
+            return moves and self._first_elsewhere_s(level) < waited_s
+
+        return (
+            patience.Leave(after_s=DOUBT_AFTER_S, holds=may_leave),
+            patience.Leave(after_s=overdue_after_s, holds=is_overdue),
+        )
+
+    def _first_elsewhere_s(self, level: str) -> float:
+        """Return the expected wait at the best of the other sound upstreams."""
+        reading = self.reading(level)
+        if reading is None:
+            return 0.0
+        ready = self.shared.chooser.ready(self._wanted(level), time.monotonic())
+        return self.shared.places.first_s(ready, reading) if ready else math.inf
 
     async def next_upstream(self, level: str) -> model.Upstream:
         """Return the upstream for the next try, after a wait if all are held back.
@@ -151,10 +196,19 @@
             await asyncio.sleep(WAIT_STEP_S)
 
     async def open(
-        self, upstream: model.Upstream, level: str, timeout_s: float, last_id: str = ""
+        self,
+        upstream: model.Upstream,
+        level: str,
+        overdue_after_s: float,
+        last_id: str = "",
     ) -> Opened:
         """Send the request and return the answer's checked head.
 
+        Parameters
+        ----------
+        overdue_after_s : float
+            Wait after which a faster upstream gets the request instead.
+
         Raises
         ------
         sending.TryError
@@ -176,7 +230,7 @@
             work = self.shared.loads.begin(upstream.name, read_s)
             self._place(upstream, reading)
         try:
-            opened = await self._exchange(pool, out, row, level, timeout_s)
+            opened = await self._exchange(pool, out, row, level, overdue_after_s)
         except sending.TryError as exc:
             row.outstanding -= 1
             self._end_work(work)
@@ -306,15 +360,16 @@
         out: conns.Outgoing,
         row: health.Health,
         level: str,
-        timeout_s: float,
+        overdue_after_s: float,
     ) -> Opened:
         sent_at = time.monotonic()
         try:
             resp = await patience.wait(
                 pool.send(out),
-                limit_s=timeout_s,
-                doubt_after_s=DOUBT_AFTER_S,
-                is_doubtful=lambda: self._may_leave(pool.upstream),
+                limit_s=self.call.left_s(),
+                leaves=self.leaves(
+                    pool.upstream, level, overdue_after_s, is_counted=False
+                ),
             )
         except conns.NotSentError as exc:
             raise sending.TryError(
