Spend no retry budget on upstreams that cannot be reached

Each of the 80 instances has a small share of the budget (2.5 and 0.9 of its own requests in 10 s); a refused connection counted as a repeat, so that after four or five of them requests were answered "not run" within 50 ms while 29 upstreams stood ready: 200 refusals, all in those seconds.

Ruled out: the rule itself: it counts arrivals beyond the first, and a request whose connection does not come about arrives nowhere. An answer 421 does arrive and still counts.

Change: such a send is taken back, and a request of which nothing has arrived yet may be sent on without budget; each upstream is tried once at most and ejected meanwhile. The test has twelve dead upstreams, a live one and no budget, and failed before.

--- a/libs/masticpost-gateway/src/masticpost_gateway/retryshare.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/retryshare.py
@@ -80,6 +80,12 @@
         """Count a repeat."""
         self._of(service, now).repeats.append(now)
 
+    def not_arrived(self, service: str, now: float) -> None:
+        """Take back the repeat that was counted last: it has reached no upstream."""
+        counts = self._of(service, now)
+        if counts.repeats:
+            counts.repeats.pop()
+
     def _of(self, service: str, now: float) -> Counts:
         counts = self._counts.setdefault(service, Counts())
         counts.forget(now - self.bounds.window_s)
--- a/libs/masticpost-gateway/src/masticpost_gateway/tries.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/tries.py
@@ -101,6 +101,9 @@
         """Tell whether another upstream may be tried."""
         if not self.has_runs_left or self.call.left_s() <= 0:
             return False
+        if not self.sent:
+            # Nothing has reached an upstream: the next send is no repeat.
+            return True
         now = time.monotonic()
         service = self.call.service.name
         return self.shared.retries.may_repeat(service, now, is_planned=is_planned)
@@ -354,6 +357,12 @@
             self.shared.retries.repeated(service, now)
         self.sent += 1
 
+    def _take_back(self, now: float) -> None:
+        """Forget a send that has reached no upstream: it spends no retry budget."""
+        self.sent -= 1
+        if self.sent:
+            self.shared.retries.not_arrived(self.call.service.name, now)
+
     async def _exchange(
         self,
         pool: conns.Pool,
@@ -407,6 +416,8 @@
     ) -> None:
         now = time.monotonic()
         self._record(upstream, level, exc.reason, sent_at)
+        if exc.reason == sending.NOT_CONNECTED:
+            self._take_back(now)
         if exc.verdict is retry.Verdict.NEVER_JUDGED:
             if exc.reason in (sending.NOT_CONNECTED, sending.MOVED):
                 row.unreachable(now, exc.reason)
--- a/libs/masticpost-gateway/testing/test_plain.py
+++ b/libs/masticpost-gateway/testing/test_plain.py
@@ -8,7 +8,7 @@
 import aiohttp
 import attrs
 import pytest
-from masticpost_gateway import conns, gateway, model, source
+from masticpost_gateway import conns, gateway, model, retryshare, source
 from support import gatewaykit as kit
 
 
@@ -288,6 +288,24 @@
         assert not worker.got
 
 
+async def test_upstreams_that_cannot_be_reached_spend_no_retry_budget():
+    """A domain's 16 upstreams were down: after five of them requests were refused."""
+    bounds = retryshare.Bounds(ratio=0.0, slack=0.0)
+    async with kit.Deployment() as dep:
+        for number in range(12):
+            dead = await dep.add_worker(f"dead-{number}", kit.answers())
+            await dead.stop()
+        live = await dep.add_worker("live", kit.answers())
+        await dep.configure()
+        made = await dep.add_node(retries=bounds)
+        await kit.until(lambda: len(made.known.upstreams(0.0)) == 13)
+        for _ in range(4):
+            assert (await dep.call("/lookup/")).status == 200
+        assert len(live.got) == 4
+        counts = made.shared.retries._of("desk", time.monotonic())
+        assert not counts.repeats
+
+
 async def test_address_that_another_upstream_has_is_left_at_once():
     async with kit.Deployment() as dep:
         moved = await dep.add_worker("w1", kit.not_run(421))
