Log instances that are met for the first time at debug level

Cause: 80 instances that start together wrote 6,179 lines in two seconds, "instance ... is alive" for each pair, without an event field.

Change: a first meeting is told at debug level; that one is suspected, dead, leaving or back is told as before, now as an event `mesh` with the member's name.

--- a/libs/masticpost-peers/src/masticpost_peers/membership.py
+++ b/libs/masticpost-peers/src/masticpost_peers/membership.py
@@ -372,11 +372,19 @@
         self._changed_at[member.name] = time.monotonic()
         self._news[member.name] = News(member=member)
         if known is None or known.state != member.state:
-            logger.info(
-                "instance {} at {} is {}", member.name, member.address, member.state
-            )
+            self._log(member, is_first=known is None)
         self._notify(member)
 
+    def _log(self, member: Member, *, is_first: bool) -> None:
+        """Tell a change; where many start together, each meets all others at once."""
+        is_expected = is_first and member.state == ALIVE
+        logger.bind(event="mesh", member=member.name).log(
+            "DEBUG" if is_expected else "INFO",
+            "instance at {} is {}",
+            member.address,
+            member.state,
+        )
+
     def _notify(self, member: Member) -> None:
         for listener in self._listeners:
             listener(member)
