--- a/libs/masticpost-decide/src/masticpost_decide/share.py
+++ b/libs/masticpost-decide/src/masticpost_decide/share.py
@@ -3,7 +3,7 @@
 import collections.abc
 
 from masticpost_common import rendezvous
-from masticpost_text import model, rules
+from masticpost_text import access, model
 
 from masticpost_decide import rollout
 
@@ -35,7 +35,7 @@
     """
     usable = [
         ver
-        for ver in rules.allowed_versions(text, cust, model_name)
+        for ver in access.allowed_versions(text, cust, model_name)
         if ver.name not in stopped
     ]
     parts = rollout.shares(usable, stage_of)
@@ -53,7 +53,7 @@
 def may_start(text: model.Text, cust: model.Customer, name: str) -> bool:
     """Tell whether a new request may start on a version by share."""
     ver = text.versions.get(name)
-    return ver is not None and ver.state == "active" and rules.is_allowed(cust, ver)
+    return ver is not None and ver.state == "active" and access.is_allowed(cust, ver)
 
 
 def may_continue(text: model.Text, cust: model.Customer, name: str) -> bool:
@@ -61,4 +61,4 @@
     ver = text.versions.get(name)
     if ver is None or ver.state == "withdrawn":
         return False
-    return rules.is_allowed(cust, ver)
+    return access.is_allowed(cust, ver)
--- a/libs/masticpost-text/src/masticpost_text/parse.py
+++ b/libs/masticpost-text/src/masticpost_text/parse.py
@@ -4,7 +4,14 @@
 import yaml
 from masticpost_common import findings
 
-from masticpost_text import model, nodes, rules
+from masticpost_text import (  # noqa: F401  (the modules of rules register them)
+    model,
+    nodes,
+    ranges,
+    references,
+    rules,
+    versions,
+)
 
 SECTIONS = ("domains", "versions", "services", "upstreams", "customers")
 RECORDS = {
