Take the shared parts, the answer and the feedback out of the tries

Cause: tries.py had grown to 437 lines with three jobs: who gets a request next, sending it, and what the result tells of upstreams, versions, sessions and speeds. The parts that every request uses stood twice, as a class in gateway.py and as a protocol in tries.py.

Change: `shared.Shared` (one class), `answer.Opened`, `feedback.Feedback` (good, bad, gap, pace, ran, sent, read) are modules of their own; tries.py has 350 lines. Nothing else changes; the gateway's tests pass unchanged.

--- /dev/null
+++ b/libs/masticpost-gateway/src/masticpost_gateway/answer.py
@@ -0,0 +1,29 @@
+"""An answer of an upstream whose head was read."""
+
+import aiohttp
+import attrs
+
+from masticpost_gateway import headers, health, loads, model
+
+SERVER_ERROR = 500
+
+
+@attrs.define(kw_only=True)
+class Opened:
+    """An answer whose head was read and checked, and its body not yet."""
+
+    upstream: model.Upstream
+    level: str
+    resp: aiohttp.ClientResponse
+    head: headers.AnswerHead
+    sent_at: float
+    head_at: float
+    health: health.Health
+    work: loads.Work | None = None
+    unread_tokens: int = 0
+    confidence: float | None = None
+
+    @property
+    def is_failure(self) -> bool:
+        """Whether the upstream itself reports a failure."""
+        return self.resp.status >= SERVER_ERROR
--- a/libs/masticpost-gateway/src/masticpost_gateway/gateway.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/gateway.py
@@ -3,31 +3,21 @@
 import asyncio
 import time
 
-import attrs
 import multidict
 from aiohttp import web
 from loguru import logger
 from masticpost_common import errors
 
 from masticpost_gateway import (
-    beliefs,
     call,
-    cascade,
-    choice,
-    conns,
     headers,
-    loads,
-    measures,
     model,
     outcomes,
-    placement,
     plain,
-    retryshare,
-    sessions,
+    shared,
     source,
     streaming,
     table,
-    trial,
 )
 
 FRESH_S = 6.0
@@ -38,43 +28,19 @@
 STOPPING_RETRY_S = 0.05
 
 
-@attrs.define(kw_only=True)
-class Shared:
-    """What every request uses.
-
-    Attributes
-    ----------
-    closing_at : float or None
-        Monotonic time at which this instance was told to stop, in seconds.
-    """
-
-    names: headers.HeaderNames
-    known: beliefs.Beliefs
-    chooser: choice.Chooser
-    pools: conns.Pools
-    retries: retryshare.RetryShare
-    trials: trial.Trials
-    sessions: sessions.Sessions
-    metrics: measures.Measures
-    loads: loads.Loads
-    places: placement.Placement
-    policy: cascade.Policy
-    closing_at: float | None = None
-
-
 class Gateway:
     """Handler of callers' requests.
 
     Parameters
     ----------
-    shared : Shared
-        Parts of the gateway.
+    parts : shared.Shared
+        Parts of the instance.
     """
 
-    def __init__(self, *, shared: Shared) -> None:
-        self.shared = shared
+    def __init__(self, *, parts: shared.Shared) -> None:
+        self.shared = parts
         self.busy: set[asyncio.Protocol] = set()
-        names = shared.names
+        names = parts.names
         own = (names.key, names.customer, names.expected_instance, names.urgency)
         self._dropped = names.internal | {name.lower() for name in own}
 
@@ -122,7 +88,7 @@
         if not item.route.kind.is_stream:
             return await plain.serve(self.shared, item)
         stream = streaming.Streaming(
-            shared=self.shared, call=item, req=req, policy=self.shared.policy
+            parts=self.shared, call=item, req=req, policy=self.shared.policy
         )
         return await stream.serve()
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -27,6 +27,7 @@
     relay,
     retryshare,
     sessions,
+    shared,
     source,
     speeds,
     stages,
@@ -119,7 +120,7 @@
         memory = sessions.Sessions(lasts_s=cfg.session_s)
         trials = trial.Trials(known=self.known, memory=memory)
         pace = coldpace.ColdPace(me=cfg.name, members=self.members)
-        self.shared = gateway.Shared(
+        self.shared = shared.Shared(
             names=names,
             known=self.known,
             chooser=choice.Chooser(
@@ -146,7 +147,7 @@
             trials=trials,
             members=lambda: {row.name for row in self.relay.watchers},
         )
-        self.gateway = gateway.Gateway(shared=self.shared)
+        self.gateway = gateway.Gateway(parts=self.shared)
         gauge = gauges.StatusGauges(read=lambda: status.of(self))
         self.metrics.registry.register(gauge)
         self._runners: list[web.ServerRunner] = []
--- a/libs/masticpost-gateway/src/masticpost_gateway/plain.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/plain.py
@@ -9,8 +9,17 @@
 from aiohttp import web
 from masticpost_common import errors, retry
 
+from masticpost_gateway import (
+    answer,
+    conns,
+    headers,
+    outcomes,
+    patience,
+    sending,
+    shared,
+    tries,
+)
 from masticpost_gateway import call as calls
-from masticpost_gateway import conns, headers, outcomes, patience, sending, tries
 
 FIRST_TRY_SHARE = 0.6
 READ_BYTES = 65_536
@@ -26,7 +35,7 @@
     body: bytes
 
 
-async def serve(shared: tries.Shared, call: calls.Call) -> web.Response:
+async def serve(parts: shared.Shared, call: calls.Call) -> web.Response:
     """Return the answer to a plain request.
 
     Raises
@@ -34,7 +43,7 @@
     errors.RefusalError
         The request was given up.
     """
-    run = tries.Tries(shared=shared, call=call)
+    run = tries.Tries(parts=parts, call=call)
     failed: Whole | None = None
     reason = ""
     while True:
@@ -98,19 +107,19 @@
         result = "ok" if not opened.is_failure else f"failed {opened.resp.status}"
     except (aiohttp.ClientError, OSError, TimeoutError) as exc:
         result = f"cut: {type(exc).__name__}"
-        run.note_bad(opened, result)
+        run.feedback.bad(opened, result)
         raise sending.TryError(retry.Verdict.NOT_KNOWN, result) from exc
     finally:
         run.close(opened, result)
     if opened.is_failure:
-        run.note_bad(opened, result)
+        run.feedback.bad(opened, result)
     else:
-        run.note_good(opened)
+        run.feedback.good(opened)
     passed = headers.passed_on(opened.resp.headers, frozenset())
     return Whole(status=opened.resp.status, headers=passed, body=body)
 
 
-async def _read(opened: tries.Opened) -> bytes:
+async def _read(opened: answer.Opened) -> bytes:
     ending = conns.Ending(opened.resp)
     chunks = []
     while chunk := await opened.resp.content.read(READ_BYTES):
--- /dev/null
+++ b/libs/masticpost-gateway/src/masticpost_gateway/shared.py
@@ -0,0 +1,41 @@
+"""The parts of an instance that every request uses."""
+
+import attrs
+
+from masticpost_gateway import (
+    beliefs,
+    cascade,
+    choice,
+    conns,
+    headers,
+    loads,
+    measures,
+    placement,
+    retryshare,
+    sessions,
+    trial,
+)
+
+
+@attrs.define(kw_only=True)
+class Shared:
+    """What every request uses.
+
+    Attributes
+    ----------
+    closing_at : float or None
+        Monotonic time at which this instance was told to stop, in seconds.
+    """
+
+    names: headers.HeaderNames
+    known: beliefs.Beliefs
+    chooser: choice.Chooser
+    pools: conns.Pools
+    retries: retryshare.RetryShare
+    trials: trial.Trials
+    sessions: sessions.Sessions
+    metrics: measures.Measures
+    loads: loads.Loads
+    places: placement.Placement
+    policy: cascade.Policy
+    closing_at: float | None = None
--- a/libs/masticpost-gateway/src/masticpost_gateway/status.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/status.py
@@ -14,6 +14,7 @@
     mesh,
     model,
     relay,
+    shared,
     source,
     trial,
     watching,
@@ -120,7 +121,7 @@
     known: beliefs.Beliefs
     watching: watching.Watching
     relay: relay.Relay
-    shared: gateway.Shared
+    shared: shared.Shared
     gateway: gateway.Gateway
     is_ready: bool
     dropped_lines: collections.abc.Callable[[], int]
--- a/libs/masticpost-gateway/src/masticpost_gateway/streaming.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/streaming.py
@@ -7,8 +7,8 @@
 from aiohttp import web
 from masticpost_common import errors, retry
 
-from masticpost_gateway import call as calls
 from masticpost_gateway import (
+    answer,
     cascade,
     conns,
     events,
@@ -17,8 +17,10 @@
     outcomes,
     patience,
     sending,
+    shared,
     tries,
 )
+from masticpost_gateway import call as calls
 
 FIRST_EVENT_SHARE = 1.5
 GAP_SHARE = 3.0
@@ -35,8 +37,8 @@
 
     Parameters
     ----------
-    shared : tries.Shared
-        Parts of the gateway.
+    parts : shared.Shared
+        Parts of the instance.
     call : call.Call
         The request.
     req : web.BaseRequest
@@ -48,16 +50,16 @@
     def __init__(
         self,
         *,
-        shared: tries.Shared,
+        parts: shared.Shared,
         call: calls.Call,
         req: web.BaseRequest,
         policy: cascade.Policy,
     ) -> None:
-        self.shared = shared
+        self.shared = parts
         self.call = call
         self.req = req
         self.policy = policy
-        self.run = tries.Tries(shared=shared, call=call)
+        self.run = tries.Tries(parts=parts, call=call)
         self.level = 0
         self.resp: web.StreamResponse | None = None
         self.last_id = ""
@@ -99,7 +101,7 @@
         levels = self.call.route.levels
         return levels[self.level] if levels else ""
 
-    async def _open(self) -> tries.Opened:
+    async def _open(self) -> answer.Opened:
         while True:
             try:
                 upstream = await self.run.next_upstream(self._model)
@@ -134,10 +136,10 @@
             raise CutError(exc.refusal.message) from exc
         raise exc
 
-    async def _take_failure(self, opened: tries.Opened) -> None:
+    async def _take_failure(self, opened: answer.Opened) -> None:
         """Keep a failure that the upstream reports, to be the answer if none is."""
         result = f"failed {opened.resp.status}"
-        self.run.note_bad(opened, result)
+        self.run.feedback.bad(opened, result)
         self.run.leave_version(opened.upstream.version)
         try:
             async with asyncio.timeout(self._failure_timeout()):
@@ -153,7 +155,7 @@
     def _failure_timeout(self) -> float:
         return min(self.call.left_s(), GAP_SHARE * self.call.route.gap_s)
 
-    def _escalates(self, opened: tries.Opened) -> bool:
+    def _escalates(self, opened: answer.Opened) -> bool:
         """Drop an answer that is to be asked of a larger model."""
         if self.resp is not None or not self.call.route.levels:
             return False
@@ -165,7 +167,7 @@
         self._note_decision(step, target)
         if target is None:
             return False
-        self.run.note_good(opened)
+        self.run.feedback.good(opened)
         self.run.close(opened, f"dropped {step.confidence:.2f} for {target}")
         self.level = target
         self.run.tried.clear()
@@ -187,7 +189,7 @@
         )
         self.call.decisions.append(decision)
 
-    def _step(self, opened: tries.Opened) -> cascade.Step:
+    def _step(self, opened: answer.Opened) -> cascade.Step:
         levels = self.call.route.levels
         ready = self.run.usable()
         options = [
@@ -219,7 +221,7 @@
             cost=costs.get(levels[number], 0.0) / max(costs.values(), default=1.0),
         )
 
-    async def _forward(self, opened: tries.Opened) -> bool:
+    async def _forward(self, opened: answer.Opened) -> bool:
         """Pass events on; return whether the stream came to its end."""
         result = "cancelled"
         try:
@@ -229,12 +231,12 @@
             if self.req.transport is None:
                 raise asyncio.CancelledError from exc
             result = f"cut: {type(exc).__name__}"
-            self.run.note_bad(opened, result)
+            self.run.feedback.bad(opened, result)
         finally:
             self.run.close(opened, result)
         return result == "ok"
 
-    async def _pass_events(self, opened: tries.Opened) -> None:
+    async def _pass_events(self, opened: answer.Opened) -> None:
         splitter = events.Splitter()
         ending = conns.Ending(opened.resp)
         first_at = last_at = None
@@ -258,33 +260,29 @@
                 continue
             now = time.monotonic()
             if last_at is not None:
-                self._note_pace(opened, len(found), now - last_at)
+                self.run.feedback.pace(opened, len(found), now - last_at)
             first_at, last_at = first_at or now, now
             count += len(found)
             if count > GAP_EVENTS and not is_gap_noted:
-                self.run.note_gap(opened, (now - first_at) / (count - 1))
+                self.run.feedback.gap(opened, (now - first_at) / (count - 1))
                 is_gap_noted = True
             await self._write(opened, found)
         ending.check()
         if splitter.has_rest or not count:
             raise CutError("the stream ended within an event")
         if count > 1 and not is_gap_noted:
-            self.run.note_gap(opened, (last_at - first_at) / (count - 1))
-        self.run.note_good(opened)
-
-    def _note_pace(self, opened: tries.Opened, events_read: int, took_s: float) -> None:
-        pace = self.shared.places.pace.of(self.call.service.name, opened.level)
-        pace.saw_write(events_read * self.call.service.tokens_per_event, took_s)
+            self.run.feedback.gap(opened, (last_at - first_at) / (count - 1))
+        self.run.feedback.good(opened)
 
     async def _write(
-        self, opened: tries.Opened, found: list[events.StreamEvent]
+        self, opened: answer.Opened, found: list[events.StreamEvent]
     ) -> None:
         if self.resp is None:
             await self._begin(opened)
         await self.resp.write(b"".join(event.raw for event in found))
         self.last_id = found[-1].event_id or self.last_id
 
-    async def _begin(self, opened: tries.Opened) -> None:
+    async def _begin(self, opened: answer.Opened) -> None:
         self.call.first_event_s = time.monotonic() - self.call.started_at
         passed = headers.passed_on(opened.resp.headers, frozenset())
         self.resp = web.StreamResponse(status=opened.resp.status, headers=passed)
--- a/libs/masticpost-gateway/src/masticpost_gateway/tries.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/tries.py
@@ -3,16 +3,14 @@
 import asyncio
 import math
 import time
-import typing
 
-import aiohttp
-import attrs
 from masticpost_common import errors, retry
 
 from masticpost_gateway import (
-    beliefs,
+    answer,
     choice,
     conns,
+    feedback,
     headers,
     health,
     loads,
@@ -20,9 +18,8 @@
     outcomes,
     patience,
     placement,
-    retryshare,
     sending,
-    sessions,
+    shared,
     trial,
 )
 from masticpost_gateway import call as calls
@@ -31,43 +28,6 @@
 DOUBT_AFTER_S = 0.8
 WAIT_SHARE = 0.5
 RETRY_AFTER_S = 0.4
-SERVER_ERROR = 500
-
-
-@attrs.define(kw_only=True)
-class Opened:
-    """An answer whose head was read and checked, and its body not yet."""
-
-    upstream: model.Upstream
-    level: str
-    resp: aiohttp.ClientResponse
-    head: headers.AnswerHead
-    sent_at: float
-    head_at: float
-    health: health.Health
-    work: loads.Work | None = None
-    unread_tokens: int = 0
-    confidence: float | None = None
-
-    @property
-    def is_failure(self) -> bool:
-        """Whether the upstream itself reports a failure."""
-        return self.resp.status >= SERVER_ERROR
-
-
-class Shared(typing.Protocol):
-    """What every request of a gateway uses."""
-
-    names: headers.HeaderNames
-    known: beliefs.Beliefs
-    chooser: choice.Chooser
-    pools: conns.Pools
-    retries: retryshare.RetryShare
-    trials: trial.Trials
-    sessions: sessions.Sessions
-    closing_at: float | None
-    loads: loads.Loads
-    places: placement.Placement
 
 
 class Tries:
@@ -75,18 +35,19 @@
 
     Parameters
     ----------
-    shared : Shared
-        Parts of the gateway.
+    parts : shared.Shared
+        Parts of the instance.
     call : call.Call
         The request.
     """
 
-    def __init__(self, *, shared: Shared, call: calls.Call) -> None:
-        self.shared = shared
+    def __init__(self, *, parts: shared.Shared, call: calls.Call) -> None:
+        self.shared = parts
         self.call = call
-        self.plan = shared.trials.plan(
+        self.plan = parts.trials.plan(
             call.service.name, call.head.session, call.head.request_id
         )
+        self.feedback = feedback.Feedback(parts=parts, call=call)
         self.tried: set[str] = set()
         self.runs = 0
         self.sent = 0
@@ -204,7 +165,7 @@
         level: str,
         overdue_after_s: float,
         last_id: str = "",
-    ) -> Opened:
+    ) -> answer.Opened:
         """Send the request and return the answer's checked head.
 
         Parameters
@@ -231,7 +192,7 @@
             unread = self.shared.places.unread_tokens(upstream.name, reading)
             read_s = self.shared.places.read_s(upstream.name, reading)
             work = self.shared.loads.begin(upstream.name, read_s)
-            self._place(upstream, reading)
+            self.feedback.sent(upstream.name, reading)
         try:
             opened = await self._exchange(pool, out, row, level, overdue_after_s)
         except sending.TryError as exc:
@@ -247,16 +208,13 @@
         opened.work = work
         opened.unread_tokens = unread
         if reading is not None:
-            self._note_read(opened, reading)
+            self.feedback.read(opened, reading)
         self.runs += 1
         self.may_have_run = True
-        service = self.call.service.name
-        self.shared.sessions.ran(
-            service, self.call.head.session, upstream.version, time.monotonic()
-        )
+        self.feedback.ran(upstream.version)
         return opened
 
-    def close(self, opened: Opened, result: str) -> None:
+    def close(self, opened: answer.Opened, result: str) -> None:
         """End a try: give the connection back, or cut it if its body is not read."""
         opened.health.outstanding -= 1
         self._end_work(opened.work)
@@ -265,38 +223,6 @@
             result = f"ok {opened.confidence:.2f}"
         self._record(opened.upstream, opened.level, result, opened.sent_at)
 
-    def note_good(self, opened: Opened) -> None:
-        """Count a whole answer for the upstream and its version."""
-        now = time.monotonic()
-        opened.health.succeeded(now)
-        self.shared.sessions.ran(
-            self.call.service.name,
-            self.call.head.session,
-            opened.upstream.version,
-            now,
-        )
-        self.shared.trials.note(
-            self.call.service.name, opened.upstream.version, is_good=True
-        )
-
-    def note_gap(self, opened: Opened, gap_s: float) -> None:
-        """Count the mean pause between events for the upstream's version."""
-        self.shared.trials.note_gap(
-            self.call.service.name, opened.upstream.version, gap_s
-        )
-
-    def note_bad(self, opened: Opened, reason: str) -> None:
-        """Count a failed answer for the upstream.
-
-        Only what the upstream itself reports speaks against its version: a crash cuts
-        many answers at once and says little about the software.
-        """
-        opened.health.failed(time.monotonic(), reason)
-        if opened.is_failure:
-            self.shared.trials.note(
-                self.call.service.name, opened.upstream.version, is_good=False
-            )
-
     def leave_version(self, version: str) -> None:
         """Run the next try on another version than one on trial that failed."""
         if self.plan.preferred == version and self.call.service.name in (
@@ -318,18 +244,25 @@
         if work is not None:
             self.shared.loads.end(work)
 
-    def _note_read(self, opened: Opened, reading: placement.Reading) -> None:
-        """Note that the prompt was read, since the answer has begun."""
-        self.shared.loads.read(opened.work)
-        took_s = opened.head_at - opened.sent_at
-        speed = self.shared.places.pace.of(reading.service, reading.model)
-        if not opened.is_failure:
-            speed.saw_read(opened.unread_tokens, took_s)
-
-    def _place(self, upstream: model.Upstream, reading: placement.Reading) -> None:
-        """Note that a prompt will be read, so that what begins like it follows it."""
-        for key, part in zip(reading.keys(), reading.prompt.parts, strict=True):
-            self.shared.loads.place(upstream.name, key, part.tokens)
+    def _note_failure(
+        self,
+        upstream: model.Upstream,
+        level: str,
+        row: health.Health,
+        sent_at: float,
+        exc: sending.TryError,
+    ) -> None:
+        now = time.monotonic()
+        self._record(upstream, level, exc.reason, sent_at)
+        if exc.reason == sending.NOT_CONNECTED:
+            self._take_back(now)
+        if exc.verdict is retry.Verdict.NEVER_JUDGED:
+            if exc.reason in (sending.NOT_CONNECTED, sending.MOVED):
+                row.unreachable(now, exc.reason)
+            return
+        self.runs += 1
+        self.may_have_run = True
+        row.failed(now, exc.reason)
 
     def _wanted(self, level: str) -> choice.Wanted:
         return choice.Wanted(
@@ -370,7 +303,7 @@
         row: health.Health,
         level: str,
         overdue_after_s: float,
-    ) -> Opened:
+    ) -> answer.Opened:
         sent_at = time.monotonic()
         try:
             resp = await patience.wait(
@@ -396,7 +329,7 @@
         except sending.TryError:
             resp.close()
             raise
-        return Opened(
+        return answer.Opened(
             upstream=pool.upstream,
             level=level,
             resp=resp,
@@ -406,26 +339,6 @@
             health=row,
         )
 
-    def _note_failure(
-        self,
-        upstream: model.Upstream,
-        level: str,
-        row: health.Health,
-        sent_at: float,
-        exc: sending.TryError,
-    ) -> None:
-        now = time.monotonic()
-        self._record(upstream, level, exc.reason, sent_at)
-        if exc.reason == sending.NOT_CONNECTED:
-            self._take_back(now)
-        if exc.verdict is retry.Verdict.NEVER_JUDGED:
-            if exc.reason in (sending.NOT_CONNECTED, sending.MOVED):
-                row.unreachable(now, exc.reason)
-            return
-        self.runs += 1
-        self.may_have_run = True
-        row.failed(now, exc.reason)
-
     def _record(
         self, upstream: model.Upstream, level: str, result: str, sent_at: float
     ) -> None:
