--- a/libs/masticpost-bench/src/masticpost_bench/deployment.py
+++ b/libs/masticpost-bench/src/masticpost_bench/deployment.py
@@ -5,11 +5,11 @@
 import pathlib
 import ssl
 import tempfile
-import time
 import typing
 
 import aiohttp
 import result
+from masticpost_common import clock
 from masticpost_confsync import head
 from masticpost_store import client
 
@@ -177,7 +177,7 @@
                 seen_generation=self.generation,
                 author="bench",
                 note="",
-                at=time.time_ns() // 1_000_000,
+                at=clock.wall_ms(),
             )
         finally:
             await store.close()
@@ -196,7 +196,7 @@
             seen_generation=seen,
             author="bench",
             note="",
-            at=time.time_ns() // 1_000_000,
+            at=clock.wall_ms(),
         )
         await store.close()
         return outcome.is_ok()
--- a/libs/masticpost-cli/src/masticpost_cli/texts.py
+++ b/libs/masticpost-cli/src/masticpost_cli/texts.py
@@ -2,10 +2,9 @@
 
 import hashlib
 import sys
-import time
 
 import attrs
-from masticpost_common import findings
+from masticpost_common import clock, findings
 from masticpost_confsync import head
 from masticpost_text import diff, edit, parse
 
@@ -66,7 +65,7 @@
         seen_generation=seen,
         author=ses.author,
         note=note,
-        at=time.time_ns() // 1_000_000,
+        at=clock.wall_ms(),
     )
     if outcome.is_ok():
         made = outcome.unwrap().generation
--- a/libs/masticpost-daemon/src/masticpost_daemon/instance.py
+++ b/libs/masticpost-daemon/src/masticpost_daemon/instance.py
@@ -7,6 +7,7 @@
 import mode
 from aiohttp import web
 from loguru import logger
+from masticpost_common import clock
 from masticpost_confsync import keeper
 from masticpost_entry import app, budgets, doubts, guard, learning, runtime
 from masticpost_orders import giver
@@ -147,7 +148,7 @@
     )
     peers = hub.Hub(
         name=cfg.name,
-        incarnation=time.time_ns() // 1_000_000,
+        incarnation=clock.wall_ms(),
         address=str(cfg.peer_listen),
         ring=keys.KeyRing(secrets=list(cfg.peer_keys)),
     )
--- a/libs/masticpost-entry/src/masticpost_entry/budgets.py
+++ b/libs/masticpost-entry/src/masticpost_entry/budgets.py
@@ -12,9 +12,9 @@
 
 import attrs
 import mode
-from masticpost_common import errors
+from masticpost_common import clock, errors
 from masticpost_confsync import keeper
-from masticpost_shards import directory, ops, owner, records
+from masticpost_shards import directory, ops, records
 from masticpost_text import model
 
 ROUND_S = 0.5
@@ -102,12 +102,12 @@
             429,
             "budget_spent",
             "The customer's budget for this window is spent. It was not run.",
-            retry_after_s=max(1.0, (account.until - owner.wall_ms()) / MS),
+            retry_after_s=max(1.0, (account.until - clock.wall_ms()) / MS),
         )
 
     def _account(self, cust: model.Customer) -> Account:
         length_ms = max(1, round(cust.budget_s * MS))
-        window = owner.wall_ms() // length_ms * length_ms
+        window = clock.wall_ms() // length_ms * length_ms
         found = self._accounts.get(cust.name)
         if found is None or found.window != window:
             found = Account(window=window, until=window + length_ms)
--- a/libs/masticpost-entry/src/masticpost_entry/doubts.py
+++ b/libs/masticpost-entry/src/masticpost_entry/doubts.py
@@ -12,8 +12,8 @@
 import attrs
 import mode
 from loguru import logger
-from masticpost_common import errors, rendezvous, retry
-from masticpost_shards import claims, ops, owner, records, state
+from masticpost_common import clock, errors, rendezvous, retry
+from masticpost_shards import claims, ops, records, state
 from masticpost_text import model
 from masticpost_upstream import faults, plain
 
@@ -189,7 +189,7 @@
         service=opened.service,
         version=opened.version,
         state=records.ANSWERED,
-        at=owner.wall_ms(),
+        at=clock.wall_ms(),
         cost=inquiry.price,
     )
 
--- a/libs/masticpost-entry/src/masticpost_entry/meter.py
+++ b/libs/masticpost-entry/src/masticpost_entry/meter.py
@@ -3,7 +3,8 @@
 import asyncio
 
 import attrs
-from masticpost_shards import bills, owner, records
+from masticpost_common import clock
+from masticpost_shards import bills, records
 from masticpost_text import model
 
 from masticpost_entry import intake, runtime
@@ -53,7 +54,7 @@
             service=self.call.service.name,
             version=self.version,
             run=self.rt.agreed.shards.run,
-            at=owner.wall_ms(),
+            at=clock.wall_ms(),
             input_tokens=input_tokens,
             input_price=input_price,
         )
@@ -95,7 +96,7 @@
             service=self.call.service.name,
             version=self.version,
             state=state,
-            at=owner.wall_ms(),
+            at=clock.wall_ms(),
             input_tokens=self.input_tokens,
             output_tokens=self.output_tokens,
             cost=self.cost,
--- a/libs/masticpost-shards/src/masticpost_shards/claims.py
+++ b/libs/masticpost-shards/src/masticpost_shards/claims.py
@@ -7,9 +7,9 @@
 
 import attrs
 import mode
-from masticpost_common import errors
+from masticpost_common import clock, errors
 
-from masticpost_shards import directory, ops, owner, records
+from masticpost_shards import directory, ops, records
 
 CLAIM_TIMEOUT_S = 1.0
 OUTCOME_WAIT_S = 0.5
@@ -84,7 +84,7 @@
             fingerprint=fingerprint,
             nonce=uuid.uuid4().hex,
             run=self.shards.run,
-            at=owner.wall_ms(),
+            at=clock.wall_ms(),
             inquiry=inquiry,
         )
         while True:
@@ -145,7 +145,7 @@
             key=granted.key,
             nonce=granted.nonce,
             kind=kind,
-            at=owner.wall_ms(),
+            at=clock.wall_ms(),
             answer=answer,
         )
         shard = self.shards.shard_of(granted.key)
--- a/libs/masticpost-shards/src/masticpost_shards/directory.py
+++ b/libs/masticpost-shards/src/masticpost_shards/directory.py
@@ -11,7 +11,7 @@
 from masticpost_peers import hub, membership, messages
 from masticpost_store import client
 
-from masticpost_shards import ops, owner, records
+from masticpost_shards import ops, owner, records, settling
 
 CALL_TIMEOUT_S = 1.5
 RETRY_PAUSE_S = 0.03
@@ -51,7 +51,7 @@
         peers: hub.Hub,
         members: membership.Membership,
         shard_count: int,
-        settle_after_s: float = owner.SETTLE_AFTER_S,
+        settle_after_s: float = settling.SETTLE_AFTER_S,
     ) -> None:
         super().__init__()
         self.store = store
--- a/libs/masticpost-shards/src/masticpost_shards/owner.py
+++ b/libs/masticpost-shards/src/masticpost_shards/owner.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import collections
 import collections.abc
 import copy
 import time
@@ -14,9 +13,10 @@
 import mode
 import result
 from loguru import logger
+from masticpost_common import clock
 from masticpost_store import client
 
-from masticpost_shards import log, ops, records, state
+from masticpost_shards import batches, log, ops, records, settling, state
 
 COMMIT_INTERVAL_S = 0.05
 COMMIT_S_PER_SHARD = 0.004
@@ -26,22 +26,6 @@
 LEASE_S = 4.0
 RENEW_AFTER_S = 1.5
 SETTLE_CHECK_S = 2.0
-SETTLE_AFTER_S = 30.0
-BATCH_MAX_BYTES = 600_000
-RECORD_OVERHEAD_BYTES = 200
-PENDING_MAX_RECORDS = 400_000
-
-LIST_OF_RECORD: dict[type, str] = {
-    records.Claim: "claims",
-    records.Outcome: "outcomes",
-    records.BillOpen: "opens",
-    records.BillClose: "closes",
-    records.Pin: "pins",
-    records.Crash: "crashes",
-    records.Warmth: "warmth",
-    records.Trial: "trials",
-    records.Spend: "spends",
-}
 
 
 class NotOwnerError(Exception):
@@ -52,14 +36,6 @@
     """Nothing can be committed now."""
 
 
-@attrs.define(kw_only=True)
-class Pending:
-    """Records that wait for a commit, and who waits for them."""
-
-    writes: list[object]
-    fut: asyncio.Future
-
-
 HeldPermits = collections.abc.Callable[[int], list[records.HeldPermit]]
 
 
@@ -77,11 +53,6 @@
     return []
 
 
-def wall_ms() -> int:
-    """Return wall-clock milliseconds."""
-    return time.time_ns() // 1_000_000
-
-
 class ShardOwner(mode.Service):
     """Serves one shard while this instance is its owner.
 
@@ -110,7 +81,7 @@
         shard: int,
         run: records.Run,
         is_running: ops.IsRunning,
-        settle_after_s: float = SETTLE_AFTER_S,
+        settle_after_s: float = settling.SETTLE_AFTER_S,
         held_permits: HeldPermits | None = None,
         shard_count: int = 1,
     ) -> None:
@@ -119,7 +90,9 @@
         self.shard = shard
         self.run = run
         self.is_running = is_running
-        self.settle_after_s = settle_after_s
+        self.abandoned = settling.Abandoned(
+            is_running=is_running, settle_after_s=settle_after_s
+        )
         self.held_permits = held_permits or no_permits
         self.interval_s = commit_interval_s(shard_count)
         self.journal = log.Log(store=store, shard=shard, run=run)
@@ -131,10 +104,8 @@
         self.is_first_owner = False
         self.was_released = False
         self.inherited: list[records.HeldPermit] = []
-        self._pending: collections.deque[Pending] = collections.deque()
-        self._pending_records = 0
+        self._pending = batches.Queue()
         self._wake = asyncio.Event()
-        self._gone_since: dict[str, float] = {}
         self._handing_over = False
         self._has_released = False
         self._is_committing = False
@@ -164,7 +135,7 @@
             raise NotOwnerError
         if self.store.is_down and isinstance(op, ops.ClaimAsk):
             return self._decide_without_store(op)
-        if self._pending_records >= PENDING_MAX_RECORDS:
+        if self._pending.is_full:
             raise StoreDownError
         decision = ops.decide(self.working, op, self.is_running)
         reply = self._with_epoch(decision.reply)
@@ -172,7 +143,8 @@
         if not decision.writes and not (decision.waits and is_behind):
             return reply
         fut = asyncio.get_running_loop().create_future()
-        self._enqueue(Pending(writes=decision.writes, fut=fut))
+        self._pending.add(batches.Pending(writes=decision.writes, fut=fut))
+        self._wake.set()
         if not decision.waits:
             fut.add_done_callback(_ignore_result)
             return reply
@@ -195,11 +167,6 @@
             raise StoreDownError
         return ops.decide(self.working, op, self.is_running).reply
 
-    def _enqueue(self, item: Pending) -> None:
-        self._pending.append(item)
-        self._pending_records += len(item.writes)
-        self._wake.set()
-
     async def hand_over(self, timeout_s: float) -> None:
         """Stop deciding and commit what waits, for at most `timeout_s`."""
         self._handing_over = True
@@ -215,11 +182,7 @@
     def _drop(self) -> None:
         self.working = None
         self.lease_until = 0.0
-        while self._pending:
-            fut = self._pending.popleft().fut
-            if not fut.done():
-                fut.set_exception(NotOwnerError())
-        self._pending_records = 0
+        self._pending.fail_all(NotOwnerError)
 
     @mode.Service.task
     async def serve(self) -> None:
@@ -240,7 +203,7 @@
         self.is_first_owner = before.seq < 0
         self.was_released = before.released
         self.inherited = list(before.permits)
-        batch = attrs.evolve(self.journal.next_batch(wall_ms()), takeover=True)
+        batch = attrs.evolve(self.journal.next_batch(clock.wall_ms()), takeover=True)
         if not await self._write(batch):
             return False
         self.working = copy.deepcopy(self.journal.committed)
@@ -258,14 +221,14 @@
                 await self._release()
                 return
             if self.journal.snapshot_is_due():
-                await self.journal.write_snapshot(wall_ms())
-                self.working.prune(wall_ms())
+                await self.journal.write_snapshot(clock.wall_ms())
+                self.working.prune(clock.wall_ms())
             await asyncio.sleep(self.interval_s)
 
     async def _release(self) -> None:
         """Tell the next owner that this one does nothing more."""
         batch = attrs.evolve(
-            self.journal.next_batch(wall_ms()),
+            self.journal.next_batch(clock.wall_ms()),
             released=True,
             permits=self.held_permits(self.shard),
         )
@@ -285,10 +248,10 @@
 
     async def _commit_pending(self) -> bool:
         """Write one batch; False when the shard is lost."""
-        items = self._take_items()
+        items = self._pending.take()
         has_writes = any(item.writes for item in items)
         if has_writes or self._renewal_is_due():
-            batch = _fill(self.journal.next_batch(wall_ms()), items)
+            batch = batches.fill(self.journal.next_batch(clock.wall_ms()), items)
             self._is_committing = True
             is_written = await self._write(batch)
             self._is_committing = False
@@ -297,12 +260,10 @@
             is_written = True
         if not is_written:
             for item in items:
-                if not item.fut.done():
-                    item.fut.set_exception(NotOwnerError())
+                item.fail(NotOwnerError())
             return False
         for item in items:
-            if not item.fut.done():
-                item.fut.set_result(None)
+            item.succeed()
         return True
 
     def _note_commit(self, batch: records.Batch) -> None:
@@ -316,20 +277,6 @@
         left = self.lease_until - time.monotonic()
         return self.needs_lease and left < LEASE_S - RENEW_AFTER_S
 
-    def _take_items(self) -> list[Pending]:
-        items: list[Pending] = []
-        ended: set[str] = set()
-        size = 0
-        while self._pending and size < BATCH_MAX_BYTES:
-            if _claims_any(self._pending[0], ended):
-                break
-            item = self._pending.popleft()
-            ended |= _ended_calls(item)
-            size += sum(_size(record) for record in item.writes)
-            self._pending_records -= len(item.writes)
-            items.append(item)
-        return items
-
     async def _write(self, batch: records.Batch) -> bool:
         """Write until the batch is committed; False when another owner is ahead."""
         pause = RETRY_PAUSE_S
@@ -348,7 +295,7 @@
                 logger.error("shard {}: a batch is too large", self.shard)
                 return False
             if fault is log.AppendFault.WRAPPED:
-                await self.journal.write_snapshot(wall_ms())
+                await self.journal.write_snapshot(clock.wall_ms())
             unsettled = unsettled or fault is log.AppendFault.NOT_KNOWN
             await asyncio.sleep(pause)
             pause = min(2 * pause, RETRY_MAX_PAUSE_S)
@@ -368,7 +315,7 @@
             await asyncio.sleep(SETTLE_CHECK_S)
             if not self.is_serving:
                 continue
-            closes = self._abandoned_bills(time.monotonic())
+            closes = self.abandoned.closes(self.working, time.monotonic())
             if closes:
                 tell = ops.BillsTell(shard=self.shard, closes=closes)
                 self.add_future(self._settle(tell))
@@ -380,68 +327,6 @@
             return
         logger.info("shard {}: settled {} bills", self.shard, len(tell.closes))
 
-    def _may_settle(self, key: str) -> bool:
-        """Tell whether a call's bill waits until its service says if it ran."""
-        call = self.working.calls.get(key)
-        if call is None or call.claim.inquiry is None:
-            return False
-        return not state.is_final(call)
-
-    def _abandoned_bills(self, now: float) -> list[records.BillClose]:
-        """Return the bills, by the rule of docs/design/bills.md: input tokens only."""
-        found = []
-        opens = self.working.open_bills
-        for key in [key for key in self._gone_since if key not in opens]:
-            del self._gone_since[key]
-        for opened in opens.values():
-            if self.is_running(opened.run) or self._may_settle(opened.key):
-                self._gone_since.pop(opened.key, None)
-                continue
-            since = self._gone_since.setdefault(opened.key, now)
-            if now - since >= self.settle_after_s:
-                found.append(_settled(opened))
-        return found
-
-
-def _settled(opened: records.BillOpen) -> records.BillClose:
-    return records.BillClose(
-        key=opened.key,
-        customer=opened.customer,
-        service=opened.service,
-        version=opened.version,
-        state=records.SETTLED,
-        at=wall_ms(),
-        input_tokens=opened.input_tokens,
-        cost=opened.input_tokens * opened.input_price / 1e6,
-    )
-
-
-def _size(record: object) -> int:
-    if isinstance(record, records.Outcome) and record.answer is not None:
-        return RECORD_OVERHEAD_BYTES + len(record.answer.body)
-    return RECORD_OVERHEAD_BYTES
-
-
-def _ended_calls(item: Pending) -> set[str]:
-    return {w.key for w in item.writes if isinstance(w, records.Outcome)}
-
-
-def _claims_any(item: Pending, keys: set[str]) -> bool:
-    """Tell whether the item claims one of the calls again.
-
-    A batch is folded claims first, so a claim after an outcome of the same call
-    has to go into the next batch.
-    """
-    return any(isinstance(w, records.Claim) and w.key in keys for w in item.writes)
-
-
-def _fill(batch: records.Batch, items: list[Pending]) -> records.Batch:
-    lists: dict[str, list[object]] = collections.defaultdict(list)
-    for item in items:
-        for record in item.writes:
-            lists[LIST_OF_RECORD[type(record)]].append(record)
-    return attrs.evolve(batch, **lists)
-
 
 def _ignore_result(fut: asyncio.Future) -> None:
     if not fut.cancelled():
--- a/libs/masticpost-shards/src/masticpost_shards/sessions.py
+++ b/libs/masticpost-shards/src/masticpost_shards/sessions.py
@@ -7,9 +7,9 @@
 
 import attrs
 import mode
-from masticpost_common import errors
+from masticpost_common import clock, errors
 
-from masticpost_shards import directory, ops, owner, records
+from masticpost_shards import directory, ops, records
 
 ASK_TIMEOUT_S = 4.0
 DURABLE_TIMEOUT_S = 2.0
@@ -113,7 +113,7 @@
     def _ask(
         self, key: str, version: str, replaces: str, *, durable: bool
     ) -> ops.PinAsk:
-        pin = records.Pin(key=key, version=version, at=owner.wall_ms())
+        pin = records.Pin(key=key, version=version, at=clock.wall_ms())
         shard = self.shards.shard_of(key)
         return ops.PinAsk(shard=shard, pin=pin, replaces=replaces, durable=durable)
 
--- a/libs/masticpost-shards/src/masticpost_shards/views.py
+++ b/libs/masticpost-shards/src/masticpost_shards/views.py
@@ -13,9 +13,10 @@
 import attrs
 import mode
 from loguru import logger
+from masticpost_common import clock
 from masticpost_peers import hub, messages
 
-from masticpost_shards import directory, ops, owner, records, state
+from masticpost_shards import directory, ops, records, state
 
 PUSH_TIMEOUT_S = 0.4
 PUSH_PAUSE_S = 0.1
@@ -89,7 +90,7 @@
         known = self._suspects.get(fingerprint)
         if known is None:
             return 0
-        if owner.wall_ms() - known.at < state.CRASH_KEPT_MS:
+        if clock.wall_ms() - known.at < state.CRASH_KEPT_MS:
             return known.count
         del self._suspects[fingerprint]
         return 0
@@ -115,7 +116,7 @@
             self.trial_of(version, trial),
             is_stopped=True,
             reason=reason,
-            at=owner.wall_ms(),
+            at=clock.wall_ms(),
         )
         news = ViewNews(trials=[stop])
         self._learn(news)
@@ -125,7 +126,7 @@
     async def tell_stage(self, version: str, trial: int, stage: int) -> None:
         """Commit that a version goes on to a stage, then tell every instance."""
         row = records.Trial(
-            version=version, trial=trial, stage=stage, at=owner.wall_ms()
+            version=version, trial=trial, stage=stage, at=clock.wall_ms()
         )
         if isinstance(await self._commit_trial(row), ops.Done):
             news = ViewNews(trials=[row])
@@ -161,14 +162,14 @@
     async def tell_cold(self, upstream: str) -> None:
         """Tell every instance at once that the upstream is cold, then commit it."""
         known = self._warmth.get(upstream)
-        at = max(owner.wall_ms(), known.at + 1 if known else 0)
+        at = max(clock.wall_ms(), known.at + 1 if known else 0)
         news = ViewNews(warmth=[records.Warmth(upstream=upstream, warm=False, at=at)])
         self._learn(news)
         await self._push(news)
         await self._commit_warmth(upstream, warm=False)
 
     async def _commit_warmth(self, upstream: str, *, warm: bool) -> object:
-        warmth = records.Warmth(upstream=upstream, warm=warm, at=owner.wall_ms())
+        warmth = records.Warmth(upstream=upstream, warm=warm, at=clock.wall_ms())
         shard = self.shards.shard_of(warmth_key(upstream))
         return await self._commit(ops.WarmthTell(shard=shard, warmth=warmth))
 
@@ -178,7 +179,7 @@
             fingerprint=fingerprint,
             upstream=upstream,
             nonce=uuid.uuid4().hex,
-            at=owner.wall_ms(),
+            at=clock.wall_ms(),
         )
         shard = self.shards.shard_of(fingerprint)
         reply = await self._commit(ops.CrashTell(shard=shard, crash=crash))
@@ -239,7 +240,7 @@
         if own is None or not own.is_serving:
             return ops.NotOwner()
         recent = [
-            own.working.recent_crashes(fingerprint, owner.wall_ms())
+            own.working.recent_crashes(fingerprint, clock.wall_ms())
             for fingerprint in own.working.crashes
         ]
         suspects = [
--- a/libs/masticpost-shards/testing/test_owner.py
+++ b/libs/masticpost-shards/testing/test_owner.py
@@ -7,6 +7,7 @@
 import hypothesis
 import pytest
 from hypothesis import strategies
+from masticpost_common import clock
 from masticpost_shards import log, ops, owner, records, state
 from support import fakestore
 
@@ -40,7 +41,7 @@
 
 def claim_ask(key="k", nonce="n", fingerprint="f"):
     claim = records.Claim(
-        key=key, fingerprint=fingerprint, nonce=nonce, run=RUN, at=owner.wall_ms()
+        key=key, fingerprint=fingerprint, nonce=nonce, run=RUN, at=clock.wall_ms()
     )
     return ops.ClaimAsk(shard=0, claim=claim)
 
@@ -48,7 +49,7 @@
 def outcome_tell(key="k", nonce="n", kind=records.DONE):
     answer = records.Answer(status=201, content_type="t", body=b"b")
     outcome = records.Outcome(
-        key=key, nonce=nonce, kind=kind, at=owner.wall_ms(), answer=answer
+        key=key, nonce=nonce, kind=kind, at=clock.wall_ms(), answer=answer
     )
     return ops.OutcomeTell(shard=0, outcome=outcome)
 
@@ -135,7 +136,7 @@
 
     def tell(instance, amount):
         run = records.Run(instance=instance, started=1)
-        until = owner.wall_ms() + 60_000
+        until = clock.wall_ms() + 60_000
         spend = records.Spend(
             customer="c", window=7, until=until, run=run, amount=amount
         )
@@ -224,7 +225,7 @@
 async def test_abandoned_bill_is_settled_once(monkeypatch):
     monkeypatch.setattr(owner, "SETTLE_CHECK_S", 0.01)
     own = make_owner(fakestore.Server(), running=lambda run: False)
-    own.settle_after_s = 0.0
+    own.abandoned.settle_after_s = 0.0
     await serving(own)
     opened = records.BillOpen(
         key="b",
@@ -232,7 +233,7 @@
         service="s",
         version="v",
         run=RUN,
-        at=owner.wall_ms(),
+        at=clock.wall_ms(),
         input_tokens=1000,
         input_price=2.0,
     )
@@ -271,7 +272,7 @@
     monkeypatch.setattr(log, "SNAPSHOT_EVERY", 1)
     server = fakestore.Server()
     own = await serving(make_owner(server))
-    old = owner.wall_ms() - 2 * state.BILL_KEPT_MS
+    old = clock.wall_ms() - 2 * state.BILL_KEPT_MS
     tell = ops.BillsTell(shard=0, closes=[close_of("b", old)])
     await own.submit(tell)
     await snapshot_behind(own)
@@ -286,7 +287,7 @@
     """An owner that serves for days must not remember every bill of them."""
     monkeypatch.setattr(log, "SNAPSHOT_EVERY", 1)
     own = await serving(make_owner(fakestore.Server()))
-    await own.submit(ops.BillsTell(shard=0, closes=[close_of("b", owner.wall_ms())]))
+    await own.submit(ops.BillsTell(shard=0, closes=[close_of("b", clock.wall_ms())]))
     await own.submit(claim_ask())
     for kept in ("BILL_KEPT_MS", "CLAIM_KEPT_MS"):
         monkeypatch.setattr(state, kept, 0)
@@ -365,7 +366,7 @@
         service="s",
         version="v",
         state=records.ANSWERED,
-        at=owner.wall_ms(),
+        at=clock.wall_ms(),
         cost=1.0,
     )
     await submit(owners, ops.BillsTell(shard=0, opens=[], closes=[close]))
--- a/libs/masticpost-shards/testing/test_permits.py
+++ b/libs/masticpost-shards/testing/test_permits.py
@@ -1,7 +1,8 @@
 """A cold start ends by successes that came after it was last told."""
 
 import attrs
-from masticpost_shards import owner, permits, records, views
+from masticpost_common import clock
+from masticpost_shards import permits, records, views
 from support import fakepeers
 
 SHARD = 0
@@ -34,7 +35,7 @@
 
 
 def told_cold(view):
-    warmth = records.Warmth(upstream=ENGINE, warm=False, at=owner.wall_ms())
+    warmth = records.Warmth(upstream=ENGINE, warm=False, at=clock.wall_ms())
     view._learn(views.ViewNews(warmth=[warmth]))
 
 
--- a/libs/masticpost-shards/testing/test_views.py
+++ b/libs/masticpost-shards/testing/test_views.py
@@ -4,8 +4,9 @@
 
 import attrs
 import pytest
+from masticpost_common import clock
 from masticpost_peers import hub
-from masticpost_shards import ops, owner, records, state, views
+from masticpost_shards import ops, records, state, views
 from support import fakepeers
 
 HOUR_MS = 60 * state.MINUTE_MS
@@ -22,10 +23,10 @@
 
 
 def test_quarantine_ends_after_its_time(view, monkeypatch):
-    now = owner.wall_ms()
+    now = clock.wall_ms()
     view._learn(news(2, now))
     assert view.is_quarantined("f")
-    monkeypatch.setattr(owner, "wall_ms", lambda: now + state.CRASH_KEPT_MS + 1)
+    monkeypatch.setattr(clock, "wall_ms", lambda: now + state.CRASH_KEPT_MS + 1)
     assert not view.is_quarantined("f")
     assert view.crash_count("f") == 0
     view._learn(news(1, now + state.CRASH_KEPT_MS))
@@ -33,7 +34,7 @@
 
 
 def test_late_news_do_not_lower_the_count(view):
-    now = owner.wall_ms()
+    now = clock.wall_ms()
     view._learn(news(2, now))
     view._learn(news(1, now - 10))
     assert view.is_quarantined("f")
@@ -41,7 +42,7 @@
 
 def test_only_so_many_suspects_are_kept(view, monkeypatch):
     monkeypatch.setattr(views, "MAX_SUSPECTS", 10)
-    now = owner.wall_ms()
+    now = clock.wall_ms()
     for number in range(50):
         suspect = views.Suspect(fingerprint=f"f{number}", count=1, at=now + number)
         view._learn(views.ViewNews(suspects=[suspect]))
