Tell the sessions of a trial to all instances, and move none before half of the time

An instance keeps a session's version in its own memory; the requests of a session come to several of 74 instances, and one that had not seen it took it for new.

Change: the share stays narrow until 0.52 of the time. While a version is on trial, each instance tells the watchers, five times a second, which sessions with a mark in the narrow share run here and on which version, those at work when the trial began included; the watchers pass it on once. The request's line in the log names its session.

--- a/libs/masticpost-gateway/src/masticpost_gateway/call.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/call.py
@@ -110,6 +110,7 @@
             route=self.route.name,
             kind=self.route.kind.value,
             customer=self.customer,
+            session=self.head.session,
             config=self.config_version,
             tokens=(self.head.prompt.tokens_in, self.head.prompt.tokens_expected),
             outcome=outcome,
--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -26,6 +26,7 @@
     placement,
     relay,
     retryshare,
+    sessionnews,
     sessions,
     shared,
     source,
@@ -140,6 +141,9 @@
         self.relay = relay.Relay(
             peers=self.mesh, known=self.known, watch=self.watching, trials=trials
         )
+        self.session_news = sessionnews.SessionSharing(
+            peers=self.mesh, watchers=self.relay, trials=trials, memory=memory
+        )
         self.stages = stages.Stages(
             me=cfg.name,
             store=store,
@@ -168,6 +172,7 @@
         await self.loads.start()
         await self.watching.start()
         await self.relay.start()
+        await self.session_news.start()
         await self.stages.start()
         await self._listen(self.cfg.callers, self.gateway.handle)
         await self._listen(self.cfg.ready, self._ready)
@@ -180,6 +185,7 @@
         for runner in self._runners:
             await runner.cleanup()
         await self.stages.stop()
+        await self.session_news.stop()
         await self.relay.stop()
         await self.watching.stop()
         await self.loads.stop()
--- a/libs/masticpost-gateway/src/masticpost_gateway/stages.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/stages.py
@@ -25,18 +25,16 @@
 class StagePlan:
     """Parts of a roll-out's duration at which a stage begins; and the shares.
 
-    Up to `moving_at` only sessions that are new may come to the version. It gets
+    Up to `half_at` only sessions that are new come to the version, and few. It gets
     everything from `wide_at` on if its answers were judged, and from `late_at` on in
     any case.
     """
 
-    new_at: float = 0.4
-    moving_at: float = 0.52
+    half_at: float = 0.52
     wide_at: float = 0.66
     done_at: float = 0.82
     late_at: float = 0.85
-    new_share: float = model.PINNED_SHARE
-    moving_share: float = 0.5
+    half_share: float = 0.5
 
 
 class Stages(mode.Service):
@@ -98,18 +96,10 @@
         is_judged = passed >= self.plan.wide_at and row.is_judged()
         if is_judged or passed >= self.plan.late_at:
             return attrs.evolve(order, state=running, share=1.0)
-        share = max(order.share, self._early_share(passed))
-        if share == order.share:
-            return order
-        return attrs.evolve(order, state=running, share=share)
-
-    def _early_share(self, passed: float) -> float:
-        """Return the share before everything goes to the version."""
-        if passed >= self.plan.moving_at:
-            return self.plan.moving_share
-        if passed >= self.plan.new_at:
-            return self.plan.new_share
-        return 0.0
+        if passed >= self.plan.half_at:
+            share = max(order.share, self.plan.half_share)
+            return attrs.evolve(order, state=running, share=share)
+        return order
 
     async def _look(self, row: trial.Trial) -> None:
         now = time.monotonic()
