Give up an upstream that is silent to all and not known to be busy

Cause: with the change of patience, a request whose run or budget was used up waited at a hung upstream until its deadline and was lost; before, it failed after 1.5 objectives and the caller's own retry was served.

Ruled out: leaving again after 1.5 objectives in any case: then the last sound upstream under load is left too (the cause of that change).

Change: a stream's upstream that has answered this instance nothing since the wait began, and whose known backlog does not explain the wait (three times the time to read it), is given up after 1.5 objectives, or three times the allowed pause, also when no other can take over.

--- a/libs/masticpost-gateway/src/masticpost_gateway/health.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/health.py
@@ -24,6 +24,8 @@
         Requests of this instance at work there.
     ejected_until : float
         Monotonic time before which it gets no work, in seconds.
+    heard_at : float
+        Monotonic time of its last answer's head or event here, in seconds.
     """
 
     name: str
@@ -31,6 +33,7 @@
     outstanding: int = 0
     ejected_until: float = -math.inf
     ejections: int = 0
+    heard_at: float = -math.inf
     samples: collections.deque = attrs.field(
         factory=lambda: collections.deque(maxlen=SAMPLES_KEPT)
     )
--- a/libs/masticpost-gateway/src/masticpost_gateway/streaming.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/streaming.py
@@ -110,7 +110,11 @@
             try:
                 overdue_after_s = FIRST_EVENT_SHARE * self.call.route.objective_s
                 return await self.run.open(
-                    upstream, self._model, overdue_after_s, self.last_id
+                    upstream,
+                    self._model,
+                    overdue_after_s,
+                    silent_after_s=overdue_after_s,
+                    last_id=self.last_id,
                 )
             except sending.TryError as exc:
                 self._require_another(exc.reason, exc.verdict)
@@ -242,6 +246,7 @@
         first_at = last_at = None
         count = 0
         is_gap_noted = False
+        overdue_after_s = GAP_SHARE * self.call.route.gap_s
         while True:
             data = await patience.wait(
                 opened.resp.content.readany(),
@@ -249,8 +254,9 @@
                 leaves=self.run.leaves(
                     opened.upstream,
                     opened.level,
-                    GAP_SHARE * self.call.route.gap_s,
+                    overdue_after_s,
                     is_counted=True,
+                    silent_after_s=overdue_after_s,
                 ),
             )
             if not data:
@@ -259,6 +265,7 @@
             if not found:
                 continue
             now = time.monotonic()
+            opened.health.heard_at = now
             if last_at is not None:
                 self.run.feedback.pace(opened, len(found), now - last_at)
             first_at, last_at = first_at or now, now
--- a/libs/masticpost-gateway/src/masticpost_gateway/tries.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/tries.py
@@ -27,6 +27,7 @@
 WAIT_STEP_S = 0.03
 DOUBT_AFTER_S = 0.8
 WAIT_SHARE = 0.5
+BUSY_TIMES = 3.0
 RETRY_AFTER_S = 0.4
 
 
@@ -109,13 +110,18 @@
         overdue_after_s: float,
         *,
         is_counted: bool,
+        silent_after_s: float = math.inf,
     ) -> tuple[patience.Leave, ...]:
         """Return the reasons to leave an upstream for another.
 
         Parameters
         ----------
         overdue_after_s : float
-            Wait after which one that only is slow may be left.
+            Wait after which one that only is slow may be left for a faster one.
+        silent_after_s : float
+            Wait after which one that has answered nothing else meanwhile, and is not
+            known to be busy, is given up also when there is no other: the caller may
+            come back in time.
         """
 
         def may_leave(waited_s: float) -> bool:
@@ -126,9 +132,18 @@
             moves = self.may_move(level, is_counted=is_counted)
             return moves and self._first_elsewhere_s(level) < waited_s
 
+        def is_silent(waited_s: float) -> bool:
+            now = time.monotonic()
+            if self.shared.chooser.health_of(upstream).heard_at > now - waited_s:
+                return False
+            reading_s = self.shared.loads.of(upstream.name, now).reading_s
+            is_explained = waited_s < BUSY_TIMES * reading_s
+            return self.call.route.kind.may_repeat and not is_explained
+
         return (
             patience.Leave(after_s=DOUBT_AFTER_S, holds=may_leave),
             patience.Leave(after_s=overdue_after_s, holds=is_overdue),
+            patience.Leave(after_s=silent_after_s, holds=is_silent),
         )
 
     def _first_elsewhere_s(self, level: str) -> float:
@@ -164,14 +179,16 @@
         upstream: model.Upstream,
         level: str,
         overdue_after_s: float,
+        *,
+        silent_after_s: float = math.inf,
         last_id: str = "",
     ) -> answer.Opened:
         """Send the request and return the answer's checked head.
 
         Parameters
         ----------
-        overdue_after_s : float
-            Wait after which a faster upstream gets the request instead.
+        overdue_after_s, silent_after_s : float
+            See `leaves`.
 
         Raises
         ------
@@ -194,7 +211,14 @@
             work = self.shared.loads.begin(upstream.name, read_s)
             self.feedback.sent(upstream.name, reading)
         try:
-            opened = await self._exchange(pool, out, row, level, overdue_after_s)
+            leaves = self.leaves(
+                upstream,
+                level,
+                overdue_after_s,
+                is_counted=False,
+                silent_after_s=silent_after_s,
+            )
+            opened = await self._exchange(pool, out, row, level, leaves)
         except sending.TryError as exc:
             row.outstanding -= 1
             self._end_work(work)
@@ -302,16 +326,14 @@
         out: conns.Outgoing,
         row: health.Health,
         level: str,
-        overdue_after_s: float,
+        leaves: tuple[patience.Leave, ...],
     ) -> answer.Opened:
         sent_at = time.monotonic()
         try:
             resp = await patience.wait(
                 pool.send(out),
                 limit_s=self.call.left_s(),
-                leaves=self.leaves(
-                    pool.upstream, level, overdue_after_s, is_counted=False
-                ),
+                leaves=leaves,
             )
         except conns.NotSentError as exc:
             raise sending.TryError(
@@ -323,6 +345,7 @@
             raise sending.TryError(
                 retry.Verdict.NOT_KNOWN, "no answer in time"
             ) from exc
+        row.heard_at = time.monotonic()
         head = headers.read_answer(resp.headers, self.shared.names)
         try:
             sending.check(resp, head, self.call.head.request_id)
