Heed upstreams that say they leave or want no requests

Cause: nothing in the gateway read an upstream's word in its answers: one that leaves got requests until the store's entry said so, one that answers 503 with Retry-After got the next request at once. And a request could wait in a full connection pool while its upstream left.

Ruled out: keeping the word in `health`: its rows go with the entry, and an entry that lapses with the store and comes back would have taken the mark away (a test shows it).

Change: `notices`, by run of an upstream: leaving has no end, a hold-off ends at its time (at most an hour; values that are no seconds count as none; 421 speaks for another upstream). The choice leaves both out, also for retries, resumed streams and escalations; when all hold off beyond half of the objective the caller is refused at once with the soonest time. The choice keeps to this instance's share of connections, and pools hold nothing back.

Not built: telling the other instances; the store tells them within a second or so.

--- a/libs/masticpost-gateway/src/masticpost_gateway/choice.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/choice.py
@@ -1,5 +1,6 @@
 """Choice of the upstream for one try of a request."""
 
+import collections.abc
 import math
 import random
 import time
@@ -11,6 +12,7 @@
     coldpace,
     health,
     model,
+    notices,
     placement,
     source,
     trial,
@@ -56,6 +58,9 @@
         Places prompts.
     domain : str
         Failure domain of this instance.
+    connections : callable
+        Returns how many connections this instance may have to one upstream of a
+        service, 0 for no bound.
     """
 
     def __init__(
@@ -65,11 +70,14 @@
         pace: coldpace.ColdPace,
         places: placement.Placement,
         domain: str,
+        connections: collections.abc.Callable[[model.Service], int],
     ) -> None:
         self.known = known
         self.pace = pace
         self.placement = places
         self.domain = domain
+        self.connections = connections
+        self.notices = notices.Notices()
         self.healths = health.Healths()
         self._registered: dict[str, Registered] = {}
         known.listen(self._on_change)
@@ -87,14 +95,21 @@
             if upstream.service == service
             and not upstream.is_draining
             and upstream.domain not in out
+            and not math.isinf(self.notices.ready_at(upstream, now))
         ]
 
+    def ready_at(self, wanted: Wanted, now: float) -> float:
+        """Return the time at which the first untried upstream wants requests."""
+        found = self._untried(wanted, now)
+        times = [self.notices.ready_at(upstream, now) for upstream in found]
+        return min(times, default=now)
+
     def pick(self, wanted: Wanted) -> model.Upstream | None:
         """Return the upstream for a try, None when none may be used now."""
         now = time.monotonic()
         found = self._untried(wanted, now)
         for group in self._by_preference(found, wanted.plan, now):
-            ready = [u for u in group if self._is_paced(u, wanted.service, now)]
+            ready = [u for u in group if self._may_take(u, wanted.service, now)]
             if ready:
                 chosen = self._best(ready, wanted)
                 self._note_cold(chosen, now)
@@ -107,7 +122,7 @@
             upstream
             for upstream in self._untried(wanted, now)
             if not self.health_of(upstream).is_ejected(now)
-            and self._is_paced(upstream, wanted.service, now)
+            and self._may_take(upstream, wanted.service, now)
         ]
 
     def _untried(self, wanted: Wanted, now: float) -> list[model.Upstream]:
@@ -131,9 +146,16 @@
             groups.append(rows)
         return groups
 
-    def _is_paced(
+    def _may_take(
         self, upstream: model.Upstream, service: model.Service, now: float
     ) -> bool:
+        if not self.notices.is_ready(upstream, now):
+            return False
+        # A request that waited for a connection could be sent after the upstream has
+        # left or its domain was taken out.
+        most = self.connections(service)
+        if most and self.health_of(upstream).outstanding >= most:
+            return False
         if not self.is_cold(upstream, now):
             return True
         return self.pace.may_send(upstream.name, service.cold_rate, now)
--- a/libs/masticpost-gateway/src/masticpost_gateway/conns.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/conns.py
@@ -16,6 +16,7 @@
 UNACKED_TIMEOUT_MS = 1500
 KEPT_S = 10.0
 READ_BUFFER_BYTES = 65_536
+MIN_CONNECTIONS = 2
 AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
@@ -44,14 +45,12 @@
     ----------
     upstream : model.Upstream
         Where they go.
-    limit : int
-        Most connections at once; 0 for no bound.
     """
 
-    def __init__(self, *, upstream: model.Upstream, limit: int) -> None:
+    def __init__(self, *, upstream: model.Upstream) -> None:
         self.upstream = upstream
         connector = aiohttp.TCPConnector(
-            limit=limit,
+            limit=0,
             keepalive_timeout=KEPT_S,
             socket_factory=make_socket,
         )
@@ -154,13 +153,21 @@
         self._pools: dict[tuple, Pool] = {}
         self._closing: set[asyncio.Task] = set()
 
-    def get(self, upstream: model.Upstream, service: model.Service) -> Pool:
+    def share(self, service: model.Service) -> int:
+        """Return this instance's share of one upstream's connections, 0 for no bound.
+
+        Who chooses upstreams keeps to it: a pool itself does not hold requests back.
+        """
+        if not service.max_connections:
+            return 0
+        share = service.max_connections // max(1, self.sharers())
+        return max(share, MIN_CONNECTIONS)
+
+    def get(self, upstream: model.Upstream) -> Pool:
         """Return the pool of this run of an upstream."""
         pool = self._pools.get(upstream.incarnation)
         if pool is None:
-            limit = service.max_connections // max(1, self.sharers())
-            pool = Pool(upstream=upstream, limit=max(limit, 2) if limit else 0)
-            self._pools[upstream.incarnation] = pool
+            pool = self._pools[upstream.incarnation] = Pool(upstream=upstream)
         return pool
 
     def keep_only(self, upstreams: list[model.Upstream]) -> None:
--- a/libs/masticpost-gateway/src/masticpost_gateway/headers.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/headers.py
@@ -18,6 +18,8 @@
         "expect",
     )
 )
+RETRY_AFTER = "Retry-After"
+NOT_SET = ("", "0")
 MS_PER_S = 1000.0
 
 
@@ -32,7 +34,7 @@
         Sent by callers.
     expected_instance, customer, urgency
         Set by the gateway for upstreams.
-    signature, not_run, confidence
+    signature, not_run, confidence, leaving
         Sent by upstreams.
     internal : frozenset of str
         Lower-case names that are dropped when a caller sends them.
@@ -53,6 +55,7 @@
     signature: str = "Answer-Signature"
     not_run: str = "Not-Run"
     confidence: str = "Confidence"
+    leaving: str = "Upstream-Leaving"
     internal: frozenset[str] = frozenset()
 
 
@@ -112,12 +115,19 @@
     ----------
     confidence : float or None
         The model's own opinion of its answer, 0 to 1.
+    is_leaving : bool
+        Whether the upstream says that it is about to stop.
+    retry_after_s : float or None
+        Time for which the upstream wants no further request; None when it tells none
+        that can be read.
     """
 
     request_id: str
     is_signed: bool
     is_not_run: bool
     confidence: float | None
+    is_leaving: bool = False
+    retry_after_s: float | None = None
 
 
 def read_call(headers: multidict.CIMultiDictProxy, names: HeaderNames) -> CallHead:
@@ -141,6 +151,8 @@
         is_signed=names.signature in headers,
         is_not_run=names.not_run in headers,
         confidence=None if confidence is None else confidence / 100.0,
+        is_leaving=headers.get(names.leaving, "") not in NOT_SET,
+        retry_after_s=_number(headers.get(RETRY_AFTER, "")),
     )
 
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -121,13 +121,18 @@
         memory = sessions.Sessions(lasts_s=cfg.session_s)
         trials = trial.Trials(known=self.known, memory=memory)
         pace = coldpace.ColdPace(me=cfg.name, members=self.members)
+        pools = conns.Pools(sharers=lambda: len(self.members()))
         self.shared = shared.Shared(
             names=names,
             known=self.known,
             chooser=choice.Chooser(
-                known=self.known, pace=pace, places=places, domain=cfg.domain
+                known=self.known,
+                pace=pace,
+                places=places,
+                domain=cfg.domain,
+                connections=pools.share,
             ),
-            pools=conns.Pools(sharers=lambda: len(self.members())),
+            pools=pools,
             retries=retryshare.RetryShare(
                 bounds=cfg.retries, members=lambda: len(self.members())
             ),
--- a/libs/masticpost-gateway/src/masticpost_gateway/tries.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/tries.py
@@ -172,6 +172,9 @@
                 raise self.refusal("no upstream is ready")
             if not self.shared.chooser.usable(self.call.service.name, now):
                 raise self.refusal("no upstream is registered")
+            ready_at = self.shared.chooser.ready_at(self._wanted(level), now)
+            if ready_at >= give_up_at:
+                raise self.refusal("no upstream wants requests", ready_at - now)
             await asyncio.sleep(WAIT_STEP_S)
 
     async def open(
@@ -199,7 +202,7 @@
         self._count_sent(now)
         self.tried.add(upstream.name)
         row = self.shared.chooser.health_of(upstream)
-        pool = self.shared.pools.get(upstream, self.call.service)
+        pool = self.shared.pools.get(upstream)
         out = sending.outgoing(self.call, self.shared.names, upstream, level, last_id)
         row.outstanding += 1
         reading = self.reading(level)
@@ -254,14 +257,16 @@
         ):
             self.plan = trial.VersionPlan(avoided=version)
 
-    def refusal(self, reason: str) -> errors.RefusalError:
+    def refusal(
+        self, reason: str, retry_after_s: float = RETRY_AFTER_S
+    ) -> errors.RefusalError:
         """Return the error for a caller whose request was given up."""
         if self.may_have_run:
             return errors.refuse(
                 502, outcomes.Outcome.UPSTREAM_FAILED, reason, ran=errors.RAN_MAYBE
             )
         return errors.refuse(
-            503, outcomes.Outcome.NOT_RUN, reason, retry_after_s=RETRY_AFTER_S
+            503, outcomes.Outcome.NOT_RUN, reason, retry_after_s=retry_after_s
         )
 
     def _end_work(self, work: loads.Work | None) -> None:
@@ -347,8 +352,12 @@
             ) from exc
         row.heard_at = time.monotonic()
         head = headers.read_answer(resp.headers, self.shared.names)
+        request_id = self.call.head.request_id
+        self.shared.chooser.notices.note(
+            pool.upstream, resp.status, head, request_id, row.heard_at
+        )
         try:
-            sending.check(resp, head, self.call.head.request_id)
+            sending.check(resp, head, request_id)
         except sending.TryError:
             resp.close()
             raise
--- /dev/null
+++ b/libs/masticpost-gateway/testing/test_notices.py
@@ -0,0 +1,201 @@
+"""What upstreams say of themselves in answers: that they leave, and when to return."""
+
+import asyncio
+import math
+
+import attrs
+import pytest
+from masticpost_gateway import headers, model, notices, source
+from support import gatewaykit as kit
+
+UPSTREAM = model.Upstream(
+    name="w1",
+    service="desk",
+    address="127.0.0.1:1",
+    domain="a",
+    version="v1",
+    slots=4,
+    born_ms=7,
+)
+RESTARTED = attrs.evolve(UPSTREAM, born_ms=8)
+
+
+def answer_head(**changes):
+    fields = {
+        "request_id": "r",
+        "is_signed": True,
+        "is_not_run": False,
+        "confidence": None,
+    }
+    return headers.AnswerHead(**{**fields, **changes})
+
+
+def noted(status, head, at=100.0):
+    found = notices.Notices()
+    found.note(UPSTREAM, status, head, "r", at)
+    return found
+
+
+@pytest.mark.parametrize("status", [200, 429, 500, 503])
+def test_upstream_that_says_it_leaves_gets_nothing_until_it_starts_again(status):
+    found = noted(status, answer_head(is_leaving=True))
+    assert found.ready_at(UPSTREAM, 200.0) == math.inf
+    assert found.ready_at(RESTARTED, 200.0) <= 200.0
+
+
+def test_upstream_at_a_moved_address_speaks_for_itself_only():
+    found = noted(421, answer_head(is_leaving=True, retry_after_s=9.0))
+    assert found.ready_at(UPSTREAM, 100.0) <= 100.0
+
+
+@pytest.mark.parametrize(
+    ("status", "retry_after_s", "until"),
+    [
+        (503, 2.5, 102.5),
+        (503, 0.0, 100.0),
+        (503, None, 100.0),
+        (503, 1e9, 100.0 + notices.MAX_HOLD_OFF_S),
+        (429, 2.5, 100.0),
+        (500, 2.5, 100.0),
+    ],
+)
+def test_hold_off_lasts_as_long_as_the_refusal_says(status, retry_after_s, until):
+    found = noted(status, answer_head(retry_after_s=retry_after_s))
+    assert max(100.0, found.ready_at(UPSTREAM, 100.0)) == until
+
+
+def test_a_shorter_hold_off_does_not_end_a_longer_one():
+    found = noted(503, answer_head(retry_after_s=5.0))
+    found.note(UPSTREAM, 503, answer_head(retry_after_s=0.5), "r", 101.0)
+    assert found.ready_at(UPSTREAM, 101.0) == 105.0
+
+
+def test_hold_off_ends_with_the_run_of_the_upstream():
+    found = noted(503, answer_head(retry_after_s=5.0))
+    assert found.ready_at(RESTARTED, 100.0) <= 100.0
+
+
+def test_old_notices_are_forgotten():
+    found = noted(200, answer_head(is_leaving=True))
+    other = attrs.evolve(UPSTREAM, name="w2")
+    found.note(other, 200, answer_head(is_leaving=True), "r", 101 + notices.KEPT_S)
+    assert len(found) == 1
+
+
+@pytest.mark.parametrize(
+    ("text", "seconds"),
+    [
+        ("2", 2.0),
+        ("0.25", 0.25),
+        ("-1", None),
+        ("soon", None),
+        ("", None),
+        ("nan", None),
+        ("inf", None),
+        ("Wed, 21 Oct 2026 07:28:00 GMT", None),
+    ],
+)
+def test_retry_after_is_read_in_seconds(text, seconds):
+    head = headers.read_answer({"Retry-After": text}, headers.HeaderNames())
+    assert head.retry_after_s == seconds
+
+
+@pytest.mark.parametrize(("text", "leaves"), [("1", True), ("0", False), ("", False)])
+def test_leaving_is_read(text, leaves):
+    head = headers.read_answer({"Upstream-Leaving": text}, headers.HeaderNames())
+    assert head.is_leaving is leaves
+
+
+@pytest.mark.parametrize("path", ["/lookup/", "/chat/"])
+async def test_leaving_upstream_gets_nothing_more_from_this_instance(path):
+    leaving = {"Upstream_Leaving": "1"}
+    scripts = {"/lookup/": kit.answers(**leaving), "/chat/": kit.streams(2, **leaving)}
+    async with kit.Deployment() as dep:
+        leaver = await dep.add_worker("w1", scripts[path])
+        await dep.configure()
+        await dep.add_node()
+        first = await dep.call(path, method="POST", body=b"p")
+        assert first.status == 200
+        await dep.add_worker(
+            "w2", kit.streams(2) if path == "/chat/" else kit.answers()
+        )
+        await kit.until(lambda: len(dep.nodes[0].known.upstreams(0.0)) == 2)
+        for _ in range(8):
+            assert (await dep.call(path, method="POST", body=b"p")).status == 200
+        assert len(leaver.got) == 1
+
+
+async def test_leaving_lasts_over_a_lapse_of_the_upstreams_entry():
+    async with kit.Deployment() as dep:
+        leaver = await dep.add_worker("w1", kit.answers(Upstream_Leaving="1"))
+        await dep.configure()
+        made = await dep.add_node()
+        await dep.call("/lookup/")
+        await dep.store.put(source.Kind.UPSTREAMS, "w1", None)
+        await kit.until(lambda: not made.known.upstreams(0.0))
+        await dep.store.put(source.Kind.UPSTREAMS, "w1", leaver.record())
+        await kit.until(lambda: made.known.upstreams(0.0))
+        assert (await dep.call("/lookup/")).status == 503
+        assert len(leaver.got) == 1
+
+
+async def test_upstream_that_holds_off_gets_nothing_and_the_caller_is_told_when():
+    async with kit.Deployment() as dep:
+        full = await dep.add_worker("w1", kit.not_run(503, Retry_After="1.7"))
+        await dep.configure()
+        await dep.add_node()
+        await dep.call("/lookup/")
+        replies = [await dep.call("/lookup/") for _ in range(5)]
+        assert {reply.status for reply in replies} == {503}
+        assert len(full.got) == 1
+        told = [float(reply.headers["Retry-After"]) for reply in replies]
+        assert all(1.0 < seconds <= 1.7 for seconds in told)
+        assert told == sorted(told, reverse=True)
+
+
+async def test_request_waits_for_a_hold_off_that_ends_in_time():
+    refused = []
+
+    async def script(got, writer):
+        if refused:
+            await kit.answers()(got, writer)
+            return
+        refused.append(got)
+        await kit.not_run(503, Retry_After="0.1")(got, writer)
+
+    async with kit.Deployment() as dep:
+        await dep.add_worker("w1", script)
+        await dep.configure()
+        await dep.add_node()
+        await dep.call("/lookup/")
+        assert (await dep.call("/lookup/")).status == 200
+
+
+async def test_cut_stream_is_not_resumed_at_an_upstream_that_leaves():
+    async with kit.Deployment() as dep:
+        await dep.add_worker("w1", kit.streams(6, cut_after=2, Upstream_Leaving="1"))
+        await dep.configure()
+        await dep.add_node()
+        reply = await dep.call("/chat/", method="POST", body=b"p")
+        assert not reply.is_whole
+        assert len(dep.workers[0].got) == 1
+
+
+async def test_queued_request_is_not_sent_to_an_upstream_that_left_meanwhile():
+    release = asyncio.Event()
+
+    async def script(got, writer):
+        await release.wait()
+        writer.write(kit.whole(got, Upstream_Leaving="1"))
+
+    async with kit.Deployment() as dep:
+        worker = await dep.add_worker("w1", script)
+        service = model.Service(name="desk", max_connections=2)
+        await dep.configure(kit.configuration(services=(service,)))
+        await dep.add_node()
+        calls = [asyncio.create_task(dep.call("/lookup/")) for _ in range(4)]
+        await kit.until(lambda: len(worker.got) == 2)
+        release.set()
+        replies = await asyncio.gather(*calls)
+        assert sorted(reply.status for reply in replies) == [200, 200, 503, 503]
+        assert len(worker.got) == 2
--- a/testing/support/gatewaykit.py
+++ b/testing/support/gatewaykit.py
@@ -210,9 +210,9 @@
     return script
 
 
-def not_run(status=503):
+def not_run(status=503, **extra):
     """Return a script that never runs a request."""
-    return answers(status, b"full", Not_Run="1")
+    return answers(status, b"full", Not_Run="1", **extra)
 
 
 def reset(writer):
@@ -235,12 +235,13 @@
     return f"id: {number}\ndata: {text}-{number}\n\n".encode()
 
 
-def streams(count, *, cut_after=None, confidence=90, pause_s=0.0):
+def streams(count, *, cut_after=None, confidence=90, pause_s=0.0, **extra):
     """Return a script that writes events, from the one after Last-Event-Id on."""
 
     async def script(got, writer):
         start = int(got.headers.get("last-event-id") or 0)
-        lead = head(got, Confidence=confidence, Content_Type="text/event-stream")
+        kind = "text/event-stream"
+        lead = head(got, Confidence=confidence, Content_Type=kind, **extra)
         writer.write((lead + "Transfer-Encoding: chunked\r\n\r\n").encode())
         for number in range(start + 1, count + 1):
             if cut_after is not None and number > cut_after:
