Bound what upstreams may send, and reset connections that are given up

Cause: (1) bytes that are no answer and come without end were read until the deadline and kept: a plain body of 100 to 500 MB in a third of a second, a stream's unfinished event without bound. (3) A second copy of an answer that came while the connection was idle was kept for the next request, which then failed.

Ruled out: a wait that outlives the caller; the handler is cancelled by its leaving on each path (test_streaming, test_plain), the bytes were on the way already.

Change: `links`: each connection counts bytes since something useful came (head 256 KB, event 1 MB, whole answer 16 MB) and is reset beyond; any byte while idle resets it; an exchange that is given up is reset, not closed.

Tests: test_endless, 37 cases (before: 11 of the first 34 failed, and the run did not end in 200 s), test_links (2 of 4 failed before).

--- a/libs/masticpost-gateway/src/masticpost_gateway/conns.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/conns.py
@@ -10,7 +10,7 @@
 import yarl
 from loguru import logger
 
-from masticpost_gateway import model
+from masticpost_gateway import links, model
 
 CONNECT_TIMEOUT_S = 0.4
 UNACKED_TIMEOUT_MS = 1500
@@ -49,7 +49,7 @@
 
     def __init__(self, *, upstream: model.Upstream) -> None:
         self.upstream = upstream
-        connector = aiohttp.TCPConnector(
+        connector = links.Connector(
             limit=0,
             keepalive_timeout=KEPT_S,
             socket_factory=make_socket,
@@ -77,7 +77,7 @@
         """
         url = yarl.URL(f"http://{self.upstream.address}{out.target}", encoded=True)
         try:
-            return await self._http.request(
+            resp = await self._http.request(
                 out.method,
                 url,
                 headers=out.headers,
@@ -89,6 +89,8 @@
             raise NotSentError(str(exc)) from exc
         except (aiohttp.ClientError, OSError, ValueError) as exc:
             raise BrokenError(f"{type(exc).__name__}: {exc}") from exc
+        links.useful(resp)
+        return resp
 
     async def close(self) -> None:
         """Close every connection."""
--- a/libs/masticpost-gateway/src/masticpost_gateway/streaming.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/streaming.py
@@ -13,6 +13,7 @@
     conns,
     events,
     headers,
+    links,
     model,
     outcomes,
     patience,
@@ -25,7 +26,7 @@
 FIRST_EVENT_SHARE = 1.5
 GAP_SHARE = 3.0
 GAP_EVENTS = 2
-READ_BYTES = 65_536
+MAX_EVENT_BYTES = 2**20
 
 
 class CutError(Exception):
@@ -242,6 +243,7 @@
 
     async def _pass_events(self, opened: answer.Opened) -> None:
         splitter = events.Splitter()
+        links.useful(opened.resp, MAX_EVENT_BYTES)
         ending = conns.Ending(opened.resp)
         first_at = last_at = None
         count = 0
@@ -264,6 +266,7 @@
             found = splitter.feed(data)
             if not found:
                 continue
+            links.useful(opened.resp, MAX_EVENT_BYTES)
             now = time.monotonic()
             opened.health.heard_at = now
             if last_at is not None:
