Count only whole events as progress of a stream

Cause: each read of a stream began a new wait, so that an upstream which sends a byte now and then (a comment, half an event) was never overdue nor silent, and held the request until its deadline: the caller got a cut stream or 504.

Ruled out: a bound on the bytes alone (1 MB an event is hours at a byte now and then).

Change: the wait counts from the last whole event, and its reasons to leave are looked at also when bytes come that complete none.

Tests: stalled before and within the stream (both failed before: cut after two events, 504), and a slow but sound stream that is not cut (passed before).

--- a/libs/masticpost-gateway/src/masticpost_gateway/patience.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/patience.py
@@ -37,6 +37,7 @@
     *,
     limit_s: float,
     leaves: collections.abc.Sequence[Leave] = (),
+    waited_s: float = 0.0,
 ) -> T:
     """Return the result of `work`.
 
@@ -46,6 +47,9 @@
         Longest wait, in seconds.
     leaves : sequence of Leave
         Reasons to end the wait before, looked at each `POLL_S`.
+    waited_s : float
+        Time for which the same thing was waited for before, which counts for the
+        reasons to leave.
 
     Raises
     ------
@@ -54,17 +58,15 @@
     """
     began = time.monotonic()
     task = asyncio.ensure_future(work)
-    waited_s = 0.0
+    passed_s = 0.0
     try:
         while True:
-            pause_s = _pause_s(waited_s, limit_s, leaves)
+            pause_s = _pause_s(waited_s + passed_s, waited_s + limit_s, leaves)
             done, _ = await asyncio.wait((task,), timeout=pause_s)
             if done:
                 return task.result()
-            waited_s = time.monotonic() - began
-            if waited_s >= limit_s:
-                raise TimeoutError
-            if any(leave.applies(waited_s) for leave in leaves):
+            passed_s = time.monotonic() - began
+            if passed_s >= limit_s or is_over(leaves, waited_s + passed_s):
                 raise TimeoutError
     finally:
         if not task.done():
@@ -72,6 +74,11 @@
             await asyncio.gather(task, return_exceptions=True)
 
 
+def is_over(leaves: collections.abc.Sequence[Leave], waited_s: float) -> bool:
+    """Tell whether there is a reason to end a wait."""
+    return any(leave.applies(waited_s) for leave in leaves)
+
+
 def _pause_s(
     waited_s: float, limit_s: float, leaves: collections.abc.Sequence[Leave]
 ) -> float:
--- a/libs/masticpost-gateway/src/masticpost_gateway/streaming.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/streaming.py
@@ -248,27 +248,33 @@
         first_at = last_at = None
         count = 0
         is_gap_noted = False
+        heard_at = time.monotonic()
         overdue_after_s = GAP_SHARE * self.call.route.gap_s
+        leaves = self.run.leaves(
+            opened.upstream,
+            opened.level,
+            overdue_after_s,
+            is_counted=True,
+            silent_after_s=overdue_after_s,
+        )
         while True:
             data = await patience.wait(
                 opened.resp.content.readany(),
                 limit_s=self.call.left_s(),
-                leaves=self.run.leaves(
-                    opened.upstream,
-                    opened.level,
-                    overdue_after_s,
-                    is_counted=True,
-                    silent_after_s=overdue_after_s,
-                ),
+                leaves=leaves,
+                waited_s=time.monotonic() - heard_at,
             )
             if not data:
                 break
             found = splitter.feed(data)
             if not found:
+                # Bytes that complete no event are no progress.
+                if patience.is_over(leaves, time.monotonic() - heard_at):
+                    raise CutError("bytes came, but no event")
                 continue
             links.useful(opened.resp, MAX_EVENT_BYTES)
             now = time.monotonic()
-            opened.health.heard_at = now
+            opened.health.heard_at = heard_at = now
             if last_at is not None:
                 self.run.feedback.pace(opened, len(found), now - last_at)
             first_at, last_at = first_at or now, now
--- a/libs/masticpost-gateway/testing/test_streaming.py
+++ b/libs/masticpost-gateway/testing/test_streaming.py
@@ -6,6 +6,7 @@
 import time
 
 import attrs
+import pytest
 from masticpost_gateway import headers, model, placement
 from support import gatewaykit as kit
 
@@ -300,3 +301,44 @@
         reply = await dep.call("/chat/", method="POST", body=b"p", **PROMPT)
         assert (reply.status, reply.body) == (200, events(3))
         assert [len(worker.got) for worker in dep.workers] == [1, 1]
+
+
+@pytest.mark.parametrize("first", [0, 2])
+async def test_stream_that_sends_a_byte_now_and_then_is_left(first):
+    """It held the request until its deadline: each byte counted as progress."""
+    stalled = []
+
+    async def script(got, writer):
+        if stalled:
+            await kit.streams(4)(got, writer)
+            return
+        stalled.append(got)
+        lead = kit.head(got, Confidence=90, Content_Type="text/event-stream")
+        writer.write((lead + "Transfer-Encoding: chunked\r\n\r\n").encode())
+        for number in range(1, first + 1):
+            writer.write(kit.chunk(kit.event(number)))
+        while True:
+            writer.write(kit.chunk(b":"))
+            await writer.drain()
+            await asyncio.sleep(0.05)
+
+    async with kit.Deployment() as dep:
+        workers = [await dep.add_worker(f"w{k}", script) for k in range(2)]
+        chat = attrs.evolve(kit.CHAT, gap_s=0.1)
+        await dep.configure(kit.configuration(routes=(chat,)))
+        await dep.add_node()
+        reply = await dep.call("/chat/", method="POST", body=b"p", **PROMPT)
+        assert (reply.body, reply.is_whole) == (events(4), True)
+        await kit.until(lambda: any(worker.cut for worker in workers))
+
+
+async def test_slow_but_sound_stream_is_not_cut():
+    """Each event comes long after the pause that is on time, and no other is faster."""
+    async with kit.Deployment() as dep:
+        worker = await dep.add_worker("w1", kit.streams(4, pause_s=0.4))
+        chat = attrs.evolve(kit.CHAT, gap_s=0.2)
+        await dep.configure(kit.configuration(routes=(chat,)))
+        await dep.add_node()
+        reply = await dep.call("/chat/", method="POST", body=b"p", **PROMPT)
+        assert (reply.body, reply.is_whole) == (events(4), True)
+        assert len(worker.got) == 1
