Keep news that nothing makes up for until the way to a peer stands

Cause: the first message to a peer was dropped, as its connection did not stand yet. Loads and beats come again; the sessions of a version on trial and the last evidence on it do not, so that a session could change its version (PINNED).

Change: `broadcast(..., is_lasting=True)` keeps up to 64 messages a peer for at most a second while its connection does not stand, in order.

Tests: 20 first messages arrive in order (failed before: the argument did not exist; the message was lost), messages to nobody are dropped.

--- a/libs/masticpost-gateway/src/masticpost_gateway/relay.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/relay.py
@@ -174,7 +174,8 @@
             )
             me = self.peers.me.name
             others = [row.address for row in self.watchers if row.name != me]
-            await self.peers.hub.broadcast(others, passing.EvidenceReport(rows=rows))
+            report = passing.EvidenceReport(rows=rows)
+            await self.peers.hub.broadcast(others, report, is_lasting=True)
 
     def _is_evidence_due(self, now: float) -> bool:
         """Tell whether changed evidence is told now: failures at once, others later.
--- a/libs/masticpost-gateway/src/masticpost_gateway/sessionnews.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sessionnews.py
@@ -132,7 +132,7 @@
             for (service, session), last in found.items()
         ]
         body = SessionNews(rows=rows, is_passed=is_passed)
-        await self.peers.hub.broadcast(addresses, body)
+        await self.peers.hub.broadcast(addresses, body, is_lasting=True)
 
     async def _on_news(self, envelope: messages.Envelope, body: SessionNews) -> None:
         now = time.monotonic()
--- a/libs/masticpost-peers/src/masticpost_peers/hub.py
+++ b/libs/masticpost-peers/src/masticpost_peers/hub.py
@@ -1,8 +1,11 @@
 """Sends and receives messages: one listening socket, one connection per peer."""
 
 import asyncio
+import collections
 import collections.abc
+import contextlib
 import itertools
+import time
 import typing
 
 import attrs
@@ -18,6 +21,8 @@
 RECONNECT_MAX_MS = 500
 MAX_HANDLERS = 2000
 CONNECT_POLL_S = 0.01
+HELD_MESSAGES = 64
+HELD_S = 1.0
 
 Handler = collections.abc.Callable[
     [messages.Envelope, typing.Any], collections.abc.Awaitable[object]
@@ -55,6 +60,10 @@
         self.hub = hub
         self.address = address
         self._waiting: dict[int, asyncio.Future] = {}
+        self._held: collections.deque[list[bytes]] = collections.deque(
+            maxlen=HELD_MESSAGES
+        )
+        self._is_sending_held = False
         self._sock: zmq.asyncio.Socket | None = None
 
     async def on_start(self) -> None:
@@ -106,6 +115,35 @@
         """Send frames that are sealed already; see `send`."""
         await self._post(frames)
 
+    async def post_lasting(self, frames: list[bytes]) -> None:
+        """Send sealed frames, or keep them until the connection stands.
+
+        They are dropped when it does not within `HELD_S`.
+        """
+        self._held.append(frames)
+        if self._is_sending_held:
+            return
+        self._is_sending_held = True
+        try:
+            await self._send_all_held()
+            self._is_sending_held = False
+        except PeerUnreachableError:
+            self.add_future(self._send_held())
+
+    async def _send_held(self) -> None:
+        ends_at = time.monotonic() + HELD_S
+        while self._held and time.monotonic() < ends_at:
+            await asyncio.sleep(CONNECT_POLL_S)
+            with contextlib.suppress(PeerUnreachableError):
+                await self._send_all_held()
+        self._held.clear()
+        self._is_sending_held = False
+
+    async def _send_all_held(self) -> None:
+        while self._held:
+            await self._post(self._held[0])
+            self._held.popleft()
+
     async def _post_when_connected(self, frames: list[bytes]) -> None:
         while True:
             try:
@@ -219,12 +257,26 @@
             return
 
     async def broadcast(
-        self, addresses: collections.abc.Iterable[str], body: object
+        self,
+        addresses: collections.abc.Iterable[str],
+        body: object,
+        *,
+        is_lasting: bool = False,
     ) -> None:
-        """Send a one-way message to several peers and ignore unreachable ones."""
+        """Send a one-way message to several peers and ignore unreachable ones.
+
+        Parameters
+        ----------
+        is_lasting : bool
+            Whether to keep the message for a peer whose connection does not stand yet,
+            as nothing later makes up for it.
+        """
         frames = self.seal(body)
         for address in addresses:
             conn = await self.conn(address)
+            if is_lasting:
+                await conn.post_lasting(frames)
+                continue
             try:
                 await conn.post(frames)
             except PeerUnreachableError:
--- a/libs/masticpost-peers/testing/test_hub.py
+++ b/libs/masticpost-peers/testing/test_hub.py
@@ -217,3 +217,37 @@
     await wait_until(lambda: [m.name for m in one.alive()] == ["a"])
     for part in (one, two, hub_a, hub_b):
         await part.stop()
+
+
+async def test_lasting_messages_reach_a_peer_that_was_not_spoken_to_before():
+    """The first message to a peer was dropped: its connection did not stand yet."""
+    one, two = await make_hub("one"), await make_hub("two")
+    got = []
+
+    async def note(envelope, body):
+        got.append(body.text)
+
+    two.handle(Echo, note)
+    texts = [str(number) for number in range(20)]
+    for text in texts:
+        await one.broadcast([two.address], Echo(text=text), is_lasting=True)
+    async with asyncio.timeout(10.0):
+        while len(got) < len(texts):
+            await asyncio.sleep(0.01)
+    assert got == texts
+    await one.stop()
+    await two.stop()
+
+
+async def test_lasting_messages_to_nobody_are_dropped_after_a_while(monkeypatch):
+    monkeypatch.setattr(hub, "HELD_S", 0.1)
+    one = await make_hub("one")
+    address = f"127.0.0.1:{procs.free_ports(1)[0]}"
+    for number in range(2 * hub.HELD_MESSAGES):
+        await one.broadcast([address], Echo(text=str(number)), is_lasting=True)
+    conn = await one.conn(address)
+    assert len(conn._held) == hub.HELD_MESSAGES
+    async with asyncio.timeout(10.0):
+        while conn._held:
+            await asyncio.sleep(0.01)
+    await one.stop()
