Count suspensions in ages and deadlines

Cause: the gateway measured ages and deadlines on the monotonic clock, which stands still while a machine is suspended. After a suspension of 30 s it refused a key for good by a configuration it took for fresh, and handed upstreams time that the caller no longer had: a process that was paused acted on a permission that had run out.

Ruled out: a task that notices a suspension: a request may be admitted before it runs.

Change: `common.clock` (CLOCK_BOOTTIME), used for everything in the gateway but the lengths of waits, so that an answer that is ready on waking is still delivered.

--- a/libs/masticpost-gateway/src/masticpost_gateway/beliefs.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/beliefs.py
@@ -7,7 +7,6 @@
 
 import collections.abc
 import math
-import time
 
 import attrs
 from loguru import logger
@@ -221,8 +220,3 @@
     def _notify(self, kind: source.Kind) -> None:
         for listener in self._listeners:
             listener(kind)
-
-
-def now() -> float:
-    """Return monotonic seconds."""
-    return time.monotonic()
--- a/libs/masticpost-gateway/src/masticpost_gateway/call.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/call.py
@@ -1,10 +1,9 @@
 """A request that was admitted, and the record of what was tried for it."""
 
-import time
-
 import attrs
 import multidict
 from loguru import logger
+from masticpost_common import clock
 
 from masticpost_gateway import headers, model, outcomes
 
@@ -88,15 +87,15 @@
 
     def left_s(self) -> float:
         """Return the seconds until the answer is due."""
-        return self.answer_by - time.monotonic()
+        return self.answer_by - clock.now()
 
     def age_s(self) -> float:
         """Return the seconds since the request arrived."""
-        return time.monotonic() - self.started_at
+        return clock.now() - self.started_at
 
     def objective_left_s(self) -> float:
         """Return the seconds until the objective has passed."""
-        return self.started_at + self.route.objective_s - time.monotonic()
+        return self.started_at + self.route.objective_s - clock.now()
 
     def log_end(self, outcome: outcomes.Outcome, status: int, reason: str = "") -> None:
         """Write the one line that tells the request's story."""
--- a/libs/masticpost-gateway/src/masticpost_gateway/choice.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/choice.py
@@ -3,9 +3,9 @@
 import collections.abc
 import math
 import random
-import time
 
 import attrs
+from masticpost_common import clock
 
 from masticpost_gateway import (
     beliefs,
@@ -106,7 +106,7 @@
 
     def pick(self, wanted: Wanted) -> model.Upstream | None:
         """Return the upstream for a try, None when none may be used now."""
-        now = time.monotonic()
+        now = clock.now()
         found = self._untried(wanted, now)
         for group in self._by_preference(found, wanted.plan, now):
             ready = [u for u in group if self._may_take(u, wanted.service, now)]
@@ -181,7 +181,7 @@
     def _on_change(self, kind: source.Kind) -> None:
         if kind is not source.Kind.UPSTREAMS:
             return
-        now = time.monotonic()
+        now = clock.now()
         rows = {}
         for upstream in self.known.upstreams(now):
             row = self._registered.get(upstream.name)
--- a/libs/masticpost-gateway/src/masticpost_gateway/feedback.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/feedback.py
@@ -1,6 +1,6 @@
 """What the answers to a request tell of upstreams, versions, sessions and speeds."""
 
-import time
+from masticpost_common import clock
 
 from masticpost_gateway import answer, placement, shared
 from masticpost_gateway import call as calls
@@ -23,7 +23,7 @@
 
     def good(self, opened: answer.Opened) -> None:
         """Count a whole answer for the upstream and its version."""
-        opened.health.succeeded(time.monotonic())
+        opened.health.succeeded(clock.now())
         self.ran(opened.upstream.version)
         self.shared.trials.note(
             self.call.service.name, opened.upstream.version, is_good=True
@@ -35,7 +35,7 @@
         Only what the upstream itself reports speaks against its version: a crash cuts
         many answers at once and says little about the software.
         """
-        opened.health.failed(time.monotonic(), reason)
+        opened.health.failed(clock.now(), reason)
         if opened.is_failure:
             self.shared.trials.note(
                 self.call.service.name, opened.upstream.version, is_good=False
@@ -55,7 +55,7 @@
     def ran(self, version: str) -> None:
         """Note the version that runs the request's session."""
         self.shared.sessions.ran(
-            self.call.service.name, self.call.head.session, version, time.monotonic()
+            self.call.service.name, self.call.head.session, version, clock.now()
         )
 
     def sent(self, upstream: str, reading: placement.Reading) -> None:
--- a/libs/masticpost-gateway/src/masticpost_gateway/gateway.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/gateway.py
@@ -1,12 +1,11 @@
 """The callers' side: admits a request, has it served, and answers for failures."""
 
 import asyncio
-import time
 
 import multidict
 from aiohttp import web
 from loguru import logger
-from masticpost_common import errors
+from masticpost_common import clock, errors
 
 from masticpost_gateway import (
     call,
@@ -46,7 +45,7 @@
 
     async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
         """Serve one request."""
-        started_at = time.monotonic()
+        started_at = clock.now()
         conn = req.protocol
         self.busy.add(conn)
         try:
@@ -159,7 +158,7 @@
     def _unknown(self, status: int, code: str, message: str) -> errors.RefusalError:
         """Refuse for good only while the configuration is known to be the newest."""
         view = self.shared.known.views[source.Kind.CONFIGURATION]
-        age_s = view.age_s(time.monotonic())
+        age_s = view.age_s(clock.now())
         if age_s <= FRESH_S:
             return errors.refuse(status, code, message)
         return errors.refuse(
@@ -204,7 +203,7 @@
             status=refusal.status,
             reason=refusal.message,
             config_rev=view.at,
-            config_age_s=round(view.age_s(time.monotonic()), 3),
+            config_age_s=round(view.age_s(clock.now()), 3),
         ).info("request refused")
         self.shared.metrics.refused(refusal)
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/loads.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/loads.py
@@ -10,11 +10,10 @@
 import asyncio
 import collections
 import math
-import time
 
 import attrs
 import mode
-from masticpost_common import rendezvous
+from masticpost_common import clock, rendezvous
 from masticpost_peers import membership, messages
 
 from masticpost_gateway import mesh, workreports
@@ -125,7 +124,7 @@
 
         The others are told unless they were a short while ago.
         """
-        now = time.monotonic()
+        now = clock.now()
         placed = workreports.Placed(upstream=upstream, key=key, tokens=tokens)
         part = self._put(placed, now)
         if now - part.told_at > PLACED_AGAIN_S:
@@ -185,7 +184,7 @@
                 count = max(MIN_HUBS, len(members) // DIRECT_MEMBERS)
                 hubs = self.peers.chosen("load", count)
                 await asyncio.sleep(HUB_PERIOD_S)
-            await self._tell(hubs, time.monotonic())
+            await self._tell(hubs, clock.now())
 
     async def _tell(self, hubs: list[membership.Member], now: float) -> None:
         me = self.peers.me
@@ -231,7 +230,7 @@
 
     def _is_new(self, loads: list[workreports.Load]) -> bool:
         """Tell whether loads are to be sent: work changed, or others forget them."""
-        now = time.monotonic()
+        now = clock.now()
         is_old = bool(loads) and now - self._last_sent_at > RESEND_S
         if not self._is_dirty and not is_old:
             return False
@@ -279,7 +278,7 @@
     def _take(
         self, told: workreports.Told, sender: str, work: workreports.Columns
     ) -> list[workreports.Placed]:
-        now = time.monotonic()
+        now = clock.now()
         told.put(sender, work.loads(), now)
         parts = work.parts()
         for placed in parts:
--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import collections.abc
-import time
 
 import attrs
 import mode
 from aiohttp import web
 from loguru import logger
+from masticpost_common import clock
 
 from masticpost_gateway import (
     beliefs,
@@ -200,14 +200,14 @@
 
     async def drain(self) -> None:
         """Serve what still comes on open connections, then end within the grace."""
-        self.shared.closing_at = time.monotonic()
+        self.shared.closing_at = clock.now()
         logger.bind(event="stop", active=len(self.gateway.busy)).info("draining")
-        started = time.monotonic()
+        started = clock.now()
         ends_at = started + self.cfg.grace_s - END_MARGIN_S
-        while time.monotonic() < ends_at:
-            if time.monotonic() > started + CLOSE_IDLE_AFTER_S:
+        while clock.now() < ends_at:
+            if clock.now() > started + CLOSE_IDLE_AFTER_S:
                 self._close_idle()
-            if not len(self.gateway.busy) and time.monotonic() > started + LINGER_S:
+            if not len(self.gateway.busy) and clock.now() > started + LINGER_S:
                 break
             await asyncio.sleep(POLL_S)
         logger.bind(event="stop", active=len(self.gateway.busy)).info("stopping")
@@ -243,7 +243,7 @@
 
     def _on_change(self, kind: source.Kind) -> None:
         if kind is source.Kind.UPSTREAMS:
-            upstreams = self.known.upstreams(time.monotonic())
+            upstreams = self.known.upstreams(clock.now())
             self.shared.pools.keep_only(upstreams)
             self.loads.keep_only({upstream.name for upstream in upstreams})
         if kind is source.Kind.CONFIGURATION and self.known.table is not None:
--- a/libs/masticpost-gateway/src/masticpost_gateway/placement.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/placement.py
@@ -6,10 +6,9 @@
 """
 
 import random
-import time
 
 import attrs
-from masticpost_common import rendezvous
+from masticpost_common import clock, rendezvous
 
 from masticpost_gateway import headers, loads, model, speeds
 
@@ -66,7 +65,7 @@
 
     def unread_tokens(self, upstream: str, reading: Reading) -> int:
         """Return how many tokens of a prompt an upstream has probably not kept."""
-        now = time.monotonic()
+        now = clock.now()
         total = reading.prompt.tokens_in
         for key, part in zip(reading.keys(), reading.prompt.parts, strict=True):
             if not self.work.holds(upstream, key, now):
@@ -108,17 +107,17 @@
     def first_s(self, ready: list[model.Upstream], reading: Reading) -> float:
         """Return the time until the best of some upstreams would have read a prompt."""
         name = self.best(ready, reading).name
-        load = self.work.of(name, time.monotonic())
+        load = self.work.of(name, clock.now())
         return load.reading_s + self.read_s(name, reading)
 
     def backlog_s(self, ready: list[model.Upstream]) -> float:
         """Return the mean time of reading that waits at some upstreams."""
-        now = time.monotonic()
+        now = clock.now()
         waiting = [self.work.of(upstream.name, now).reading_s for upstream in ready]
         return sum(waiting) / max(1, len(waiting))
 
     def _score(self, name: str, reading: Reading) -> float:
-        load = self.work.of(name, time.monotonic())
+        load = self.work.of(name, clock.now())
         read_s = self.read_s(name, reading)
         stall_s = read_s * STALL_WEIGHT * load.streams
         return load.reading_s + read_s + stall_s + STREAM_COST_S * load.streams
--- a/libs/masticpost-gateway/src/masticpost_gateway/plain.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/plain.py
@@ -1,13 +1,12 @@
 """Requests with one whole answer: idempotent and non-idempotent calls."""
 
 import math
-import time
 
 import aiohttp
 import attrs
 import multidict
 from aiohttp import web
-from masticpost_common import errors, retry
+from masticpost_common import clock, errors, retry
 
 from masticpost_gateway import (
     answer,
@@ -91,14 +90,14 @@
 
 
 async def _try(run: tries.Tries, upstream) -> Whole:
-    began = time.monotonic()
+    began = clock.now()
     overdue_after_s = math.inf
     if run.runs == 0:
         overdue_after_s = FIRST_TRY_SHARE * run.call.route.objective_s
     opened = await run.open(upstream, "", overdue_after_s)
     result = "cancelled"
     try:
-        overdue_after_s -= time.monotonic() - began
+        overdue_after_s -= clock.now() - began
         body = await patience.wait(
             _read(opened),
             limit_s=run.call.left_s(),
--- a/libs/masticpost-gateway/src/masticpost_gateway/relay.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/relay.py
@@ -14,11 +14,10 @@
 import asyncio
 import math
 import random
-import time
 
 import mode
 from loguru import logger
-from masticpost_common import codec, rendezvous
+from masticpost_common import clock, codec, rendezvous
 from masticpost_peers import hub, membership, messages
 
 from masticpost_gateway import beliefs, mesh, passing, source, trial, watching
@@ -68,7 +67,7 @@
         self.watch = watch
         self.trials = trials
         self.watchers: list[membership.Member] = []
-        self._started_at = time.monotonic()
+        self._started_at = clock.now()
         self._chosen_at: float | None = None
         self._heard_at = -math.inf
         self._helps_until = -math.inf
@@ -108,7 +107,7 @@
             many = members > MANY_MEMBERS
             count = WATCHERS_OF_MANY if many else WATCHERS
             self.watchers = self.peers.chosen("watch", count)
-            self._switch(time.monotonic())
+            self._switch(clock.now())
             await asyncio.sleep(CHOOSE_PERIOD_S)
 
     def _switch(self, now: float) -> None:
@@ -164,7 +163,7 @@
         while not self.should_stop:
             await asyncio.sleep(EVIDENCE_PERIOD_S)
             rows = self.trials.evidence()
-            now = time.monotonic()
+            now = clock.now()
             if rows == self._last_evidence or not self._is_evidence_due(now):
                 continue
             self._told_failures = self.trials.failures()
@@ -188,7 +187,7 @@
         return has_failures or now - self._evidence_told_at >= GOOD_EVIDENCE_PERIOD_S
 
     def _beat(self) -> passing.Beat:
-        now = time.monotonic()
+        now = clock.now()
         views = [
             passing.Freshness(
                 kind=view.kind,
@@ -212,13 +211,13 @@
         addresses = self.told_by_me()
         if not addresses or not (step.changed or step.removed):
             return
-        age_s = self.known.views[step.kind].age_s(time.monotonic())
+        age_s = self.known.views[step.kind].age_s(clock.now())
         body = passing.PassedChanges(
             kind=step.kind,
             since=step.since,
             at=step.at,
             age_s=age_s,
-            regained_s=min(time.monotonic() - self.known.regained_at, MAX_AGE_S),
+            regained_s=min(clock.now() - self.known.regained_at, MAX_AGE_S),
             changed=[passing.passed(entry) for entry in step.changed],
             removed=list(step.removed),
         )
@@ -231,7 +230,7 @@
         if body.at <= view.at:
             return
         if body.regained_s < beliefs.LAPSE_GRACE_S:
-            self.known.regained(time.monotonic() - body.regained_s)
+            self.known.regained(clock.now() - body.regained_s)
         if view.at < 0 or body.since > view.at:
             await self._ask(envelope.sender, body.kind)
             return
@@ -247,7 +246,7 @@
             for name in body.removed
         ]
         changes = source.Changes(events=tuple(events), at=body.at)
-        self.known.apply(body.kind, changes, time.monotonic() - body.age_s)
+        self.known.apply(body.kind, changes, clock.now() - body.age_s)
 
     async def _on_ask(
         self, envelope: messages.Envelope, body: passing.AskState
@@ -256,12 +255,12 @@
         return passing.PassedState(
             kind=body.kind,
             at=view.at,
-            age_s=min(view.age_s(time.monotonic()), MAX_AGE_S),
+            age_s=min(view.age_s(clock.now()), MAX_AGE_S),
             entries=[passing.passed(entry) for entry in view.entries.values()],
         )
 
     async def _on_beat(self, envelope: messages.Envelope, body: passing.Beat) -> None:
-        now = time.monotonic()
+        now = clock.now()
         if any(row.name == envelope.sender for row in self.watchers):
             self._heard_at = now
         for row in body.views:
@@ -292,7 +291,7 @@
             return
         entries = tuple(passing.entry(kind, row) for row in state.entries)
         listing = source.Listing(entries=entries, at=state.at)
-        self.known.replace(kind, listing, time.monotonic() - state.age_s)
+        self.known.replace(kind, listing, clock.now() - state.age_s)
 
     async def _on_evidence(
         self, envelope: messages.Envelope, body: passing.EvidenceReport
--- a/libs/masticpost-gateway/src/masticpost_gateway/sessionnews.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sessionnews.py
@@ -8,10 +8,10 @@
 
 import asyncio
 import collections.abc
-import time
 
 import attrs
 import mode
+from masticpost_common import clock
 from masticpost_peers import messages
 
 from masticpost_gateway import mesh, relay, sessions, trial
@@ -94,7 +94,7 @@
 
     def _add_running(self) -> None:
         """Add the sessions that were at work when a trial began."""
-        now = time.monotonic()
+        now = clock.now()
         opened = {
             (service, row.order.target) for service, row in self.trials.open.items()
         }
@@ -121,7 +121,7 @@
     ) -> None:
         if not found or not addresses:
             return
-        now = time.monotonic()
+        now = clock.now()
         rows = [
             SessionRow(
                 service=service,
@@ -135,7 +135,7 @@
         await self.peers.hub.broadcast(addresses, body, is_lasting=True)
 
     async def _on_news(self, envelope: messages.Envelope, body: SessionNews) -> None:
-        now = time.monotonic()
+        now = clock.now()
         for row in body.rows:
             key = (row.service, row.session)
             last = sessions.Last(version=row.version, at=now - row.age_s)
--- a/libs/masticpost-gateway/src/masticpost_gateway/stages.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/stages.py
@@ -7,12 +7,11 @@
 
 import asyncio
 import collections.abc
-import time
 
 import attrs
 import mode
 from loguru import logger
-from masticpost_common import rendezvous
+from masticpost_common import clock, rendezvous
 
 from masticpost_gateway import beliefs, model, source, trial
 
@@ -102,7 +101,7 @@
         return order
 
     async def _look(self, row: trial.Trial) -> None:
-        now = time.monotonic()
+        now = clock.now()
         service = row.order.service
         wanted = self.wanted(row, now)
         if wanted == row.order:
--- a/libs/masticpost-gateway/src/masticpost_gateway/status.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/status.py
@@ -2,10 +2,10 @@
 
 import collections.abc
 import enum
-import time
 import typing
 
 import attrs
+from masticpost_common import clock
 
 from masticpost_gateway import (
     beliefs,
@@ -129,7 +129,7 @@
 
 def of(parts: Parts) -> Status:
     """Return the status of an instance."""
-    now = time.monotonic()
+    now = clock.now()
     known = parts.known
     me = parts.mesh.me
     return Status(
--- a/libs/masticpost-gateway/src/masticpost_gateway/streaming.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/streaming.py
@@ -1,11 +1,10 @@
 """Requests whose answer is a stream of events: cascades, and resumption after cuts."""
 
 import asyncio
-import time
 
 import aiohttp
 from aiohttp import web
-from masticpost_common import errors, retry
+from masticpost_common import clock, errors, retry
 
 from masticpost_gateway import (
     answer,
@@ -248,7 +247,7 @@
         first_at = last_at = None
         count = 0
         is_gap_noted = False
-        heard_at = time.monotonic()
+        heard_at = clock.now()
         overdue_after_s = GAP_SHARE * self.call.route.gap_s
         leaves = self.run.leaves(
             opened.upstream,
@@ -262,18 +261,18 @@
                 opened.resp.content.readany(),
                 limit_s=self.call.left_s(),
                 leaves=leaves,
-                waited_s=time.monotonic() - heard_at,
+                waited_s=clock.now() - heard_at,
             )
             if not data:
                 break
             found = splitter.feed(data)
             if not found:
                 # Bytes that complete no event are no progress.
-                if patience.is_over(leaves, time.monotonic() - heard_at):
+                if patience.is_over(leaves, clock.now() - heard_at):
                     raise CutError("bytes came, but no event")
                 continue
             links.useful(opened.resp, MAX_EVENT_BYTES)
-            now = time.monotonic()
+            now = clock.now()
             opened.health.heard_at = heard_at = now
             if last_at is not None:
                 self.run.feedback.pace(opened, len(found), now - last_at)
@@ -299,7 +298,7 @@
         self.last_id = found[-1].event_id or self.last_id
 
     async def _begin(self, opened: answer.Opened) -> None:
-        self.call.first_event_s = time.monotonic() - self.call.started_at
+        self.call.first_event_s = clock.now() - self.call.started_at
         passed = headers.passed_on(opened.resp.headers, frozenset())
         self.resp = web.StreamResponse(status=opened.resp.status, headers=passed)
         self.resp.enable_chunked_encoding()
--- a/libs/masticpost-gateway/src/masticpost_gateway/trial.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/trial.py
@@ -6,11 +6,10 @@
 """
 
 import math
-import time
 
 import attrs
 from loguru import logger
-from masticpost_common import rendezvous
+from masticpost_common import clock, rendezvous
 
 from masticpost_gateway import beliefs, model, sessions, source
 
@@ -180,7 +179,7 @@
         trial = self.open.get(service)
         if trial is None or trial.verdict:
             return VersionPlan(excluded=order.target)
-        last = self.memory.version(service, session, time.monotonic())
+        last = self.memory.version(service, session, clock.now())
         if order.share >= WIDE_SHARE or last == order.target:
             return VersionPlan(preferred=order.target)
         if last is not None and order.share <= model.NARROW_SHARE:
@@ -258,7 +257,7 @@
     def _open(self, service: str, order: model.RollOut) -> None:
         trial = self.open.get(service)
         if trial is None or trial.order.target != order.target:
-            self.open[service] = Trial(order=order, since=time.monotonic())
+            self.open[service] = Trial(order=order, since=clock.now())
             return
         trial.order = order
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/tries.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/tries.py
@@ -2,9 +2,8 @@
 
 import asyncio
 import math
-import time
 
-from masticpost_common import errors, retry
+from masticpost_common import clock, errors, retry
 
 from masticpost_gateway import (
     answer,
@@ -66,13 +65,13 @@
         if not self.sent:
             # Nothing has reached an upstream: the next send is no repeat.
             return True
-        now = time.monotonic()
+        now = clock.now()
         service = self.call.service.name
         return self.shared.retries.may_repeat(service, now, is_planned=is_planned)
 
     def usable(self) -> list[model.Upstream]:
         """Return the sound upstreams that may answer."""
-        now = time.monotonic()
+        now = clock.now()
         found = self.shared.chooser.usable(self.call.service.name, now)
         sound = [
             u for u in found if not self.shared.chooser.health_of(u).is_ejected(now)
@@ -81,7 +80,7 @@
 
     def is_doubtful(self, upstream: model.Upstream) -> bool:
         """Tell whether other signs than silence speak against an upstream."""
-        now = time.monotonic()
+        now = clock.now()
         if self.shared.chooser.health_of(upstream).is_ejected(now):
             return True
         known = self.shared.known.upstreams(now)
@@ -98,7 +97,7 @@
         runs = self.runs if is_counted else self.runs + 1
         if not self.call.route.kind.may_repeat or runs >= self.call.route.attempts:
             return False
-        now = time.monotonic()
+        now = clock.now()
         if not self.shared.retries.may_repeat(self.call.service.name, now):
             return False
         return bool(self.shared.chooser.ready(self._wanted(level), now))
@@ -133,7 +132,7 @@
             return moves and self._first_elsewhere_s(level) < waited_s
 
         def is_silent(waited_s: float) -> bool:
-            now = time.monotonic()
+            now = clock.now()
             if self.shared.chooser.health_of(upstream).heard_at > now - waited_s:
                 return False
             reading_s = self.shared.loads.of(upstream.name, now).reading_s
@@ -151,7 +150,7 @@
         reading = self.reading(level)
         if reading is None:
             return 0.0
-        ready = self.shared.chooser.ready(self._wanted(level), time.monotonic())
+        ready = self.shared.chooser.ready(self._wanted(level), clock.now())
         return self.shared.places.first_s(ready, reading) if ready else math.inf
 
     async def next_upstream(self, level: str) -> model.Upstream:
@@ -167,7 +166,7 @@
             found = self.shared.chooser.pick(self._wanted(level))
             if found is not None:
                 return found
-            now = time.monotonic()
+            now = clock.now()
             if now >= min(give_up_at, self.call.answer_by):
                 raise self.refusal("no upstream is ready")
             if not self.shared.chooser.usable(self.call.service.name, now):
@@ -198,7 +197,7 @@
         sending.TryError
             The upstream did not run the request, or its answer is of no use.
         """
-        now = time.monotonic()
+        now = clock.now()
         self._count_sent(now)
         self.tried.add(upstream.name)
         row = self.shared.chooser.health_of(upstream)
@@ -281,7 +280,7 @@
         sent_at: float,
         exc: sending.TryError,
     ) -> None:
-        now = time.monotonic()
+        now = clock.now()
         self._record(upstream, level, exc.reason, sent_at)
         if exc.reason == sending.NOT_CONNECTED:
             self._take_back(now)
@@ -333,7 +332,7 @@
         level: str,
         leaves: tuple[patience.Leave, ...],
     ) -> answer.Opened:
-        sent_at = time.monotonic()
+        sent_at = clock.now()
         try:
             resp = await patience.wait(
                 pool.send(out),
@@ -350,7 +349,7 @@
             raise sending.TryError(
                 retry.Verdict.NOT_KNOWN, "no answer in time"
             ) from exc
-        row.heard_at = time.monotonic()
+        row.heard_at = clock.now()
         head = headers.read_answer(resp.headers, self.shared.names)
         request_id = self.call.head.request_id
         self.shared.chooser.notices.note(
@@ -367,14 +366,14 @@
             resp=resp,
             head=head,
             sent_at=sent_at,
-            head_at=time.monotonic(),
+            head_at=clock.now(),
             health=row,
         )
 
     def _record(
         self, upstream: model.Upstream, level: str, result: str, sent_at: float
     ) -> None:
-        took_s = time.monotonic() - sent_at
+        took_s = clock.now() - sent_at
         self.call.records.append(
             calls.TryRecord(
                 upstream=upstream.name, model=level, result=result, took_s=took_s
--- a/libs/masticpost-gateway/src/masticpost_gateway/watching.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/watching.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import random
-import time
 
 import mode
 from loguru import logger
+from masticpost_common import clock
 
 from masticpost_gateway import beliefs, source
 
@@ -86,15 +86,15 @@
 
     async def _pause(self, kind: source.Kind, pause_s: float) -> None:
         """Wait, at most for as long as the store is to be asked about a kind."""
-        ends_at = time.monotonic() + pause_s
+        ends_at = clock.now() + pause_s
         while self._is_needed(kind) and not self.should_stop:
-            left_s = ends_at - time.monotonic()
+            left_s = ends_at - clock.now()
             if left_s <= 0:
                 return
             await asyncio.sleep(min(IDLE_POLL_S, left_s))
 
     async def _list(self, kind: source.Kind) -> source.Fault | None:
-        asked_at = time.monotonic()
+        asked_at = clock.now()
         outcome = await self.store.list_all(kind)
         if outcome.is_err():
             return outcome.unwrap_err()
@@ -104,13 +104,13 @@
 
     async def _watch(self, kind: source.Kind) -> source.Fault | None:
         view = self.known.views[kind]
-        asked_at = time.monotonic()
+        asked_at = clock.now()
         outcome = await self.store.watch(kind, view.at, WAITS_S[kind])
         if outcome.is_err():
             return outcome.unwrap_err()
         self._note_success(kind, asked_at)
         changes = outcome.unwrap()
-        self.known.apply(kind, changes, time.monotonic())
+        self.known.apply(kind, changes, clock.now())
         if kind is source.Kind.UPSTREAMS and changes.events:
             # Upstreams come and go in bursts: what follows is read together.
             await asyncio.sleep(BATCH_S)
@@ -119,7 +119,7 @@
     def _note_failure(self, kind: source.Kind, fault: source.Fault) -> None:
         if kind in self.failing_since:
             return
-        self.failing_since[kind] = time.monotonic()
+        self.failing_since[kind] = clock.now()
         row = logger.bind(event="store", kind=kind.value, fault=fault.kind.value)
         row.warning("store lost: {}", fault.message)
 
--- a/libs/masticpost-gateway/testing/test_loads.py
+++ b/libs/masticpost-gateway/testing/test_loads.py
@@ -1,13 +1,12 @@
 """Every instance knows the work of all, with few messages in a large deployment."""
 
 import asyncio
-import time
 
 import attrs
 import hypothesis
 from hypothesis import strategies
 from masticpost_bench import procs
-from masticpost_common import codec
+from masticpost_common import clock, codec
 from masticpost_gateway import loads, mesh, workreports
 from masticpost_peers import membership
 from support import gatewaykit as kit
@@ -45,13 +44,9 @@
     for row in rows:
         row.read(row.begin("u1", 0.0))
     total = len(rows)
-    await kit.until(
-        lambda: all(r.of("u1", time.monotonic()).streams == total for r in rows)
-    )
+    await kit.until(lambda: all(r.of("u1", clock.now()).streams == total for r in rows))
     rows[-1].place("u2", "prompt", 100)
-    await kit.until(
-        lambda: all(r.holds("u2", "prompt", time.monotonic()) for r in rows)
-    )
+    await kit.until(lambda: all(r.holds("u2", "prompt", clock.now()) for r in rows))
 
 
 async def test_few_instances_tell_each_other_directly():
@@ -137,7 +132,7 @@
     """
     work = loads.Loads(peers=NoPeers())
     row = work.begin("u1", 0.9)
-    late = time.monotonic() + 2.0
+    late = clock.now() + 2.0
     assert work.of("u1", late).reading_s == 0.9
     told = workreports.Told()
     told.put("another", [workreports.Load(upstream="u1", reading_s=0.9)], late)
--- a/libs/masticpost-gateway/testing/test_outcomes.py
+++ b/libs/masticpost-gateway/testing/test_outcomes.py
@@ -3,14 +3,13 @@
 import asyncio
 import contextlib
 import io
-import time
 
 import aiohttp
 import attrs
 import loguru
 import pytest
 from masticpost_cli import story
-from masticpost_common import registry
+from masticpost_common import clock, registry
 from masticpost_gateway import gateway, model, outcomes, source
 from masticpost_telemetry import logs
 from support import gatewaykit as kit
@@ -109,7 +108,7 @@
 @SCENES.register(outcomes.Outcome.STOPPING)
 async def stopping(dep):
     made = await start(dep, kit.answers())
-    made.shared.closing_at = time.monotonic() - gateway.TAKES_NEW_S - 1.0
+    made.shared.closing_at = clock.now() - gateway.TAKES_NEW_S - 1.0
     assert (await ask(dep, "/lookup/")).status == 503
 
 
--- a/libs/masticpost-gateway/testing/test_plain.py
+++ b/libs/masticpost-gateway/testing/test_plain.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import gc
-import time
 import types
 
 import aiohttp
 import attrs
 import pytest
+from masticpost_common import clock
 from masticpost_gateway import conns, gateway, model, retryshare, source
 from support import gatewaykit as kit
 
@@ -206,10 +206,10 @@
         book = attrs.evolve(kit.BOOK, timeout_s=0.4)
         await dep.configure(kit.configuration(routes=(book,)))
         await dep.add_node()
-        began = time.monotonic()
+        began = clock.now()
         reply = await dep.call("/book/", method="POST")
         assert reply.status == 504
-        assert time.monotonic() - began >= 0.3
+        assert clock.now() - began >= 0.3
 
 
 async def test_upstream_is_cut_when_the_caller_leaves():
@@ -280,7 +280,7 @@
         worker = await dep.add_worker("w1", kit.answers())
         await dep.configure()
         made = await dep.add_node()
-        made.shared.closing_at = time.monotonic() - 0.01
+        made.shared.closing_at = clock.now() - 0.01
         reply = await dep.call("/book/", method="POST")
         assert reply.status == 503
         assert float(reply.headers["Retry-After"]) > 0
@@ -302,7 +302,7 @@
         for _ in range(4):
             assert (await dep.call("/lookup/")).status == 200
         assert len(live.got) == 4
-        counts = made.shared.retries._of("desk", time.monotonic())
+        counts = made.shared.retries._of("desk", clock.now())
         assert not counts.repeats
 
 
--- a/libs/masticpost-gateway/testing/test_relay.py
+++ b/libs/masticpost-gateway/testing/test_relay.py
@@ -1,10 +1,10 @@
 """What one instance learns from the store, all know, whoever reaches the store."""
 
 import asyncio
-import time
 import types
 
 import result
+from masticpost_common import clock
 from masticpost_gateway import beliefs, model, passing, relay, source
 from support import gatewaykit as kit
 
@@ -162,7 +162,7 @@
     sender = made.watchers[0].name
     envelope = types.SimpleNamespace(sender=sender, incarnation=1)
     await made._on_beat(envelope, passing.Beat(views=[], bad=[]))
-    made._switch(time.monotonic())
+    made._switch(clock.now())
     assert made.watch.sharers == 80 / relay.WATCHERS_OF_MANY
 
 
@@ -185,7 +185,7 @@
     """Eighty that start together: 37 watched, by member lists that were half full."""
     made = lone_relay()
     known, watch, me = made.known, made.watch, made.peers.me
-    now = time.monotonic()
+    now = clock.now()
     for kind in source.Kind:
         known.replace(kind, source.Listing(entries=(), at=1), now)
     made.watchers = [me]
--- a/libs/masticpost-gateway/testing/test_sessionnews.py
+++ b/libs/masticpost-gateway/testing/test_sessionnews.py
@@ -2,7 +2,8 @@
 
 import attrs
 import pytest
-from masticpost_gateway import beliefs, model, sessionnews, sessions, source
+from masticpost_common import clock
+from masticpost_gateway import model, sessionnews, sessions, source
 from support import gatewaykit as kit
 
 ORDER = model.RollOut(service="desk", target="v2", duration_s=100.0)
@@ -46,7 +47,7 @@
             await begin_trial(dep)
         for number, session in enumerate(SESSIONS):
             made = dep.nodes[number % len(dep.nodes)]
-            made.shared.sessions.ran("desk", session, "v1", beliefs.now())
+            made.shared.sessions.ran("desk", session, "v1", clock.now())
         if when == "before the trial":
             await begin_trial(dep)
         found = marked(dep.nodes[0])
@@ -69,7 +70,7 @@
         passed = sessionnews.SessionNews(rows=[row], is_passed=True)
         await news._on_news(None, passed)
         assert not news._heard
-        assert news.memory.version("desk", session, beliefs.now()) == "v1"
+        assert news.memory.version("desk", session, clock.now()) == "v1"
         await news._on_news(None, attrs.evolve(passed, is_passed=False))
         assert not news._heard
 
@@ -87,7 +88,7 @@
         await deployment(dep, 2)
         made = dep.nodes[0]
         for session in SESSIONS:
-            made.shared.sessions.ran("desk", session, "v1", beliefs.now())
+            made.shared.sessions.ran("desk", session, "v1", clock.now())
         assert not made.session_news._own
 
 
--- a/libs/masticpost-gateway/testing/test_streaming.py
+++ b/libs/masticpost-gateway/testing/test_streaming.py
@@ -3,10 +3,10 @@
 import asyncio
 import contextlib
 import math
-import time
 
 import attrs
 import pytest
+from masticpost_common import clock
 from masticpost_gateway import headers, model, placement
 from support import gatewaykit as kit
 
@@ -148,7 +148,7 @@
         await kit.until(lambda: made.gateway.busy)
         conn = next(iter(made.gateway.busy))
         await asyncio.sleep(0.2)
-        made.shared.closing_at = time.monotonic()
+        made.shared.closing_at = clock.now()
         reply = await task
         assert (reply.body, reply.is_whole) == (events(10), True)
         await kit.until(lambda: conn.transport is None)
--- a/libs/masticpost-gateway/testing/test_trial.py
+++ b/libs/masticpost-gateway/testing/test_trial.py
@@ -6,6 +6,7 @@
 
 import attrs
 import pytest
+from masticpost_common import clock
 from masticpost_gateway import (
     beliefs,
     model,
@@ -106,9 +107,9 @@
 def test_running_session_keeps_its_version_while_the_share_is_narrow():
     _, memory, trials = make(ORDER)
     for number in range(300):
-        memory.ran("s", f"old-{number}", "v1", beliefs.now())
+        memory.ran("s", f"old-{number}", "v1", clock.now())
         assert trials.plan("s", f"old-{number}", "r").avoided == "v2"
-    memory.ran("s", "new", "v2", beliefs.now())
+    memory.ran("s", "new", "v2", clock.now())
     assert trials.plan("s", "new", "r").preferred == "v2"
 
 
@@ -122,7 +123,7 @@
         tell(known, drive.wanted(row, row.since + tenth), 6 + tenth)
         moved = 0
         for number in range(300):
-            memory.ran("s", f"old-{number}", "v1", beliefs.now())
+            memory.ran("s", f"old-{number}", "v1", clock.now())
             plan = trials.plan("s", f"old-{number}", "r")
             moved += plan.preferred == "v2"
         assert bool(moved) == (tenth > 5)
