Tell instances what changed in a configuration, compressed

Cause: watchers sent each version of the configuration whole to every instance, two watchers to each.

Ruled out: fewer tellers (a lost message would wait for a beat); a larger pause.

Change: `differences`: rows added, changed, left out, told against the revision that was told before; another base is answered by asking for the whole. Records from 1 KB on are compressed; the whole state is encoded once for all who ask.

Tests: a difference leads to the new configuration (any two), small on the wire, another base is refused, versions in quick succession reach all whole.

--- a/libs/masticpost-gateway/src/masticpost_gateway/passing.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/passing.py
@@ -1,19 +1,42 @@
 """Messages by which instances pass on what they know of the store."""
 
+import zlib
+
 import attrs
 from masticpost_common import codec
 from masticpost_peers import messages
 
-from masticpost_gateway import source, trial
+from masticpost_gateway import differences, model, source, trial
+
+# Beyond it compression saves more time on the links than it takes.
+COMPRESSED_FROM_BYTES = 1024
+COMPRESSION_LEVEL = 1
+MAX_RECORD_BYTES = 64 * 2**20
+
+
+class OtherBaseError(Exception):
+    """An entry is told as a difference from one that is not known here."""
 
 
 @attrs.frozen(kw_only=True)
 class PassedEntry:
-    """An entry between instances; `raw` is the record, None if it cannot be read."""
+    """An entry between instances.
+
+    Attributes
+    ----------
+    raw : bytes or None
+        The record, or what changed in it; None if it cannot be read.
+    base : int
+        Revision of the entry to which `raw` is a difference, 0 for a whole record.
+    is_compressed : bool
+        Whether `raw` is compressed with zlib.
+    """
 
     name: str
     revision: int
     raw: bytes | None
+    base: int = 0
+    is_compressed: bool = False
 
 
 @messages.message("gateway-changes")
@@ -97,15 +120,68 @@
     rows: list[trial.Evidence]
 
 
-def passed(entry: source.Entry) -> PassedEntry:
-    """Encode an entry for another instance."""
-    raw = None if entry.record is None else codec.to_wire(entry.record)
-    return PassedEntry(name=entry.name, revision=entry.revision, raw=raw)
+def passed(entry: source.Entry, base: source.Entry | None = None) -> PassedEntry:
+    """Encode an entry for another instance.
 
+    Parameters
+    ----------
+    base : source.Entry, optional
+        What the others know of it; only what changed since is told where that pays.
+    """
+    if entry.record is None:
+        return PassedEntry(name=entry.name, revision=entry.revision, raw=None)
+    body, base_revision = entry.record, 0
+    if base is not None and _are_configurations(entry, base):
+        found = differences.between(base.record, entry.record)
+        if found is not None:
+            body, base_revision = found, base.revision
+    raw = codec.to_wire(body)
+    is_compressed = len(raw) >= COMPRESSED_FROM_BYTES
+    return PassedEntry(
+        name=entry.name,
+        revision=entry.revision,
+        raw=zlib.compress(raw, COMPRESSION_LEVEL) if is_compressed else raw,
+        base=base_revision,
+        is_compressed=is_compressed,
+    )
+
+
+def entry(
+    kind: source.Kind, row: PassedEntry, known: source.Entry | None = None
+) -> source.Entry:
+    """Decode an entry of another instance.
+
+    Parameters
+    ----------
+    known : source.Entry, optional
+        The entry of the same name that is known here.
 
-def entry(kind: source.Kind, row: PassedEntry) -> source.Entry:
-    """Decode an entry of another instance."""
+    Raises
+    ------
+    OtherBaseError
+        The row tells a difference from another revision.
+    """
     record = None
     if row.raw is not None:
-        record = codec.from_wire(row.raw, source.RECORD_TYPES[kind])
+        record = _record(kind, row, known)
     return source.Entry(name=row.name, revision=row.revision, record=record)
+
+
+def _are_configurations(*entries: source.Entry) -> bool:
+    return all(isinstance(row.record, model.Configuration) for row in entries)
+
+
+def _record(
+    kind: source.Kind, row: PassedEntry, known: source.Entry | None
+) -> source.Record:
+    raw = _inflated(row.raw) if row.is_compressed else row.raw
+    if not row.base:
+        return codec.from_wire(raw, source.RECORD_TYPES[kind])
+    if known is None or known.revision != row.base or known.record is None:
+        raise OtherBaseError(f"{row.name}: a difference from revision {row.base}")
+    found = codec.from_wire(raw, differences.Difference)
+    return differences.applied(known.record, found)
+
+
+def _inflated(raw: bytes) -> bytes:
+    return zlib.decompressobj().decompress(raw, MAX_RECORD_BYTES)
--- a/libs/masticpost-gateway/src/masticpost_gateway/relay.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/relay.py
@@ -72,6 +72,8 @@
         self._heard_at = -math.inf
         self._helps_until = -math.inf
         self._asking: set[source.Kind] = set()
+        self._passed: dict[str, source.Entry] = {}
+        self._whole: dict[source.Kind, tuple[int, list[passing.PassedEntry]]] = {}
         self._last_evidence: list[trial.Evidence] = []
         self._told_failures = 0
         self._evidence_told_at = -math.inf
@@ -208,6 +210,7 @@
         return passing.Beat(views=views, bad=bad)
 
     def _advanced(self, step: beliefs.Advance) -> None:
+        bases, self._passed = self._passed, self._configurations()
         addresses = self.told_by_me()
         if not addresses or not (step.changed or step.removed):
             return
@@ -218,7 +221,7 @@
             at=step.at,
             age_s=age_s,
             regained_s=min(clock.now() - self.known.regained_at, MAX_AGE_S),
-            changed=[passing.passed(entry) for entry in step.changed],
+            changed=[passing.passed(row, bases.get(row.name)) for row in step.changed],
             removed=list(step.removed),
         )
         self.add_future(self.peers.hub.broadcast(addresses, body))
@@ -234,10 +237,15 @@
         if view.at < 0 or body.since > view.at:
             await self._ask(envelope.sender, body.kind)
             return
-        events = [
-            source.Event(entry=passing.entry(body.kind, row), is_removed=False)
-            for row in body.changed
-        ]
+        try:
+            rows = [
+                passing.entry(body.kind, row, view.entries.get(row.name))
+                for row in body.changed
+            ]
+        except passing.OtherBaseError:
+            await self._ask(envelope.sender, body.kind)
+            return
+        events = [source.Event(entry=row, is_removed=False) for row in rows]
         events += [
             source.Event(
                 entry=source.Entry(name=name, revision=body.at, record=None),
@@ -256,9 +264,20 @@
             kind=body.kind,
             at=view.at,
             age_s=min(view.age_s(clock.now()), MAX_AGE_S),
-            entries=[passing.passed(entry) for entry in view.entries.values()],
+            entries=self._whole_state(view),
         )
 
+    def _whole_state(self, view: beliefs.View) -> list[passing.PassedEntry]:
+        """Return a view encoded; many ask for the same one when they start together."""
+        at, rows = self._whole.get(view.kind, (-1, []))
+        if at != view.changed_at:
+            rows = [passing.passed(entry) for entry in view.entries.values()]
+            self._whole[view.kind] = (view.changed_at, rows)
+        return rows
+
+    def _configurations(self) -> dict[str, source.Entry]:
+        return dict(self.known.views[source.Kind.CONFIGURATION].entries)
+
     async def _on_beat(self, envelope: messages.Envelope, body: passing.Beat) -> None:
         now = clock.now()
         if any(row.name == envelope.sender for row in self.watchers):
