Split the messages of membership, a send's record and an instance's parts off

Change: `peers.probes` holds the members' states and messages, `tries.Sent` what was noted of a send, `Tries._send` the errors of the way, `Node._make_shared` what requests share. No behaviour changes.

--- a/libs/masticpost-confsync/src/masticpost_confsync/keeper.py
+++ b/libs/masticpost-confsync/src/masticpost_confsync/keeper.py
@@ -16,7 +16,7 @@
 import mode
 from loguru import logger
 from masticpost_common import codec, findings, rendezvous
-from masticpost_peers import hub, membership, messages
+from masticpost_peers import hub, membership, messages, probes
 from masticpost_store import client
 from masticpost_text import model, parse
 
@@ -227,18 +227,18 @@
     def _note_members(self) -> None:
         self._members_at_proof = {member.name for member in self.members.alive()}
 
-    def _on_member(self, member: membership.Member) -> None:
+    def _on_member(self, member: probes.Member) -> None:
         if member.generation > self.generation and not self._asking:
             self._asking = True
             self.add_future(self._ask_and_clear(member))
 
-    async def _ask_and_clear(self, member: membership.Member) -> None:
+    async def _ask_and_clear(self, member: probes.Member) -> None:
         try:
             await self._ask_peer(member)
         finally:
             self._asking = False
 
-    async def _ask_peer(self, member: membership.Member) -> bool:
+    async def _ask_peer(self, member: probes.Member) -> bool:
         """Take a newer text from a peer; False when it has none or no answer."""
         ask = TextAsk(above=self.generation)
         try:
--- a/libs/masticpost-entry/src/masticpost_entry/admin.py
+++ b/libs/masticpost-entry/src/masticpost_entry/admin.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 from masticpost_common import errors
 from masticpost_decide import tracker
-from masticpost_peers import hub, membership
+from masticpost_peers import hub, probes
 from masticpost_shards import directory, records
 from masticpost_store import client
 from masticpost_telemetry import burn, metrics
@@ -42,7 +42,7 @@
     store_calls: client.CallCounts
     peer_traffic: hub.Traffic
     bills_waiting: int
-    members: list[membership.Member]
+    members: list[probes.Member]
     shards: list[directory.ShardStatus]
     upstreams: list[UpstreamStatus]
     trials: list[records.Trial]
--- a/libs/masticpost-gateway/src/masticpost_gateway/loads.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/loads.py
@@ -14,7 +14,7 @@
 import attrs
 import mode
 from masticpost_common import clock, rendezvous
-from masticpost_peers import membership, messages
+from masticpost_peers import messages, probes
 
 from masticpost_gateway import mesh, workreports
 
@@ -186,7 +186,7 @@
                 await asyncio.sleep(HUB_PERIOD_S)
             await self._tell(hubs, clock.now())
 
-    async def _tell(self, hubs: list[membership.Member], now: float) -> None:
+    async def _tell(self, hubs: list[probes.Member], now: float) -> None:
         me = self.peers.me
         if all(hub.name != me.name for hub in hubs):
             hub = hub_of(me.name, me.domain, hubs)
@@ -212,7 +212,7 @@
         told = workreports.MemberLoad(work=workreports.columns(loads, news))
         await self.peers.hub.broadcast([address], told)
 
-    async def _tell_members(self, hubs: list[membership.Member], now: float) -> None:
+    async def _tell_members(self, hubs: list[probes.Member], now: float) -> None:
         names = {hub.name for hub in hubs}
         served = [
             member.address
@@ -290,7 +290,7 @@
         return kept.put(placed.key, placed.tokens, now, self.room_tokens)
 
 
-def hub_of(name: str, domain: str, hubs: list[membership.Member]) -> membership.Member:
+def hub_of(name: str, domain: str, hubs: list[probes.Member]) -> probes.Member:
     """Return the hub of an instance: one in its own failure domain if there is one."""
     near = [hub for hub in hubs if hub.domain == domain] or hubs
     by_name = {hub.name: hub for hub in near}
--- a/libs/masticpost-gateway/src/masticpost_gateway/mesh.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/mesh.py
@@ -7,7 +7,7 @@
 import mode
 from loguru import logger
 from masticpost_common import rendezvous
-from masticpost_peers import hub, keys, membership
+from masticpost_peers import hub, keys, membership, probes
 
 from masticpost_gateway import source
 
@@ -76,22 +76,22 @@
             seed=started,
             serves_others=cfg.serves_others,
         )
-        self._seen: list[membership.Member] = []
+        self._seen: list[probes.Member] = []
         self._names: frozenset[str] = frozenset()
-        self._others: list[membership.Member] = []
-        self._chosen: dict[tuple[str, int], list[membership.Member]] = {}
+        self._others: list[probes.Member] = []
+        self._chosen: dict[tuple[str, int], list[probes.Member]] = {}
 
     def names(self) -> frozenset[str]:
         """Return the names of the living instances, this one included."""
         self._refresh()
         return self._names
 
-    def others(self) -> list[membership.Member]:
+    def others(self) -> list[probes.Member]:
         """Return the other living instances."""
         self._refresh()
         return self._others
 
-    def seeds(self) -> list[membership.Member]:
+    def seeds(self) -> list[probes.Member]:
         """Return the other living instances whose addresses are seeds."""
         return [m for m in self.others() if m.address in self.cfg.seeds]
 
@@ -111,7 +111,7 @@
         self._others = [m for m in alive if m.name != self.me.name]
         self._chosen = {}
 
-    def chosen(self, purpose: str, count: int) -> list[membership.Member]:
+    def chosen(self, purpose: str, count: int) -> list[probes.Member]:
         """Return `count` living instances for a purpose, spread over the domains.
 
         Every instance that knows the same members returns the same ones. Those that
@@ -123,7 +123,7 @@
             found = self._chosen[purpose, count] = self._choose(purpose, count)
         return found
 
-    def _choose(self, purpose: str, count: int) -> list[membership.Member]:
+    def _choose(self, purpose: str, count: int) -> list[probes.Member]:
         alive = self.members.alive()
         able = [member for member in alive if member.serves_others]
         candidates = able if len(able) >= count else alive
--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -116,33 +116,9 @@
             name=cfg.name, domain=cfg.domain, cfg=cfg.mesh, store=store
         )
         self.loads = loads.Loads(peers=self.mesh)
-        places = placement.Placement(work=self.loads, pace=speeds.Speeds())
         self.watching = watching.Watching(store=store, known=self.known)
-        memory = sessions.Sessions(lasts_s=cfg.session_s)
-        trials = trial.Trials(known=self.known, memory=memory)
-        pace = coldpace.ColdPace(me=cfg.name, members=self.members)
-        pools = conns.Pools(sharers=lambda: len(self.members()))
-        self.shared = shared.Shared(
-            names=names,
-            known=self.known,
-            chooser=choice.Chooser(
-                known=self.known,
-                pace=pace,
-                places=places,
-                domain=cfg.domain,
-                connections=pools.share,
-            ),
-            pools=pools,
-            retries=retryshare.RetryShare(
-                bounds=cfg.retries, members=lambda: len(self.members())
-            ),
-            trials=trials,
-            sessions=memory,
-            metrics=self.metrics,
-            policy=cascade.POLICIES.get(cfg.policy),
-            loads=self.loads,
-            places=places,
-        )
+        self.shared = self._make_shared(names)
+        trials, memory = self.shared.trials, self.shared.sessions
         self.relay = relay.Relay(
             peers=self.mesh, known=self.known, watch=self.watching, trials=trials
         )
@@ -162,6 +138,37 @@
         self._runners: list[web.ServerRunner] = []
         self.known.listen(self._on_change)
 
+    def _make_shared(self, names: headers.HeaderNames) -> shared.Shared:
+        """Return the parts that every request uses."""
+        cfg = self.cfg
+        places = placement.Placement(work=self.loads, pace=speeds.Speeds())
+        memory = sessions.Sessions(lasts_s=cfg.session_s)
+        pace = coldpace.ColdPace(me=cfg.name, members=self.members)
+        pools = conns.Pools(sharers=lambda: len(self.members()))
+        chooser = choice.Chooser(
+            known=self.known,
+            pace=pace,
+            places=places,
+            domain=cfg.domain,
+            connections=pools.share,
+        )
+        retries = retryshare.RetryShare(
+            bounds=cfg.retries, members=lambda: len(self.members())
+        )
+        return shared.Shared(
+            names=names,
+            known=self.known,
+            chooser=chooser,
+            pools=pools,
+            retries=retries,
+            trials=trial.Trials(known=self.known, memory=memory),
+            sessions=memory,
+            metrics=self.metrics,
+            policy=cascade.POLICIES.get(cfg.policy),
+            loads=self.loads,
+            places=places,
+        )
+
     def members(self) -> frozenset[str]:
         """Return the names of the living instances."""
         return self.mesh.names()
--- a/libs/masticpost-gateway/src/masticpost_gateway/relay.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/relay.py
@@ -18,7 +18,7 @@
 import mode
 from loguru import logger
 from masticpost_common import clock, codec, rendezvous
-from masticpost_peers import hub, membership, messages
+from masticpost_peers import hub, messages, probes
 
 from masticpost_gateway import beliefs, mesh, passing, source, trial, watching
 
@@ -67,7 +67,7 @@
         self.known = known
         self.watch = watch
         self.trials = trials
-        self.watchers: list[membership.Member] = []
+        self.watchers: list[probes.Member] = []
         self._started_at = clock.now()
         self._chosen_at: float | None = None
         self._heard_at = -math.inf
--- a/libs/masticpost-gateway/src/masticpost_gateway/tries.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/tries.py
@@ -3,6 +3,8 @@
 import asyncio
 import math
 
+import aiohttp
+import attrs
 from masticpost_common import clock, errors, retry
 
 from masticpost_gateway import (
@@ -30,6 +32,19 @@
 RETRY_AFTER_S = 0.4
 
 
+@attrs.define(kw_only=True)
+class Sent:
+    """A send that was begun; `at` is in monotonic seconds."""
+
+    upstream: model.Upstream
+    level: str
+    health: health.Health
+    at: float
+    reading: placement.Reading | None
+    work: loads.Work | None = None
+    unread_tokens: int = 0
+
+
 class Tries:
     """Sends one request to one upstream after the other.
 
@@ -197,49 +212,53 @@
         sending.TryError
             The upstream did not run the request, or its answer is of no use.
         """
-        now = clock.now()
-        self._count_sent(now)
-        self.tried.add(upstream.name)
-        row = self.shared.chooser.health_of(upstream)
-        pool = self.shared.pools.get(upstream)
         out = sending.outgoing(self.call, self.shared.names, upstream, level, last_id)
-        row.outstanding += 1
-        reading = self.reading(level)
-        unread = 0
-        work = None
-        if reading is not None:
-            unread = self.shared.places.unread_tokens(upstream.name, reading)
-            read_s = self.shared.places.read_s(upstream.name, reading)
-            work = self.shared.loads.begin(upstream.name, read_s)
-            self.feedback.sent(upstream.name, reading)
+        leaves = self.leaves(
+            upstream,
+            level,
+            overdue_after_s,
+            is_counted=False,
+            silent_after_s=silent_after_s,
+        )
+        sent = self._begin(upstream, level)
         try:
-            leaves = self.leaves(
-                upstream,
-                level,
-                overdue_after_s,
-                is_counted=False,
-                silent_after_s=silent_after_s,
-            )
-            opened = await self._exchange(pool, out, row, level, leaves)
-        except sending.TryError as exc:
-            row.outstanding -= 1
-            self._end_work(work)
-            self._note_failure(upstream, level, row, now, exc)
+            opened = await self._exchange(out, sent, leaves)
+        except BaseException as exc:
+            sent.health.outstanding -= 1
+            self._end_work(sent.work)
+            self._note_failure(sent, exc)
             raise
-        except BaseException:
-            row.outstanding -= 1
-            self._end_work(work)
-            self._record(upstream, level, "cancelled", now)
-            raise
-        opened.work = work
-        opened.unread_tokens = unread
-        if reading is not None:
-            self.feedback.read(opened, reading)
+        opened.work = sent.work
+        opened.unread_tokens = sent.unread_tokens
+        if sent.reading is not None:
+            self.feedback.read(opened, sent.reading)
         self.runs += 1
         self.may_have_run = True
         self.feedback.ran(upstream.version)
         return opened
 
+    def _begin(self, upstream: model.Upstream, level: str) -> Sent:
+        """Note a send before it is made."""
+        now = clock.now()
+        self._count_sent(now)
+        self.tried.add(upstream.name)
+        row = self.shared.chooser.health_of(upstream)
+        row.outstanding += 1
+        sent = Sent(
+            upstream=upstream,
+            level=level,
+            health=row,
+            at=now,
+            reading=self.reading(level),
+        )
+        if sent.reading is not None:
+            places = self.shared.places
+            sent.unread_tokens = places.unread_tokens(upstream.name, sent.reading)
+            read_s = places.read_s(upstream.name, sent.reading)
+            sent.work = self.shared.loads.begin(upstream.name, read_s)
+            self.feedback.sent(upstream.name, sent.reading)
+        return sent
+
     def close(self, opened: answer.Opened, result: str) -> None:
         """End a try: give the connection back, or cut it if its body is not read."""
         opened.health.outstanding -= 1
@@ -272,25 +291,21 @@
         if work is not None:
             self.shared.loads.end(work)
 
-    def _note_failure(
-        self,
-        upstream: model.Upstream,
-        level: str,
-        row: health.Health,
-        sent_at: float,
-        exc: sending.TryError,
-    ) -> None:
+    def _note_failure(self, sent: Sent, exc: BaseException) -> None:
+        if not isinstance(exc, sending.TryError):
+            self._record(sent.upstream, sent.level, "cancelled", sent.at)
+            return
         now = clock.now()
-        self._record(upstream, level, exc.reason, sent_at)
+        self._record(sent.upstream, sent.level, exc.reason, sent.at)
         if exc.reason == sending.NOT_CONNECTED:
             self._take_back(now)
         if exc.verdict is retry.Verdict.NEVER_JUDGED:
             if exc.reason in (sending.NOT_CONNECTED, sending.MOVED):
-                row.unreachable(now, exc.reason)
+                sent.health.unreachable(now, exc.reason)
             return
         self.runs += 1
         self.may_have_run = True
-        row.failed(now, exc.reason)
+        sent.health.failed(now, exc.reason)
 
     def _wanted(self, level: str) -> choice.Wanted:
         return choice.Wanted(
@@ -325,35 +340,15 @@
             self.shared.retries.not_arrived(self.call.service.name, now)
 
     async def _exchange(
-        self,
-        pool: conns.Pool,
-        out: conns.Outgoing,
-        row: health.Health,
-        level: str,
-        leaves: tuple[patience.Leave, ...],
+        self, out: conns.Outgoing, sent: Sent, leaves: tuple[patience.Leave, ...]
     ) -> answer.Opened:
         sent_at = clock.now()
-        try:
-            resp = await patience.wait(
-                pool.send(out),
-                limit_s=self.call.left_s(),
-                leaves=leaves,
-            )
-        except conns.NotSentError as exc:
-            raise sending.TryError(
-                retry.Verdict.NEVER_JUDGED, sending.NOT_CONNECTED
-            ) from exc
-        except conns.BrokenError as exc:
-            raise sending.TryError(retry.Verdict.NOT_KNOWN, f"broken: {exc}") from exc
-        except TimeoutError as exc:
-            raise sending.TryError(
-                retry.Verdict.NOT_KNOWN, "no answer in time"
-            ) from exc
-        row.heard_at = clock.now()
+        resp = await self._send(out, sent.upstream, leaves)
+        sent.health.heard_at = clock.now()
         head = headers.read_answer(resp.headers, self.shared.names)
         request_id = self.call.head.request_id
         self.shared.chooser.notices.note(
-            pool.upstream, resp.status, head, request_id, row.heard_at
+            sent.upstream, resp.status, head, request_id, sent.health.heard_at
         )
         try:
             sending.check(resp, head, request_id)
@@ -361,15 +356,38 @@
             resp.close()
             raise
         return answer.Opened(
-            upstream=pool.upstream,
-            level=level,
+            upstream=sent.upstream,
+            level=sent.level,
             resp=resp,
             head=head,
             sent_at=sent_at,
             head_at=clock.now(),
-            health=row,
+            health=sent.health,
         )
 
+    async def _send(
+        self,
+        out: conns.Outgoing,
+        upstream: model.Upstream,
+        leaves: tuple[patience.Leave, ...],
+    ) -> aiohttp.ClientResponse:
+        """Send a request and wait for the answer's head, whatever it says."""
+        pool = self.shared.pools.get(upstream)
+        try:
+            return await patience.wait(
+                pool.send(out), limit_s=self.call.left_s(), leaves=leaves
+            )
+        except conns.NotSentError as exc:
+            raise sending.TryError(
+                retry.Verdict.NEVER_JUDGED, sending.NOT_CONNECTED
+            ) from exc
+        except conns.BrokenError as exc:
+            raise sending.TryError(retry.Verdict.NOT_KNOWN, f"broken: {exc}") from exc
+        except TimeoutError as exc:
+            raise sending.TryError(
+                retry.Verdict.NOT_KNOWN, "no answer in time"
+            ) from exc
+
     def _record(
         self, upstream: model.Upstream, level: str, result: str, sent_at: float
     ) -> None:
--- a/libs/masticpost-gateway/testing/test_loads.py
+++ b/libs/masticpost-gateway/testing/test_loads.py
@@ -8,7 +8,7 @@
 from masticpost_bench import procs
 from masticpost_common import clock, codec
 from masticpost_gateway import loads, mesh, workreports
-from masticpost_peers import membership
+from masticpost_peers import probes
 from support import gatewaykit as kit
 
 
@@ -79,7 +79,7 @@
 
 
 def hub(name, domain):
-    return membership.Member(
+    return probes.Member(
         name=name, address=name, domain=domain, incarnation=1, started=1
     )
 
@@ -195,7 +195,7 @@
         peers.members._accept(hub(f"node-{number}", f"d{number % 5}"))
     first = peers.chosen("load", 16)
     assert peers.chosen("load", 16) is first
-    gone = attrs.evolve(hub(first[0].name, "d0"), state=membership.DEAD)
+    gone = attrs.evolve(hub(first[0].name, "d0"), state=probes.DEAD)
     peers.members._accept(gone)
     assert gone.name not in {member.name for member in peers.chosen("load", 16)}
     assert gone.name not in peers.names()
--- a/libs/masticpost-peers/src/masticpost_peers/membership.py
+++ b/libs/masticpost-peers/src/masticpost_peers/membership.py
@@ -16,13 +16,7 @@
 import mode
 from loguru import logger
 
-from masticpost_peers import hub, messages
-
-ALIVE = "alive"
-SUSPECT = "suspect"
-LEAVING = "leaving"
-DEAD = "dead"
-RANK = {ALIVE: 0, SUSPECT: 1, LEAVING: 2, DEAD: 3}
+from masticpost_peers import hub, messages, probes
 
 PROBE_PERIOD_S = 0.4
 PROBE_TIMEOUT_S = 0.25
@@ -35,95 +29,15 @@
 PAUSED_AFTER_S = 2.0
 
 
-@attrs.frozen(kw_only=True)
-class Member:
-    """What is known of an instance.
-
-    Attributes
-    ----------
-    incarnation : int
-        Start of its process in milliseconds, raised by one to refute a suspicion.
-    started : int
-        Start of its process in milliseconds; with the name, the identity of one
-        run of the program.
-    generation : int
-        Configuration that it has in force.
-    http : str
-        ``host:port`` of its callers' side.
-    serves_others : bool
-        Whether it can take on work for the other instances.
-    """
-
-    name: str
-    address: str
-    domain: str
-    incarnation: int
-    started: int
-    state: str = ALIVE
-    generation: int = 0
-    http: str = ""
-    serves_others: bool = True
-
-    def supersedes(self, other: "Member") -> bool:
-        """Tell whether this news replaces `other` about the same instance."""
-        if self.incarnation != other.incarnation:
-            return self.incarnation > other.incarnation
-        if RANK[self.state] != RANK[other.state]:
-            return RANK[self.state] > RANK[other.state]
-        return self.generation > other.generation
-
-
-@messages.message("probe")
-@attrs.frozen(kw_only=True)
-class Probe:
-    """Asks whether the receiver is alive; carries news."""
-
-    news: list[Member] = attrs.field(factory=list)
-
-
-@messages.message("probe-through")
-@attrs.frozen(kw_only=True)
-class ProbeThrough:
-    """Asks the receiver to probe `target`."""
-
-    target: Member
-    news: list[Member] = attrs.field(factory=list)
-
-
-@messages.message("probe-ack")
-@attrs.frozen(kw_only=True)
-class ProbeAck:
-    """Reply to a probe; `reached` is False when a probe through a peer failed."""
-
-    reached: bool = True
-    news: list[Member] = attrs.field(factory=list)
-
-
-@messages.message("members-ask")
-@attrs.frozen(kw_only=True)
-class MembersAsk:
-    """Asks a peer for all members it knows."""
-
-    news: list[Member] = attrs.field(factory=list)
-
-
-@messages.message("members")
-@attrs.frozen(kw_only=True)
-class Members:
-    """All members that a peer knows."""
-
-    news: list[Member]
-
-
 @attrs.define(kw_only=True)
 class News:
     """A member's news and how often it was passed on."""
 
-    member: Member
+    member: probes.Member
     sent: int = 0
 
 
-Listener = collections.abc.Callable[[Member], None]
+Listener = collections.abc.Callable[[probes.Member], None]
 
 
 class Membership(mode.Service):
@@ -158,7 +72,7 @@
         super().__init__()
         self.peers = peers
         self.random = random.Random(seed)
-        self.me = Member(
+        self.me = probes.Member(
             name=peers.name,
             address=advertise,
             domain=domain,
@@ -167,37 +81,39 @@
             http=http,
             serves_others=serves_others,
         )
-        self._members: dict[str, Member] = {self.me.name: self.me}
-        self._alive: list[Member] | None = None
+        self._members: dict[str, probes.Member] = {self.me.name: self.me}
+        self._alive: list[probes.Member] | None = None
         self._news: dict[str, News] = {}
         self._changed_at: dict[str, float] = {}
         self._reached_at: dict[str, float] = {}
         self._order: list[str] = []
         self._listeners: list[Listener] = []
         self._last_tick = time.monotonic()
-        peers.handle(Probe, self._on_probe, is_urgent=True)
-        peers.handle(ProbeThrough, self._on_probe_through, is_urgent=True)
-        peers.handle(MembersAsk, self._on_members_ask, is_urgent=True)
+        peers.handle(probes.Probe, self._on_probe, is_urgent=True)
+        peers.handle(probes.ProbeThrough, self._on_probe_through, is_urgent=True)
+        peers.handle(probes.MembersAsk, self._on_members_ask, is_urgent=True)
 
     def listen(self, listener: Listener) -> None:
         """Call `listener` with each member whose news changed."""
         self._listeners.append(listener)
 
-    def alive(self) -> list[Member]:
+    def alive(self) -> list[probes.Member]:
         """Return the members that may own work: alive or suspect, this one too.
 
         It is the same list until a member changes, and not to be changed.
         """
         if self._alive is None:
             found = self._members.values()
-            self._alive = [m for m in found if RANK[m.state] < RANK[LEAVING]]
+            self._alive = [
+                m for m in found if probes.RANK[m.state] < probes.RANK[probes.LEAVING]
+            ]
         return self._alive
 
-    def members(self) -> list[Member]:
+    def members(self) -> list[probes.Member]:
         """Return every member known, the dead included."""
         return sorted(self._members.values(), key=lambda m: m.name)
 
-    def get(self, name: str) -> Member | None:
+    def get(self, name: str) -> probes.Member | None:
         """Return what is known of `name`."""
         return self._members.get(name)
 
@@ -206,7 +122,7 @@
         member = self._members.get(name)
         if member is None or member.started != started:
             return False
-        return member.state != DEAD
+        return member.state != probes.DEAD
 
     def heard(self, within_s: float) -> set[str]:
         """Return the names of those heard from lately, this instance included."""
@@ -220,23 +136,23 @@
 
     async def leave(self) -> None:
         """Tell the others that this instance leaves."""
-        self._update_me(attrs.evolve(self.me, state=LEAVING))
+        self._update_me(attrs.evolve(self.me, state=probes.LEAVING))
         news = self._take_news()
         for member in self.alive():
-            await self.peers.send(member.address, Probe(news=[self.me, *news]))
+            await self.peers.send(member.address, probes.Probe(news=[self.me, *news]))
 
     def add_listed(self, name: str, address: str, domain: str) -> None:
         """Add an instance from the platform's list, unless it is known already."""
         if name in self._members or name == self.me.name:
             return
-        member = Member(
+        member = probes.Member(
             name=name, address=address, domain=domain, incarnation=0, started=0
         )
         self._accept(member)
 
     async def join(self, address: str) -> bool:
         """Ask a peer for its members; False when it does not answer."""
-        ask = MembersAsk(news=[self.me])
+        ask = probes.MembersAsk(news=[self.me])
         try:
             reply = await self.peers.call(address, ask, PROBE_TIMEOUT_S * 2)
         except hub.PeerUnreachableError:
@@ -263,96 +179,100 @@
                 self._changed_at[name] = now
         self._last_tick = now
 
-    def _next_target(self) -> Member | None:
+    def _next_target(self) -> probes.Member | None:
         while self._order:
             member = self._members.get(self._order.pop())
-            if member is not None and member.state in (ALIVE, SUSPECT):
+            if member is not None and member.state in (probes.ALIVE, probes.SUSPECT):
                 return member
         self._order = [
             m.name
             for m in self._members.values()
-            if m.name != self.me.name and m.state in (ALIVE, SUSPECT)
+            if m.name != self.me.name and m.state in (probes.ALIVE, probes.SUSPECT)
         ]
         self.random.shuffle(self._order)
         if not self._order:
             return None
         return self._members[self._order.pop()]
 
-    async def _probe(self, target: Member) -> None:
+    async def _probe(self, target: probes.Member) -> None:
         if await self._probe_once(target) or await self._probe_indirectly(target):
             self._reached_at[target.name] = time.monotonic()
             return
         current = self._members.get(target.name)
-        if current is None or current.state != ALIVE:
+        if current is None or current.state != probes.ALIVE:
             return
         if current.incarnation != target.incarnation:
             return
-        self._accept(attrs.evolve(current, state=SUSPECT))
+        self._accept(attrs.evolve(current, state=probes.SUSPECT))
 
-    async def _probe_once(self, target: Member) -> bool:
+    async def _probe_once(self, target: probes.Member) -> bool:
         news = self._take_news()
         if self.me not in news:
             news.append(self.me)
         known = self._members.get(target.name)
-        if known is not None and known.state == SUSPECT:
+        if known is not None and known.state == probes.SUSPECT:
             news.append(known)
         try:
             ack = await self.peers.call(
-                target.address, Probe(news=news), PROBE_TIMEOUT_S
+                target.address, probes.Probe(news=news), PROBE_TIMEOUT_S
             )
         except hub.PeerUnreachableError:
             return False
         self._learn(ack.news)
         return True
 
-    async def _probe_indirectly(self, target: Member) -> bool:
+    async def _probe_indirectly(self, target: probes.Member) -> bool:
         helpers = [
             m
             for m in self._members.values()
-            if m.state == ALIVE and m.name not in (self.me.name, target.name)
+            if m.state == probes.ALIVE and m.name not in (self.me.name, target.name)
         ]
         chosen = self.random.sample(helpers, min(INDIRECT_PROBES, len(helpers)))
         tries = [self._probe_through(helper, target) for helper in chosen]
         return any(await asyncio.gather(*tries))
 
-    async def _probe_through(self, helper: Member, target: Member) -> bool:
-        ask = ProbeThrough(target=target)
+    async def _probe_through(
+        self, helper: probes.Member, target: probes.Member
+    ) -> bool:
+        ask = probes.ProbeThrough(target=target)
         try:
             ack = await self.peers.call(helper.address, ask, INDIRECT_TIMEOUT_S)
         except hub.PeerUnreachableError:
             return False
         return ack.reached
 
-    async def _on_probe(self, envelope: messages.Envelope, body: Probe) -> ProbeAck:
+    async def _on_probe(
+        self, envelope: messages.Envelope, body: probes.Probe
+    ) -> probes.ProbeAck:
         self._reached_at[envelope.sender] = time.monotonic()
         self._learn(body.news)
         news = self._take_news()
         if self.me not in news:
             news.append(self.me)
         known = self._members.get(envelope.sender)
-        if known is not None and known.state in (SUSPECT, DEAD):
+        if known is not None and known.state in (probes.SUSPECT, probes.DEAD):
             news.append(known)
-        return ProbeAck(news=news)
+        return probes.ProbeAck(news=news)
 
     async def _on_probe_through(
-        self, envelope: messages.Envelope, body: ProbeThrough
-    ) -> ProbeAck:
-        return ProbeAck(reached=await self._probe_once(body.target))
+        self, envelope: messages.Envelope, body: probes.ProbeThrough
+    ) -> probes.ProbeAck:
+        return probes.ProbeAck(reached=await self._probe_once(body.target))
 
     async def _on_members_ask(
-        self, envelope: messages.Envelope, body: MembersAsk
-    ) -> Members:
+        self, envelope: messages.Envelope, body: probes.MembersAsk
+    ) -> probes.Members:
         self._learn(body.news)
-        return Members(news=self.members())
+        return probes.Members(news=self.members())
 
-    def _learn(self, news: list[Member]) -> None:
+    def _learn(self, news: list[probes.Member]) -> None:
         for member in news:
             if member.name == self.me.name:
                 self._refute(member)
             else:
                 self._accept(member)
 
-    def _refute(self, claim: Member) -> None:
+    def _refute(self, claim: probes.Member) -> None:
         """Answer wrong news about this instance with a higher incarnation."""
         if claim.started > self.me.started:
             logger.error("another process runs as instance {}", self.me.name)
@@ -365,13 +285,13 @@
         incarnation = max(claim.incarnation, self.me.incarnation) + 1
         self._update_me(attrs.evolve(self.me, incarnation=incarnation))
 
-    def _update_me(self, me: Member) -> None:
+    def _update_me(self, me: probes.Member) -> None:
         self.me = me
         self._put(me)
         self._news[me.name] = News(member=me)
         self._notify(me)
 
-    def _accept(self, member: Member) -> None:
+    def _accept(self, member: probes.Member) -> None:
         known = self._members.get(member.name)
         if known is not None and not member.supersedes(known):
             return
@@ -382,13 +302,13 @@
             self._log(member, is_first=known is None)
         self._notify(member)
 
-    def _put(self, member: Member) -> None:
+    def _put(self, member: probes.Member) -> None:
         self._members[member.name] = member
         self._alive = None
 
-    def _log(self, member: Member, *, is_first: bool) -> None:
+    def _log(self, member: probes.Member, *, is_first: bool) -> None:
         """Tell a change; where many start together, each meets all others at once."""
-        is_expected = is_first and member.state == ALIVE
+        is_expected = is_first and member.state == probes.ALIVE
         logger.bind(event="mesh", member=member.name).log(
             "DEBUG" if is_expected else "INFO",
             "instance at {} is {}",
@@ -396,27 +316,30 @@
             member.state,
         )
 
-    def _notify(self, member: Member) -> None:
+    def _notify(self, member: probes.Member) -> None:
         for listener in self._listeners:
             listener(member)
 
     def _expire(self, now: float) -> None:
         for member in list(self._members.values()):
             age = now - self._changed_at.get(member.name, now)
-            if member.state == SUSPECT and age > SUSPECT_TIMEOUT_S:
-                self._accept(attrs.evolve(member, state=DEAD))
-            if member.name == self.me.name or RANK[member.state] < RANK[LEAVING]:
+            if member.state == probes.SUSPECT and age > SUSPECT_TIMEOUT_S:
+                self._accept(attrs.evolve(member, state=probes.DEAD))
+            if (
+                member.name == self.me.name
+                or probes.RANK[member.state] < probes.RANK[probes.LEAVING]
+            ):
                 continue
             if age > DEAD_KEPT_S:
                 self._drop(member)
 
-    def _drop(self, member: Member) -> None:
+    def _drop(self, member: probes.Member) -> None:
         del self._members[member.name]
         self._alive = None
         self._news.pop(member.name, None)
         self.add_future(self.peers.forget(member.address))
 
-    def _take_news(self) -> list[Member]:
+    def _take_news(self) -> list[probes.Member]:
         """Return the least repeated news; each is passed on O(log n) times."""
         limit = NEWS_REPEATS * math.ceil(math.log2(len(self._members) + 1))
         chosen = sorted(self._news.values(), key=lambda item: item.sent)
--- a/libs/masticpost-peers/testing/test_hub.py
+++ b/libs/masticpost-peers/testing/test_hub.py
@@ -7,7 +7,7 @@
 import pytest
 from hypothesis import strategies
 from masticpost_bench import procs
-from masticpost_peers import hub, keys, membership, messages
+from masticpost_peers import hub, keys, membership, messages, probes
 
 KEY = "a-shared-key-of-the-tests"
 
@@ -78,7 +78,7 @@
     calls = [one.call(two.address, Echo(text="x"), 0.3) for _ in range(8)]
     await asyncio.gather(*calls, return_exceptions=True)
     assert len(two._handling) == 5
-    ack = await one.call(two.address, membership.Probe(), 5.0)
+    ack = await one.call(two.address, probes.Probe(), 5.0)
     assert members.me in ack.news
     await one.stop()
     await two.stop()
@@ -134,8 +134,8 @@
     made.context.destroy()
 
 
-def member(name="m", incarnation=1, state=membership.ALIVE, generation=0):
-    return membership.Member(
+def member(name="m", incarnation=1, state=probes.ALIVE, generation=0):
+    return probes.Member(
         name=name,
         address="127.0.0.1:1",
         domain="d",
@@ -147,7 +147,7 @@
 
 
 def test_news_is_ordered_by_incarnation_then_state():
-    dead = member(state=membership.DEAD)
+    dead = member(state=probes.DEAD)
     assert dead.supersedes(member())
     assert not member().supersedes(dead)
     assert member(incarnation=2).supersedes(dead)
@@ -188,9 +188,9 @@
     (hub_a, one), (hub_b, two) = await make_member("a", 1), await make_member("b", 2)
     assert await two.join(hub_a.address)
     await wait_until(lambda: len(one.alive()) == 2)
-    suspect = attrs.evolve(one.get("b"), state=membership.SUSPECT)
+    suspect = attrs.evolve(one.get("b"), state=probes.SUSPECT)
     one._accept(suspect)
-    await wait_until(lambda: one.get("b").state == membership.ALIVE)
+    await wait_until(lambda: one.get("b").state == probes.ALIVE)
     assert one.get("b").incarnation > suspect.incarnation
     for part in (one, two, hub_a, hub_b):
         await part.stop()
@@ -201,10 +201,10 @@
     (hub_a, one), (hub_b, two) = await make_member("a", 1), await make_member("b", 2)
     assert await two.join(hub_a.address)
     await wait_until(lambda: len(one.alive()) == 2)
-    one._accept(attrs.evolve(one.get("b"), state=membership.DEAD))
+    one._accept(attrs.evolve(one.get("b"), state=probes.DEAD))
     two._update_me(attrs.evolve(two.me, incarnation=two.me.incarnation + 1))
     two._news.clear()
-    await wait_until(lambda: one.get("b").state == membership.ALIVE)
+    await wait_until(lambda: one.get("b").state == probes.ALIVE)
     for part in (one, two, hub_a, hub_b):
         await part.stop()
 
--- a/libs/masticpost-shards/src/masticpost_shards/directory.py
+++ b/libs/masticpost-shards/src/masticpost_shards/directory.py
@@ -8,7 +8,7 @@
 import mode
 from loguru import logger
 from masticpost_common import rendezvous
-from masticpost_peers import hub, membership, messages
+from masticpost_peers import hub, membership, messages, probes
 from masticpost_store import client
 
 from masticpost_shards import ops, owner, records, settling
@@ -74,7 +74,7 @@
         """Return the shard of a key."""
         return rendezvous.shard_of(key, self.shard_count)
 
-    def owner_of(self, shard: int) -> membership.Member | None:
+    def owner_of(self, shard: int) -> probes.Member | None:
         """Return the member that owns the shard, as far as is known here."""
         candidates = {m.name: m for m in self.members.alive()}
         if self._leaving:
--- a/libs/masticpost-shards/src/masticpost_shards/holds.py
+++ b/libs/masticpost-shards/src/masticpost_shards/holds.py
@@ -12,7 +12,7 @@
 import attrs
 import mode
 from masticpost_common import rendezvous
-from masticpost_peers import hub, membership, messages
+from masticpost_peers import hub, messages, probes
 
 from masticpost_shards import directory, ops, records
 
@@ -67,7 +67,7 @@
             return True
         return False
 
-    def _candidates(self) -> list[membership.Member]:
+    def _candidates(self) -> list[probes.Member]:
         """Return the other members, those of other failure domains first."""
         me = self.shards.members.me
         others = {m.name: m for m in self.shards.members.alive() if m.name != me.name}
@@ -82,7 +82,7 @@
             self._held.append(Held(run=ask.run, opened=opened, at=now))
         return ops.Done()
 
-    def _on_member(self, member: membership.Member) -> None:
+    def _on_member(self, member: probes.Member) -> None:
         """Tell what is held for a run once it has ended, or another has begun."""
         gone, kept = [], []
         for item in self._held:
