Take old state from others only once the store has had its time

Change: state older than STALE_S is taken by a starting instance only when the store has refused or has not answered for FIRST_ANSWER_S. The test's store fails calls at work as well.

Two tests of the wait itself.

--- a/libs/masticpost-gateway/src/masticpost_gateway/relay.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/relay.py
@@ -310,7 +310,7 @@
         finally:
             self._asking.discard(kind)
         is_first = self.known.views[kind].at < 0
-        may_wait = is_first and clock.now() < self.watch.first_call_at
+        may_wait = is_first and self.watch.may_tell_first(kind, clock.now())
         if state.at < 0 or (may_wait and state.age_s > STALE_S):
             # The store or another instance may know better.
             return
--- a/libs/masticpost-gateway/src/masticpost_gateway/watching.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/watching.py
@@ -20,6 +20,7 @@
 MAX_PAUSE_S = 1.0
 IDLE_POLL_S = 0.05
 BATCH_S = 0.25
+FIRST_ANSWER_S = 0.5
 
 
 class Watching(mode.Service):
@@ -51,6 +52,7 @@
         self.sharers = 1.0
         self.first_call_at = -math.inf
         self.failing_since: dict[source.Kind, float] = {}
+        self._asked_at: dict[source.Kind, float] = {}
 
     async def on_start(self) -> None:
         """Start a task for each kind."""
@@ -82,6 +84,12 @@
             await self._pause(kind, shared_s * random.uniform(0.5, 1.0))
             pause_s = min(MAX_PAUSE_S, pause_s * 2)
 
+    def may_tell_first(self, kind: source.Kind, now: float) -> bool:
+        """Tell whether a kind that is not known yet may soon be told by the store."""
+        if kind in self.failing_since:
+            return False
+        return now < self._asked_at.get(kind, now) + FIRST_ANSWER_S
+
     def _is_needed(self, kind: source.Kind) -> bool:
         return self.is_active or self.known.views[kind].at < 0
 
@@ -102,6 +110,7 @@
 
     async def _list(self, kind: source.Kind) -> source.Fault | None:
         asked_at = clock.now()
+        self._asked_at.setdefault(kind, asked_at)
         outcome = await self.store.list_all(kind)
         if outcome.is_err():
             return outcome.unwrap_err()
--- a/libs/masticpost-gateway/testing/test_watching.py
+++ b/libs/masticpost-gateway/testing/test_watching.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from masticpost_common import clock
 from masticpost_gateway import beliefs, model, source, watching
 from support import gatewaykit as kit
 
@@ -77,3 +78,30 @@
     await kit.until(lambda: len(pauses) >= 40)
     await made.stop()
     assert min(pauses[-4:]) >= 0.5 * watching.MAX_PAUSE_S * made.sharers
+
+
+async def test_store_that_hangs_is_waited_for_only_a_while_by_one_that_starts():
+    """A state of unknown age is taken from another instance only then."""
+
+    class Hanging(kit.FakeStore):
+        async def list_all(self, kind):
+            await asyncio.Event().wait()
+
+    made = watching.Watching(store=Hanging(), known=beliefs.Beliefs())
+    assert made.may_tell_first(source.Kind.UPSTREAMS, clock.now())
+    await made.start()
+    asked_at = clock.now()
+    await asyncio.sleep(0)
+    later = asked_at + watching.FIRST_ANSWER_S
+    assert made.may_tell_first(source.Kind.UPSTREAMS, asked_at)
+    assert not made.may_tell_first(source.Kind.UPSTREAMS, later + 1.0)
+    await made.stop()
+
+
+async def test_store_that_refuses_is_not_waited_for_by_one_that_starts():
+    store = kit.FakeStore()
+    store.fail(source.Kind.UPSTREAMS, source.FaultKind.NOT_DONE)
+    made = watching.Watching(store=store, known=beliefs.Beliefs())
+    await made.start()
+    await kit.until(lambda: not made.may_tell_first(source.Kind.UPSTREAMS, clock.now()))
+    await made.stop()
--- a/testing/support/gatewaykit.py
+++ b/testing/support/gatewaykit.py
@@ -49,17 +49,17 @@
             self._changed.notify_all()
 
     def fail(self, kind, fault_kind):
-        """Answer calls about `kind` with a fault; None ends it."""
+        """Answer calls about `kind` with a fault, also those at work; None ends it."""
         self.faults[kind] = fault_kind
 
     def _fault(self, kind):
-        self.calls += 1
         found = self.faults.get(kind)
         if found is None:
             return None
         return result.Err(source.Fault(kind=found, message="as the test wants"))
 
     async def list_all(self, kind):
+        self.calls += 1
         fault = self._fault(kind)
         if fault is not None:
             return fault
@@ -67,6 +67,7 @@
         return result.Ok(source.Listing(entries=entries, at=self.at))
 
     async def watch(self, kind, at, wait_s):
+        self.calls += 1
         fault = self._fault(kind)
         if fault is not None:
             return fault
@@ -77,6 +78,9 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s), self._changed:
                 await self._changed.wait_for(lambda: self._events(kind, at))
+        late_fault = self._fault(kind)
+        if late_fault is not None:
+            return late_fault
         return result.Ok(
             source.Changes(events=tuple(self._events(kind, at)), at=self.at)
         )
