Hold new work while nobody tells what changed

Its own watch would have begun only when its views were 5 s old, and pauses up to a second between calls.

Ruled out: refusing work while out of touch. An instance in a failure domain that is cut off serves its callers there well by what it knows; only the moments after the cut do harm.

Change: `isolation` tells an instance that hears neither the store (own watch) nor another instance that watches (beats, each second by two). It asks the store itself after 2.2 s rather than 5 s, at pauses of 0.25 s, and holds each send for 0.3 s at most until it is told. An instance whose others are gone, or that hears of an outage of the store, holds nothing.

--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -19,6 +19,7 @@
     gateway,
     gauges,
     headers,
+    isolation,
     loads,
     measures,
     mesh,
@@ -117,10 +118,17 @@
         )
         self.loads = loads.Loads(peers=self.mesh)
         self.watching = watching.Watching(store=store, known=self.known)
+        self.isolation = isolation.Isolation(
+            has_others=lambda: bool(self.mesh.others()), watch=self.watching
+        )
         self.shared = self._make_shared(names)
         trials, memory = self.shared.trials, self.shared.sessions
         self.relay = relay.Relay(
-            peers=self.mesh, known=self.known, watch=self.watching, trials=trials
+            peers=self.mesh,
+            known=self.known,
+            watch=self.watching,
+            trials=trials,
+            silence=self.isolation,
         )
         self.session_news = sessionnews.SessionSharing(
             peers=self.mesh, watchers=self.relay, trials=trials, memory=memory
@@ -167,6 +175,7 @@
             policy=cascade.POLICIES.get(cfg.policy),
             loads=self.loads,
             places=places,
+            isolation=self.isolation,
         )
 
     def members(self) -> frozenset[str]:
--- a/libs/masticpost-gateway/src/masticpost_gateway/relay.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/relay.py
@@ -20,7 +20,15 @@
 from masticpost_common import clock, codec, rendezvous
 from masticpost_peers import hub, messages, probes
 
-from masticpost_gateway import beliefs, mesh, passing, source, trial, watching
+from masticpost_gateway import (
+    beliefs,
+    isolation,
+    mesh,
+    passing,
+    source,
+    trial,
+    watching,
+)
 
 WATCHERS = 3
 WATCHERS_OF_MANY = 5
@@ -52,6 +60,8 @@
         Switched on while this instance watches the store.
     trials : trial.Trials
         Evidence to pool.
+    silence : isolation.Isolation
+        Told when another instance is heard.
     """
 
     def __init__(
@@ -61,16 +71,17 @@
         known: beliefs.Beliefs,
         watch: watching.Watching,
         trials: trial.Trials,
+        silence: isolation.Isolation,
     ) -> None:
         super().__init__()
         self.peers = peers
         self.known = known
         self.watch = watch
         self.trials = trials
+        self.silence = silence
         self.watchers: list[probes.Member] = []
         self._started_at = clock.now()
         self._chosen_at: float | None = None
-        self._heard_at = -math.inf
         self._helps_until = -math.inf
         self._asking: set[source.Kind] = set()
         self._passed: dict[str, source.Entry] = {}
@@ -120,11 +131,13 @@
         if booting and not self.peers.others():
             return
         oldest_s = max(view.age_s(now) for view in self.known.views.values())
-        lost = oldest_s > STALE_S and now - self._started_at > 2 * BOOT_WAIT_S
+        is_cut_off = oldest_s > STALE_S or self.silence.is_silent(now)
+        lost = is_cut_off and now - self._started_at > 2 * BOOT_WAIT_S
         if lost and not self.watch.is_active:
             self._helps_until = now + HELP_S
         wanted = self._is_chosen_for_good(now) or lost or now < self._helps_until
         self.watch.sharers = self._sharers(now)
+        self.watch.is_urgent = self.silence.is_isolated(now)
         if wanted != self.watch.is_active:
             logger.bind(
                 event="watch",
@@ -136,10 +149,9 @@
 
     def _sharers(self, now: float) -> float:
         """Return how many instances call the store for each watcher that would."""
-        hears_watchers = now - self._heard_at < STALE_S
-        if self.is_watcher or not hears_watchers:
+        if self.is_watcher or not self.silence.hears(now):
             return 1.0
-        return max(1.0, len(self.peers.members.alive()) / len(self.watchers))
+        return max(1.0, len(self.peers.members.alive()) / max(1, len(self.watchers)))
 
     def _is_chosen_for_good(self, now: float) -> bool:
         """Tell whether this instance has been a watcher for a while.
@@ -284,7 +296,7 @@
     async def _on_beat(self, envelope: messages.Envelope, body: passing.Beat) -> None:
         now = clock.now()
         if any(row.name == envelope.sender for row in self.watchers):
-            self._heard_at = now
+            self.silence.heard(now)
         for row in body.views:
             view = self.known.views[row.kind]
             if view.at < row.changed_at:
@@ -317,6 +329,8 @@
         entries = tuple(passing.entry(kind, row) for row in state.entries)
         listing = source.Listing(entries=entries, at=state.at)
         self.known.replace(kind, listing, clock.now() - state.age_s)
+        if state.age_s <= STALE_S:
+            self.silence.heard(clock.now())
 
     async def _on_evidence(
         self, envelope: messages.Envelope, body: passing.EvidenceReport
--- a/libs/masticpost-gateway/src/masticpost_gateway/shared.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/shared.py
@@ -8,6 +8,7 @@
     choice,
     conns,
     headers,
+    isolation,
     loads,
     measures,
     placement,
@@ -38,4 +39,5 @@
     loads: loads.Loads
     places: placement.Placement
     policy: cascade.Policy
+    isolation: isolation.Isolation
     closing_at: float | None = None
--- a/libs/masticpost-gateway/src/masticpost_gateway/tries.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/tries.py
@@ -177,6 +177,7 @@
             No upstream can take the request in time.
         """
         give_up_at = self.call.started_at + WAIT_SHARE * self.call.route.objective_s
+        await self.shared.isolation.wait(self.call.left_s())
         while True:
             found = self.shared.chooser.pick(self._wanted(level))
             if found is not None:
--- a/libs/masticpost-gateway/src/masticpost_gateway/watching.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/watching.py
@@ -18,6 +18,7 @@
 }
 FIRST_PAUSE_S = 0.15
 MAX_PAUSE_S = 1.0
+URGENT_PAUSE_S = 0.25
 IDLE_POLL_S = 0.05
 BATCH_S = 0.25
 FIRST_ANSWER_S = 0.5
@@ -40,6 +41,8 @@
     sharers : float
         How many instances call the store for the same reason: the more, the longer
         each pauses before its first call and after a failed one.
+    is_urgent : bool
+        Whether this instance holds work back until the store answers.
     first_call_at : float
         Time until which an instance that knows nothing waits to be told by another.
     """
@@ -50,9 +53,16 @@
         self.known = known
         self.is_active = False
         self.sharers = 1.0
+        self.is_urgent = False
         self.first_call_at = -math.inf
         self.failing_since: dict[source.Kind, float] = {}
         self._asked_at: dict[source.Kind, float] = {}
+        self._followed: set[source.Kind] = set()
+
+    @property
+    def is_told(self) -> bool:
+        """Whether the store tells this instance of every change."""
+        return len(self._followed) == len(source.Kind)
 
     async def on_start(self) -> None:
         """Start a task for each kind."""
@@ -67,22 +77,26 @@
                 await asyncio.sleep(IDLE_POLL_S)
                 continue
             if not self._is_needed(kind):
+                self._followed.discard(kind)
                 self.failing_since.pop(kind, None)
                 needs_list = True
                 await self._until_active(kind)
                 continue
             fault = await (self._list(kind) if needs_list else self._watch(kind))
             if fault is None:
+                self._followed.add(kind)
                 pause_s = FIRST_PAUSE_S
                 needs_list = False
                 continue
+            self._followed.discard(kind)
             if fault.kind is source.FaultKind.HISTORY_GONE:
                 needs_list = True
                 continue
             self._note_failure(kind, fault)
             shared_s = pause_s * self.sharers
             await self._pause(kind, shared_s * random.uniform(0.5, 1.0))
-            pause_s = min(MAX_PAUSE_S, pause_s * 2)
+            longest_s = URGENT_PAUSE_S if self.is_urgent else MAX_PAUSE_S
+            pause_s = min(longest_s, pause_s * 2)
 
     def may_tell_first(self, kind: source.Kind, now: float) -> bool:
         """Tell whether a kind that is not known yet may soon be told by the store."""
--- a/libs/masticpost-gateway/testing/test_relay.py
+++ b/libs/masticpost-gateway/testing/test_relay.py
@@ -5,7 +5,7 @@
 
 import result
 from masticpost_common import clock
-from masticpost_gateway import beliefs, model, passing, relay, source
+from masticpost_gateway import beliefs, isolation, model, passing, relay, source
 from support import gatewaykit as kit
 
 
@@ -149,9 +149,12 @@
         members=members,
         is_seed=True,
     )
-    watch = types.SimpleNamespace(is_active=False, sharers=1.0)
+    watch = types.SimpleNamespace(is_active=False, is_told=False, sharers=1.0)
     known = beliefs.Beliefs()
-    made = relay.Relay(peers=peers, known=known, watch=watch, trials=None)
+    silence = isolation.Isolation(has_others=lambda: count > 1, watch=watch)
+    made = relay.Relay(
+        peers=peers, known=known, watch=watch, trials=None, silence=silence
+    )
     made.watchers = rows[-relay.WATCHERS_OF_MANY :]
     return made
 
@@ -181,6 +184,7 @@
     assert made.watch.is_active
     for kind in source.Kind:
         made.known.confirm(kind, now + relay.HELP_S)
+    made.silence.heard(now + relay.HELP_S)
     made._switch(now + 1.1 * relay.HELP_S)
     assert not made.watch.is_active
 
@@ -192,6 +196,7 @@
     now = clock.now()
     for kind in source.Kind:
         known.replace(kind, source.Listing(entries=(), at=1), now)
+    made.silence.heard(now + relay.SETTLE_S)
     made.watchers = [me]
     made._switch(now)
     assert not watch.is_active
