Let the smallest model overflow to upstreams that have room

Cause: 0.2 of the upstreams are set aside for the smallest model, and nothing else was asked when they were full.

Ruled out: too few retries (both of a request went to the same nine); a general lack of slots (27 idle ones).

Change: the upstreams are taken in groups, the preferred one first; the first group with an upstream that has room is used. One has room if the streams told there are fewer than its slots and it has not turned a request away within 0.3 s. When none has room all is as before. A status of 421 and of 503 had two names, now one.

--- a/libs/masticpost-gateway/src/masticpost_gateway/choice.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/choice.py
@@ -171,7 +171,8 @@
 
     def _best(self, ready: list[model.Upstream], wanted: Wanted) -> model.Upstream:
         if wanted.reading is None:
-            return min(ready, key=self._load)
+            with_room = [u for u in ready if self.placement.work.has_room(u)]
+            return min(with_room or ready, key=self._load)
         return self.placement.best(ready, wanted.reading)
 
     def _load(self, upstream: model.Upstream) -> tuple[float, bool, float]:
--- a/libs/masticpost-gateway/src/masticpost_gateway/loads.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/loads.py
@@ -16,7 +16,7 @@
 from masticpost_common import clock, rendezvous
 from masticpost_peers import messages, probes
 
-from masticpost_gateway import mesh, workreports
+from masticpost_gateway import mesh, model, workreports
 
 DIRECT_MEMBERS = 12
 MIN_HUBS = 4
@@ -26,6 +26,7 @@
 PLACED_LASTS_S = 90.0
 PLACED_AGAIN_S = 15.0
 DEFAULT_ROOM_TOKENS = 200_000
+FULL_LASTS_S = 0.3
 
 
 @attrs.define(kw_only=True)
@@ -83,6 +84,7 @@
         self._own_sums: dict[str, workreports.Load] = {}
         self.room_tokens = DEFAULT_ROOM_TOKENS
         self._kept: dict[str, Kept] = {}
+        self._full_until: dict[str, float] = {}
         self._hubs = workreports.Told()
         self._members = workreports.Told()
         self._sums = workreports.Told()
@@ -156,8 +158,21 @@
             upstream=upstream, reading_s=round(reading_s, 3), streams=streams
         )
 
+    def full(self, upstream: str) -> None:
+        """Note that an upstream has turned a request away for want of room."""
+        self._full_until[upstream] = clock.now() + FULL_LASTS_S
+
+    def has_room(self, upstream: model.Upstream) -> bool:
+        """Tell whether an upstream would probably begin one more answer at once."""
+        now = clock.now()
+        if now < self._full_until.get(upstream.name, -math.inf):
+            return False
+        return self.of(upstream.name, now).streams < upstream.slots
+
     def keep_only(self, names: set[str]) -> None:
-        """Forget what upstreams that are gone have read."""
+        """Forget what was known of upstreams that are gone."""
+        for name in self._full_until.keys() - names:
+            del self._full_until[name]
         for name in self._kept.keys() - names:
             del self._kept[name]
         for name in self._own_sums.keys() - names - self._own.keys():
--- a/libs/masticpost-gateway/src/masticpost_gateway/placement.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/placement.py
@@ -79,28 +79,37 @@
         return self.unread_tokens(upstream, reading) * speed.read_s
 
     def best(self, ready: list[model.Upstream], reading: Reading) -> model.Upstream:
-        """Return the upstream with the lowest score."""
-        names = {upstream.name: upstream for upstream in ready}
-        if reading.has_levels and len(names) > 1:
-            names = _of_level(names, reading)
-        key = reading.keys()[-2] if len(reading.prompt.parts) > 1 else reading.model
-        ranked = rendezvous.ranked(names, key)
-        if not self.work.is_direct:
-            ranked = self._sample(ranked)
+        """Return the upstream with the lowest score, one that has room if any has."""
+        upstreams = {upstream.name: upstream for upstream in ready}
+        samples = []
+        for group in _groups(list(upstreams), reading):
+            sample = self._sample(group, reading)
+            found = [name for name in sample if self.work.has_room(upstreams[name])]
+            if found:
+                return upstreams[self._lowest(found, reading)]
+            samples.append(sample)
+        return upstreams[self._lowest(samples[0], reading)]
+
+    def _lowest(self, ranked: list[str], reading: Reading) -> str:
         scores = {
             name: self._score(name, reading) + RANK_COST_S * rank
             for rank, name in enumerate(ranked)
         }
-        return names[min(ranked, key=scores.__getitem__)]
+        return min(ranked, key=scores.__getitem__)
 
-    def _sample(self, ranked: list[str]) -> list[str]:
-        """Return a few of the upstreams, those of the highest rank among them.
+    def _sample(self, names: list[str], reading: Reading) -> list[str]:
+        """Return a few of the upstreams by rank for a prompt, the first among them.
 
         The view of the work is old in a large deployment: the upstream that it shows
-        idle would get what all instances send until they see the next one.
+        idle would get what all instances send until they see the next one. A small
+        deployment takes all.
         Source: Mitzenmacher, "How Useful Is Old Information?", IEEE Transactions on
         Parallel and Distributed Systems 11(1), 2000.
         """
+        key = reading.keys()[-2] if len(reading.prompt.parts) > 1 else reading.model
+        ranked = rendezvous.ranked(names, key)
+        if self.work.is_direct:
+            return ranked
         near, far = ranked[:NEAR_SAMPLE], ranked[NEAR_SAMPLE:]
         return near + self.draw.sample(far, min(FAR_SAMPLE, len(far)))
 
@@ -123,14 +132,16 @@
         return load.reading_s + read_s + stall_s + STREAM_COST_S * load.streams
 
 
-def _of_level(
-    names: dict[str, model.Upstream], reading: Reading
-) -> dict[str, model.Upstream]:
-    """Return the upstreams that are set aside for the smallest model, or the rest.
+def _groups(names: list[str], reading: Reading) -> list[list[str]]:
+    """Return the upstreams in groups, the preferred one first, the rest for overflow.
 
-    A larger model reads a prompt many times slower and holds up what runs beside it.
+    Some are set aside for the smallest model, as a larger one reads a prompt many times
+    slower and holds up what runs beside it.
     """
+    if not reading.has_levels or len(names) < 2:
+        return [names]
     ranked = rendezvous.ranked(names, reading.service)
     count = max(1, round(SMALL_LEVEL_SHARE * len(ranked)))
-    chosen = ranked[:count] if reading.is_smallest else ranked[count:]
-    return {name: names[name] for name in chosen}
+    if not reading.is_smallest:
+        return [ranked[count:], ranked[:count]]
+    return [ranked[at : at + count] for at in range(0, len(ranked), count)]
--- a/libs/masticpost-gateway/src/masticpost_gateway/sending.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sending.py
@@ -4,10 +4,10 @@
 from masticpost_common import retry
 
 from masticpost_gateway import call as calls
-from masticpost_gateway import conns, headers, model
+from masticpost_gateway import conns, headers, model, notices
 
-MISDIRECTED = 421
 NOT_CONNECTED = "not connected"
+FULL = "no room"
 MOVED = "another upstream has the address"
 MS_PER_S = 1000.0
 URGENCY_OF_PRIORITY = (1, 4, 7)
@@ -73,8 +73,10 @@
     TryError
         The upstream did not run the request, or the answer is of no use.
     """
-    if resp.status == MISDIRECTED:
+    if resp.status == notices.MOVED_STATUS:
         raise TryError(retry.Verdict.NEVER_JUDGED, MOVED)
+    if head.is_not_run and resp.status == notices.FULL_STATUS:
+        raise TryError(retry.Verdict.NEVER_JUDGED, FULL)
     if head.is_not_run:
         raise TryError(retry.Verdict.NEVER_JUDGED, f"not run: {resp.status}")
     if head.request_id != request_id:
--- a/libs/masticpost-gateway/src/masticpost_gateway/tries.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/tries.py
@@ -300,6 +300,8 @@
         self._record(sent.upstream, sent.level, exc.reason, sent.at)
         if exc.reason == sending.NOT_CONNECTED:
             self._take_back(now)
+        if exc.reason == sending.FULL:
+            self.shared.loads.full(sent.upstream.name)
         if exc.verdict is retry.Verdict.NEVER_JUDGED:
             if exc.reason in (sending.NOT_CONNECTED, sending.MOVED):
                 sent.health.unreachable(now, exc.reason)
--- a/libs/masticpost-gateway/testing/test_herding.py
+++ b/libs/masticpost-gateway/testing/test_herding.py
@@ -60,6 +60,9 @@
         left_s = max(0.0, view.get(name, 0.0) - (self.now - at))
         return workreports.Load(upstream=name, reading_s=left_s)
 
+    def has_room(self, upstream):
+        return True
+
     def holds(self, upstream, key, now):
         return (upstream, key) in self.held
 
--- /dev/null
+++ b/libs/masticpost-gateway/testing/test_overflow.py
@@ -0,0 +1,129 @@
+"""The smallest model gets more requests than its upstreams hold: the others help.
+
+Upstreams are set aside for it. When a third of all were lost they turned away nine of
+ten requests, while the rest of the upstreams had five of twelve slots in use.
+"""
+
+import heapq
+import random
+
+import attrs
+from masticpost_common import clock
+from masticpost_gateway import headers, loads, model, placement, speeds
+
+UPSTREAMS = [
+    model.Upstream(
+        name=f"engine-{i}", service="s", address="x:1", domain="a", version="v", slots=6
+    )
+    for i in range(30)
+]
+ARRIVALS_PER_S = 60.0
+WRITE_S = 1.5
+RUN_S = 20.0
+SPARE = 2
+
+
+class NoPeers:
+    """A mesh of `count` instances without messages."""
+
+    def __init__(self, count):
+        self.hub = self
+        self.members = self
+        self.count = count
+
+    def handle(self, kind, handler):
+        return None
+
+    def alive(self):
+        return [None] * self.count
+
+
+@attrs.define(kw_only=True)
+class Day:
+    """Instances that see each other's work, and upstreams that turn requests away."""
+
+    work: loads.Loads
+    places: placement.Placement
+    ends: list = attrs.field(factory=list)
+    at_work: dict = attrs.field(factory=dict)
+    turned_away: int = 0
+
+    def send(self, now, reading):
+        """Send a request to the best upstream."""
+        while self.ends and self.ends[0][0] <= now:
+            _, _, work = heapq.heappop(self.ends)
+            self.work.end(work)
+            self.at_work[work.upstream] -= 1
+        name = self.places.best(UPSTREAMS, reading).name
+        here = self.at_work.get(name, 0)
+        if here >= UPSTREAMS[0].slots + SPARE:
+            self.turned_away += 1
+            self.work.full(name)
+            return
+        self.at_work[name] = here + 1
+        work = self.work.begin(name, 0.0)
+        self.work.read(work)
+        heapq.heappush(self.ends, (now + WRITE_S, id(work), work))
+
+
+def reading_of(number, *, is_smallest=True):
+    parts = (
+        headers.Part(name="instructions", tokens=500),
+        headers.Part(name=f"own-{number}", tokens=800),
+    )
+    prompt = headers.Prompt(parts=parts, tokens_in=1300, tokens_out=200)
+    name = "small" if is_smallest else "large"
+    return placement.Reading(
+        service="s",
+        model=name,
+        prompt=prompt,
+        is_smallest=is_smallest,
+        has_levels=True,
+    )
+
+
+def make(count):
+    work = loads.Loads(peers=NoPeers(count))
+    places = placement.Placement(work=work, pace=speeds.Speeds(), draw=random.Random(3))
+    return Day(work=work, places=places)
+
+
+def turned_away_share(count):
+    draw, day = random.Random(1), make(count)
+    now, number = 0.0, 0
+    while now < RUN_S:
+        now += draw.expovariate(ARRIVALS_PER_S)
+        number += 1
+        day.send(now, reading_of(number))
+    return day.turned_away / number
+
+
+def test_smallest_model_overflows_to_upstreams_that_have_room():
+    assert turned_away_share(6) == 0.0
+    assert turned_away_share(70) < 0.02
+
+
+def test_upstreams_set_aside_are_kept_to_while_they_have_room():
+    day = make(6)
+    small = {day.places.best(UPSTREAMS, reading_of(n)).name for n in range(200)}
+    large = {
+        day.places.best(UPSTREAMS, reading_of(n, is_smallest=False)).name
+        for n in range(200)
+    }
+    assert not small & large
+
+
+def test_upstream_that_has_turned_a_request_away_has_no_room_for_a_moment(monkeypatch):
+    day, now = make(6), clock.now()
+    first = day.places.best(UPSTREAMS, reading_of(0))
+    day.work.full(first.name)
+    assert day.places.best(UPSTREAMS, reading_of(0)) != first
+    monkeypatch.setattr(clock, "now", lambda: now + 2 * loads.FULL_LASTS_S)
+    assert day.work.has_room(first)
+
+
+def test_full_upstreams_are_asked_all_the_same_when_none_has_room():
+    day = make(6)
+    for upstream in UPSTREAMS:
+        day.work.full(upstream.name)
+    assert day.places.best(UPSTREAMS, reading_of(0)) in UPSTREAMS
