Overflow where prompts would wait, and count unread ones as work

What is told is the streams that are being written; requests that wait to be read take slots and the queue as well, so that a full upstream seemed to have room.

Change: reports tell the unread requests too (an instance of an earlier version tells none); room is slots less all of them. For the smallest model a later group is used also when its best upstream would read the prompt sooner by more than 0.1 s a group; larger models still go to the ones set aside only for want of room.

test_overflow: three more patterns.

--- a/libs/masticpost-gateway/src/masticpost_gateway/loads.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/loads.py
@@ -143,19 +143,24 @@
     def of(self, upstream: str, now: float) -> workreports.Load:
         """Return the work of all instances at an upstream."""
         own = self._own_load(upstream)
-        reading_s, streams = own.reading_s, own.streams
+        reading_s, streams, unread = own.reading_s, own.streams, own.unread
         for told in (self._hubs, self._members):
             found = told.sum(upstream, now)
             reading_s += found.reading_s
             streams += found.streams
+            unread += found.unread
         sums = self._sums.sum(upstream, now)
         if sums.senders:
             # The sums include what this instance told of itself.
-            sent = self._last_sent.get(upstream)
-            reading_s += max(0.0, sums.reading_s - (sent.reading_s if sent else 0.0))
-            streams += max(0, sums.streams - (sent.streams if sent else 0))
+            sent = self._last_sent.get(upstream, workreports.Load(upstream=upstream))
+            reading_s += max(0.0, sums.reading_s - sent.reading_s)
+            streams += max(0, sums.streams - sent.streams)
+            unread += max(0, sums.unread - sent.unread)
         return workreports.Load(
-            upstream=upstream, reading_s=round(reading_s, 3), streams=streams
+            upstream=upstream,
+            reading_s=round(reading_s, 3),
+            streams=streams,
+            unread=unread,
         )
 
     def full(self, upstream: str) -> None:
@@ -167,7 +172,7 @@
         now = clock.now()
         if now < self._full_until.get(upstream.name, -math.inf):
             return False
-        return self.of(upstream.name, now).streams < upstream.slots
+        return self.of(upstream.name, now).requests < upstream.slots
 
     def keep_only(self, names: set[str]) -> None:
         """Forget what was known of upstreams that are gone."""
@@ -270,6 +275,7 @@
             upstream=upstream,
             reading_s=round(sum(work.read_s for work in here if not work.is_read), 3),
             streams=sum(work.is_read for work in here),
+            unread=sum(not work.is_read for work in here),
         )
         self._own_sums[upstream] = found
         return found
--- a/libs/masticpost-gateway/src/masticpost_gateway/placement.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/placement.py
@@ -5,6 +5,7 @@
 costs the answers that it writes meanwhile. What it has read already costs nothing.
 """
 
+import math
 import random
 
 import attrs
@@ -15,6 +16,7 @@
 STALL_WEIGHT = 0.12
 STREAM_COST_S = 0.004
 RANK_COST_S = 0.002
+OVERFLOW_COST_S = 0.1
 SMALL_LEVEL_SHARE = 0.2
 NEAR_SAMPLE = 3
 FAR_SAMPLE = 2
@@ -39,6 +41,31 @@
         return found
 
 
+@attrs.frozen(kw_only=True)
+class Group:
+    """Upstreams for a model; `extra_s` is added to their scores."""
+
+    names: list[str]
+    extra_s: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class Rated:
+    """An upstream for a prompt; a lower score, in seconds, is better."""
+
+    upstream: model.Upstream
+    has_room: bool
+    score: float
+
+    def rank(self) -> tuple[bool, float]:
+        """Return the key to sort by: those that have room come first."""
+        return (not self.has_room, self.score)
+
+    def beats(self, group: Group) -> bool:
+        """Tell whether no upstream of a group can be better."""
+        return self.has_room and self.score <= group.extra_s
+
+
 class Placement:
     """Places prompts by the work that all instances have at each upstream.
 
@@ -81,21 +108,27 @@
     def best(self, ready: list[model.Upstream], reading: Reading) -> model.Upstream:
         """Return the upstream with the lowest score, one that has room if any has."""
         upstreams = {upstream.name: upstream for upstream in ready}
-        samples = []
+        best: Rated | None = None
         for group in _groups(list(upstreams), reading):
-            sample = self._sample(group, reading)
-            found = [name for name in sample if self.work.has_room(upstreams[name])]
-            if found:
-                return upstreams[self._lowest(found, reading)]
-            samples.append(sample)
-        return upstreams[self._lowest(samples[0], reading)]
-
-    def _lowest(self, ranked: list[str], reading: Reading) -> str:
-        scores = {
-            name: self._score(name, reading) + RANK_COST_S * rank
-            for rank, name in enumerate(ranked)
-        }
-        return min(ranked, key=scores.__getitem__)
+            if best is not None and best.beats(group):
+                break
+            found = self._rated(group, upstreams, reading)
+            best = found if best is None else min(best, found, key=Rated.rank)
+        return best.upstream
+
+    def _rated(
+        self, group: Group, upstreams: dict[str, model.Upstream], reading: Reading
+    ) -> Rated:
+        """Return the best of a group."""
+        rows = [
+            Rated(
+                upstream=upstreams[name],
+                has_room=self.work.has_room(upstreams[name]),
+                score=self._score(name, reading) + RANK_COST_S * rank + group.extra_s,
+            )
+            for rank, name in enumerate(self._sample(group.names, reading))
+        ]
+        return min(rows, key=Rated.rank)
 
     def _sample(self, names: list[str], reading: Reading) -> list[str]:
         """Return a few of the upstreams by rank for a prompt, the first among them.
@@ -132,16 +165,20 @@
         return load.reading_s + read_s + stall_s + STREAM_COST_S * load.streams
 
 
-def _groups(names: list[str], reading: Reading) -> list[list[str]]:
+def _groups(names: list[str], reading: Reading) -> list[Group]:
     """Return the upstreams in groups, the preferred one first, the rest for overflow.
 
     Some are set aside for the smallest model, as a larger one reads a prompt many times
-    slower and holds up what runs beside it.
+    slower and holds up what runs beside it: it goes there only for want of room.
     """
     if not reading.has_levels or len(names) < 2:
-        return [names]
+        return [Group(names=names)]
     ranked = rendezvous.ranked(names, reading.service)
     count = max(1, round(SMALL_LEVEL_SHARE * len(ranked)))
     if not reading.is_smallest:
-        return [ranked[count:], ranked[:count]]
-    return [ranked[at : at + count] for at in range(0, len(ranked), count)]
+        apart = Group(names=ranked[:count], extra_s=math.inf)
+        return [Group(names=ranked[count:]), apart]
+    return [
+        Group(names=ranked[at : at + count], extra_s=OVERFLOW_COST_S * at / count)
+        for at in range(0, len(ranked), count)
+    ]
--- a/libs/masticpost-gateway/src/masticpost_gateway/workreports.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/workreports.py
@@ -19,11 +19,19 @@
         Time that the prompts take that are not read yet.
     streams : int
         Answers being written.
+    unread : int
+        Requests whose prompts are not read yet.
     """
 
     upstream: str
     reading_s: float = 0.0
     streams: int = 0
+    unread: int = 0
+
+    @property
+    def requests(self) -> int:
+        """Requests at work or in the upstream's queue."""
+        return self.streams + self.unread
 
     def plus(self, other: "Load") -> "Load":
         """Return the sum of two loads of the same upstream."""
@@ -31,6 +39,7 @@
             upstream=self.upstream,
             reading_s=round(self.reading_s + other.reading_s, 3),
             streams=self.streams + other.streams,
+            unread=self.unread + other.unread,
         )
 
 
@@ -51,13 +60,16 @@
     reading_ms: list[int]
     streams: list[int]
     placed: dict[str, dict[str, int]]
+    unread: list[int] = attrs.field(factory=list)
 
     def loads(self) -> list[Load]:
         """Return the loads as rows."""
-        rows = zip(self.upstreams, self.reading_ms, self.streams, strict=True)
+        # An instance of an earlier version does not tell the unread ones.
+        unread = self.unread or [0] * len(self.upstreams)
+        rows = zip(self.upstreams, self.reading_ms, self.streams, unread, strict=True)
         return [
-            Load(upstream=name, reading_s=ms / MS_PER_S, streams=streams)
-            for name, ms, streams in rows
+            Load(upstream=name, reading_s=ms / MS_PER_S, streams=streams, unread=count)
+            for name, ms, streams, count in rows
         ]
 
     def parts(self) -> list[Placed]:
@@ -78,6 +90,7 @@
         upstreams=[load.upstream for load in loads],
         reading_ms=[round(load.reading_s * MS_PER_S) for load in loads],
         streams=[load.streams for load in loads],
+        unread=[load.unread for load in loads],
         placed=placed,
     )
 
@@ -115,6 +128,7 @@
 
     reading_ms: int = 0
     streams: int = 0
+    unread: int = 0
     senders: int = 0
 
     @property
@@ -126,6 +140,7 @@
         """Add what a sender told, or take it off again with `sign` -1."""
         self.reading_ms += sign * round(load.reading_s * MS_PER_S)
         self.streams += sign * load.streams
+        self.unread += sign * load.unread
         self.senders += sign
 
 
@@ -161,7 +176,12 @@
     def of(self, upstream: str, now: float) -> Load:
         """Return the sum of what was told of an upstream as a load."""
         found = self.sum(upstream, now)
-        return Load(upstream=upstream, reading_s=found.reading_s, streams=found.streams)
+        return Load(
+            upstream=upstream,
+            reading_s=found.reading_s,
+            streams=found.streams,
+            unread=found.unread,
+        )
 
     def names(self, now: float) -> set[str]:
         """Return the upstreams that something valid was told of."""
--- a/libs/masticpost-gateway/testing/test_loads.py
+++ b/libs/masticpost-gateway/testing/test_loads.py
@@ -143,7 +143,7 @@
 
 def test_report_on_many_upstreams_is_short():
     rows = [
-        workreports.Load(upstream=f"plan-llm-{i}", reading_s=i / 8, streams=i)
+        workreports.Load(upstream=f"plan-llm-{i}", reading_s=i / 8, streams=i, unread=i)
         for i in range(45)
     ]
     report = workreports.LoadReport(work=workreports.columns(rows, []))
@@ -156,6 +156,7 @@
     upstream=strategies.sampled_from(["u1", "u2", "u3"]),
     reading_s=strategies.floats(0.0, 9.0).map(lambda s: round(s, 3)),
     streams=strategies.integers(0, 9),
+    unread=strategies.integers(0, 9),
 )
 STEP = strategies.tuples(
     strategies.sampled_from(["a", "b", "c"]),
@@ -184,6 +185,7 @@
         here = [load for load in valid if load.upstream == name]
         found = told.of(name, now)
         assert found.streams == sum(load.streams for load in here)
+        assert found.unread == sum(load.unread for load in here)
         assert found.reading_s == round(sum(load.reading_s for load in here), 3)
 
 
--- a/libs/masticpost-gateway/testing/test_overflow.py
+++ b/libs/masticpost-gateway/testing/test_overflow.py
@@ -9,7 +9,7 @@
 
 import attrs
 from masticpost_common import clock
-from masticpost_gateway import headers, loads, model, placement, speeds
+from masticpost_gateway import headers, loads, model, placement, speeds, workreports
 
 UPSTREAMS = [
     model.Upstream(
@@ -103,6 +103,26 @@
     assert turned_away_share(70) < 0.02
 
 
+def test_smallest_model_overflows_where_it_would_wait():
+    """Prompts queue for half a second at those set aside, nobody elsewhere."""
+    day = make(6)
+    for _ in range(100):
+        name = day.places.best(UPSTREAMS, reading_of(0)).name
+        day.work.begin(name, 0.05)
+    waits = [day.work.of(u.name, clock.now()).reading_s for u in UPSTREAMS]
+    assert sum(wait > 0 for wait in waits) > len(UPSTREAMS) / 2
+
+
+def test_larger_model_waits_rather_than_hold_up_the_smallest():
+    day = make(6)
+    small = {day.places.best(UPSTREAMS, reading_of(n)).name for n in range(200)}
+    for _ in range(100):
+        wanted = reading_of(0, is_smallest=False)
+        name = day.places.best(UPSTREAMS, wanted).name
+        assert name not in small
+        day.work.begin(name, 0.05)
+
+
 def test_upstreams_set_aside_are_kept_to_while_they_have_room():
     day = make(6)
     small = {day.places.best(UPSTREAMS, reading_of(n)).name for n in range(200)}
@@ -127,3 +147,13 @@
     for upstream in UPSTREAMS:
         day.work.full(upstream.name)
     assert day.places.best(UPSTREAMS, reading_of(0)) in UPSTREAMS
+
+
+def test_prompts_that_wait_to_be_read_take_room_too():
+    """Told by the streams alone, an upstream with a long queue seemed to have room."""
+    day = make(70)
+    first = UPSTREAMS[0]
+    told = [workreports.Load(upstream=first.name, streams=3, unread=first.slots - 3)]
+    day.work._sums.put("hub", told, clock.now())
+    assert not day.work.has_room(first)
+    assert day.work.has_room(UPSTREAMS[1])
