--- /dev/null
+++ b/libs/masticpost-gateway/src/masticpost_gateway/evidencenews.py
@@ -0,0 +1,73 @@
+"""Evidence on versions on trial, told to the instances that watch, which pool it."""
+
+import asyncio
+import math
+
+import mode
+from masticpost_common import clock, codec
+from masticpost_peers import messages
+
+from masticpost_gateway import mesh, passing, relay, trial
+
+PERIOD_S = 0.25
+GOOD_PERIOD_S = 1.0
+
+
+class EvidenceSharing(mode.Service):
+    """Tells and hears how versions on trial do.
+
+    Parameters
+    ----------
+    peers : mesh.Mesh
+        Carries the messages.
+    watchers : relay.Relay
+        Knows who watches.
+    trials : trial.Trials
+        Read and filled.
+    """
+
+    def __init__(
+        self, *, peers: mesh.Mesh, watchers: relay.Relay, trials: trial.Trials
+    ) -> None:
+        super().__init__()
+        self.peers = peers
+        self.watchers = watchers
+        self.trials = trials
+        self._told: list[trial.Evidence] = []
+        self._told_failures = 0
+        self._told_at = -math.inf
+        peers.hub.handle(passing.EvidenceReport, self._on_evidence)
+
+    @mode.Service.task
+    async def report(self) -> None:
+        """Report changed evidence to the watchers."""
+        while not self.should_stop:
+            await asyncio.sleep(PERIOD_S)
+            rows = self.trials.evidence()
+            now = clock.now()
+            if rows == self._told or not self._is_due(now):
+                continue
+            self._told_failures = self.trials.failures()
+            self._told_at = now
+            self._told = codec.from_wire(codec.to_wire(rows), list[trial.Evidence])
+            me = self.peers.me.name
+            watchers = self.watchers.watchers
+            others = [row.address for row in watchers if row.name != me]
+            body = passing.EvidenceReport(rows=rows)
+            await self.peers.hub.broadcast(others, body, is_lasting=True)
+
+    def _is_due(self, now: float) -> bool:
+        """Tell whether changed evidence is told now: failures at once, others later.
+
+        The watchers of a large deployment are told by hundreds of instances.
+        """
+        if len(self.peers.members.alive()) <= relay.MANY_MEMBERS:
+            return True
+        has_failures = self.trials.failures() != self._told_failures
+        return has_failures or now - self._told_at >= GOOD_PERIOD_S
+
+    async def _on_evidence(
+        self, envelope: messages.Envelope, body: passing.EvidenceReport
+    ) -> None:
+        for row in body.rows:
+            self.trials.hear((envelope.sender, envelope.incarnation), row)
--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -16,6 +16,7 @@
     coldpace,
     conns,
     counted,
+    evidencenews,
     gateway,
     gauges,
     headers,
@@ -130,6 +131,9 @@
             trials=trials,
             silence=self.isolation,
         )
+        self.evidence_news = evidencenews.EvidenceSharing(
+            peers=self.mesh, watchers=self.relay, trials=trials
+        )
         self.session_news = sessionnews.SessionSharing(
             peers=self.mesh, watchers=self.relay, trials=trials, memory=memory
         )
@@ -193,6 +197,7 @@
         await self.loads.start()
         await self.watching.start()
         await self.relay.start()
+        await self.evidence_news.start()
         await self.session_news.start()
         await self.stages.start()
         await self._listen(self.cfg.callers, self.gateway.handle)
@@ -207,6 +212,7 @@
             await runner.cleanup()
         await self.stages.stop()
         await self.session_news.stop()
+        await self.evidence_news.stop()
         await self.relay.stop()
         await self.watching.stop()
         await self.loads.stop()
--- a/libs/masticpost-gateway/src/masticpost_gateway/plain.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/plain.py
@@ -12,6 +12,7 @@
     answer,
     conns,
     headers,
+    moves,
     outcomes,
     patience,
     sending,
@@ -101,7 +102,7 @@
         body = await patience.wait(
             _read(opened),
             limit_s=run.call.left_s(),
-            leaves=run.leaves(upstream, "", overdue_after_s, is_counted=True),
+            leaves=moves.leaves(run, upstream, "", overdue_after_s, is_counted=True),
         )
         result = "ok" if not opened.is_failure else f"failed {opened.resp.status}"
     except (aiohttp.ClientError, OSError, TimeoutError) as exc:
--- a/libs/masticpost-gateway/src/masticpost_gateway/relay.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/relay.py
@@ -3,8 +3,7 @@
 The watchers are chosen by rendezvous hashing, spread over the failure domains. Each
 other instance is told by two of them; an instance that hears nothing fresh watches by
 itself for a while and tells the watchers what it learns. What one watcher learns it
-passes on to the other watchers, so that one with a way to the store is enough. Watchers
-also pool the evidence on versions on trial.
+passes on to the other watchers, so that one with a way to the store is enough.
 
 When no watcher reaches the store, all others come to help at the same time: those that
 hear the watchers spread their calls, so that all together call no more often than the
@@ -17,7 +16,7 @@
 
 import mode
 from loguru import logger
-from masticpost_common import clock, codec, rendezvous
+from masticpost_common import clock, rendezvous
 from masticpost_peers import hub, messages, probes
 
 from masticpost_gateway import (
@@ -40,8 +39,6 @@
 BOOT_WAIT_S = 0.6
 SETTLE_S = 1.0
 ASK_TIMEOUT_S = 1.0
-EVIDENCE_PERIOD_S = 0.25
-GOOD_EVIDENCE_PERIOD_S = 1.0
 CHOOSE_PERIOD_S = 0.1
 FIRST_ASK_PERIOD_S = 0.05
 MAX_AGE_S = 1e6
@@ -59,7 +56,7 @@
     watch : watching.Watching
         Switched on while this instance watches the store.
     trials : trial.Trials
-        Evidence to pool.
+        Versions found bad are told and heard.
     silence : isolation.Isolation
         Told when another instance is heard.
     """
@@ -86,16 +83,12 @@
         self._asking: set[source.Kind] = set()
         self._passed: dict[str, source.Entry] = {}
         self._whole: dict[source.Kind, tuple[int, list[passing.PassedEntry]]] = {}
-        self._last_evidence: list[trial.Evidence] = []
-        self._told_failures = 0
-        self._evidence_told_at = -math.inf
         if not peers.is_seed:
             watch.first_call_at = self._started_at + BOOT_WAIT_S
         known.on_advance(self._advanced)
         peers.hub.handle(passing.PassedChanges, self._on_changes)
         peers.hub.handle(passing.AskState, self._on_ask)
         peers.hub.handle(passing.Beat, self._on_beat)
-        peers.hub.handle(passing.EvidenceReport, self._on_evidence)
 
     @property
     def is_watcher(self) -> bool:
@@ -174,35 +167,6 @@
             if addresses:
                 await self.peers.hub.broadcast(addresses, self._beat())
 
-    @mode.Service.task
-    async def report_evidence(self) -> None:
-        """Report changed evidence to the watchers."""
-        while not self.should_stop:
-            await asyncio.sleep(EVIDENCE_PERIOD_S)
-            rows = self.trials.evidence()
-            now = clock.now()
-            if rows == self._last_evidence or not self._is_evidence_due(now):
-                continue
-            self._told_failures = self.trials.failures()
-            self._evidence_told_at = now
-            self._last_evidence = codec.from_wire(
-                codec.to_wire(rows), list[trial.Evidence]
-            )
-            me = self.peers.me.name
-            others = [row.address for row in self.watchers if row.name != me]
-            report = passing.EvidenceReport(rows=rows)
-            await self.peers.hub.broadcast(others, report, is_lasting=True)
-
-    def _is_evidence_due(self, now: float) -> bool:
-        """Tell whether changed evidence is told now: failures at once, others later.
-
-        The watchers of a large deployment are told by hundreds of instances.
-        """
-        if len(self.peers.members.alive()) <= MANY_MEMBERS:
-            return True
-        has_failures = self.trials.failures() != self._told_failures
-        return has_failures or now - self._evidence_told_at >= GOOD_EVIDENCE_PERIOD_S
-
     def _beat(self) -> passing.Beat:
         now = clock.now()
         views = [
@@ -332,12 +296,6 @@
         if state.age_s <= STALE_S:
             self.silence.heard(clock.now())
 
-    async def _on_evidence(
-        self, envelope: messages.Envelope, body: passing.EvidenceReport
-    ) -> None:
-        for row in body.rows:
-            self.trials.hear((envelope.sender, envelope.incarnation), row)
-
     @mode.Service.task
     async def fetch_first(self) -> None:
         """Ask others for everything that is not known yet.
--- a/libs/masticpost-gateway/src/masticpost_gateway/streaming.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/streaming.py
@@ -14,6 +14,7 @@
     headers,
     links,
     model,
+    moves,
     outcomes,
     patience,
     sending,
@@ -249,7 +250,8 @@
         is_gap_noted = False
         heard_at = clock.now()
         overdue_after_s = GAP_SHARE * self.call.route.gap_s
-        leaves = self.run.leaves(
+        leaves = moves.leaves(
+            self.run,
             opened.upstream,
             opened.level,
             overdue_after_s,
--- a/libs/masticpost-gateway/src/masticpost_gateway/tries.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/tries.py
@@ -16,6 +16,7 @@
     health,
     loads,
     model,
+    moves,
     outcomes,
     patience,
     placement,
@@ -26,9 +27,7 @@
 from masticpost_gateway import call as calls
 
 WAIT_STEP_S = 0.03
-DOUBT_AFTER_S = 0.8
 WAIT_SHARE = 0.5
-BUSY_TIMES = 3.0
 RETRY_AFTER_S = 0.4
 
 
@@ -93,81 +92,6 @@
         ]
         return sound or found
 
-    def is_doubtful(self, upstream: model.Upstream) -> bool:
-        """Tell whether other signs than silence speak against an upstream."""
-        now = clock.now()
-        if self.shared.chooser.health_of(upstream).is_ejected(now):
-            return True
-        known = self.shared.known.upstreams(now)
-        return all(u.incarnation != upstream.incarnation for u in known)
-
-    def may_move(self, level: str, *, is_counted: bool) -> bool:
-        """Tell whether another sound upstream would take the request now.
-
-        Parameters
-        ----------
-        is_counted : bool
-            Whether the run that would be left is counted in `runs`.
-        """
-        runs = self.runs if is_counted else self.runs + 1
-        if not self.call.route.kind.may_repeat or runs >= self.call.route.attempts:
-            return False
-        now = clock.now()
-        if not self.shared.retries.may_repeat(self.call.service.name, now):
-            return False
-        return bool(self.shared.chooser.ready(self._wanted(level), now))
-
-    def leaves(
-        self,
-        upstream: model.Upstream,
-        level: str,
-        overdue_after_s: float,
-        *,
-        is_counted: bool,
-        silent_after_s: float = math.inf,
-    ) -> tuple[patience.Leave, ...]:
-        """Return the reasons to leave an upstream for another.
-
-        Parameters
-        ----------
-        overdue_after_s : float
-            Wait after which one that only is slow may be left for a faster one.
-        silent_after_s : float
-            Wait after which one that has answered nothing else meanwhile, and is not
-            known to be busy, is given up also when there is no other: the caller may
-            come back in time.
-        """
-
-        def may_leave(waited_s: float) -> bool:
-            moves = self.may_move(level, is_counted=is_counted)
-            return moves and self.is_doubtful(upstream)
-
-        def is_overdue(waited_s: float) -> bool:
-            moves = self.may_move(level, is_counted=is_counted)
-            return moves and self._first_elsewhere_s(level) < waited_s
-
-        def is_silent(waited_s: float) -> bool:
-            now = clock.now()
-            if self.shared.chooser.health_of(upstream).heard_at > now - waited_s:
-                return False
-            reading_s = self.shared.loads.of(upstream.name, now).reading_s
-            is_explained = waited_s < BUSY_TIMES * reading_s
-            return self.call.route.kind.may_repeat and not is_explained
-
-        return (
-            patience.Leave(after_s=DOUBT_AFTER_S, holds=may_leave),
-            patience.Leave(after_s=overdue_after_s, holds=is_overdue),
-            patience.Leave(after_s=silent_after_s, holds=is_silent),
-        )
-
-    def _first_elsewhere_s(self, level: str) -> float:
-        """Return the expected wait at the best of the other sound upstreams."""
-        reading = self.reading(level)
-        if reading is None:
-            return 0.0
-        ready = self.shared.chooser.ready(self._wanted(level), clock.now())
-        return self.shared.places.first_s(ready, reading) if ready else math.inf
-
     async def next_upstream(self, level: str) -> model.Upstream:
         """Return the upstream for the next try, after a wait if all are held back.
 
@@ -179,7 +103,7 @@
         give_up_at = self.call.started_at + WAIT_SHARE * self.call.route.objective_s
         await self.shared.isolation.wait(self.call.left_s())
         while True:
-            found = self.shared.chooser.pick(self._wanted(level))
+            found = self.shared.chooser.pick(self.wanted(level))
             if found is not None:
                 return found
             now = clock.now()
@@ -187,7 +111,7 @@
                 raise self.refusal("no upstream is ready")
             if not self.shared.chooser.usable(self.call.service.name, now):
                 raise self.refusal("no upstream is in service")
-            ready_at = self.shared.chooser.ready_at(self._wanted(level), now)
+            ready_at = self.shared.chooser.ready_at(self.wanted(level), now)
             if ready_at >= give_up_at:
                 raise self.refusal("no upstream wants requests", ready_at - now)
             await asyncio.sleep(WAIT_STEP_S)
@@ -206,7 +130,7 @@
         Parameters
         ----------
         overdue_after_s, silent_after_s : float
-            See `leaves`.
+            See `moves.leaves`.
 
         Raises
         ------
@@ -214,7 +138,8 @@
             The upstream did not run the request, or its answer is of no use.
         """
         out = sending.outgoing(self.call, self.shared.names, upstream, level, last_id)
-        leaves = self.leaves(
+        leaves = moves.leaves(
+            self,
             upstream,
             level,
             overdue_after_s,
@@ -310,7 +235,8 @@
         self.may_have_run = True
         sent.health.failed(now, exc.reason)
 
-    def _wanted(self, level: str) -> choice.Wanted:
+    def wanted(self, level: str) -> choice.Wanted:
+        """Return what the next try needs."""
         return choice.Wanted(
             service=self.call.service,
             plan=self.plan,
--- a/libs/masticpost-gateway/testing/test_trial.py
+++ b/libs/masticpost-gateway/testing/test_trial.py
@@ -9,6 +9,7 @@
 from masticpost_common import clock
 from masticpost_gateway import (
     beliefs,
+    evidencenews,
     model,
     relay,
     sessions,
@@ -257,7 +258,7 @@
 async def test_failures_are_told_at_once_and_other_answers_together(monkeypatch):
     """Watchers of 195 instances got 780 reports a second while a version was tried."""
     monkeypatch.setattr(relay, "MANY_MEMBERS", 0)
-    monkeypatch.setattr(relay, "GOOD_EVIDENCE_PERIOD_S", 60.0)
+    monkeypatch.setattr(evidencenews, "GOOD_PERIOD_S", 60.0)
     order = model.RollOut(service="desk", target="v2", duration_s=100.0)
     async with kit.Deployment() as dep:
         await dep.configure()
@@ -273,7 +274,7 @@
         calls = lambda: [row.trial.calls for row in told.values()]  # noqa: E731
         for _ in range(5):
             one.shared.trials.note("desk", "v2", is_good=True)
-        await asyncio.sleep(3 * relay.EVIDENCE_PERIOD_S)
+        await asyncio.sleep(3 * evidencenews.PERIOD_S)
         assert calls() == [0]
         one.shared.trials.note("desk", "v2", is_good=False)
         await kit.until(lambda: calls() == [6])
