--- a/libs/masticpost-gateway/src/masticpost_gateway/sending.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sending.py
@@ -7,7 +7,7 @@
 from masticpost_gateway import conns, headers, model, notices
 
 NOT_CONNECTED = "not connected"
-FULL = "no room"
+FULL = "full"
 MOVED = "another upstream has the address"
 MS_PER_S = 1000.0
 URGENCY_OF_PRIORITY = (1, 4, 7)
