--- a/libs/masticpost-gateway/testing/test_overflow.py
+++ b/libs/masticpost-gateway/testing/test_overflow.py
@@ -1,7 +1,7 @@
 """The smallest model gets more requests than its upstreams hold: the others help.
 
-Upstreams are set aside for it. When a third of all were lost they turned away nine of
-ten requests, while the rest of the upstreams had five of twelve slots in use.
+Upstreams are set aside for it. When a third of all upstreams was lost, the nine that were
+left for it turned a thousand tries away in two seconds; the others had a few each.
 """
 
 import heapq
