--- a/libs/masticpost-gateway/testing/test_overflow.py
+++ b/libs/masticpost-gateway/testing/test_overflow.py
@@ -1,7 +1,7 @@
 """The smallest model gets more requests than its upstreams hold: the others help.
 
-Upstreams are set aside for it. When a third of all upstreams was lost, the nine that were
-left for it turned a thousand tries away in two seconds; the others had a few each.
+Upstreams are set aside for it. When a third of all was lost, the nine left for it
+turned a thousand tries away in two seconds; the others had a few each.
 """
 
 import heapq
