Put the gateway's modules into packages by what they are about

Tests lie as the modules do; those of a pattern of load or of several modules stay above. Only imports change.

--- a/libs/masticpost-cli/src/masticpost_cli/gateways.py
+++ b/libs/masticpost-cli/src/masticpost_cli/gateways.py
@@ -7,7 +7,8 @@
 import typing
 
 import attrs
-from masticpost_gateway import gateway, status
+from masticpost_gateway.reporting import status
+from masticpost_gateway.serving import gateway
 from masticpost_telemetry import burn
 
 from masticpost_cli import session
--- a/libs/masticpost-cli/testing/test_explain.py
+++ b/libs/masticpost-cli/testing/test_explain.py
@@ -8,8 +8,9 @@
 import multidict
 import pytest
 from masticpost_cli import explain, main, story
-from masticpost_gateway import call as calls
-from masticpost_gateway import headers, model
+from masticpost_gateway.serving import call as calls
+from masticpost_gateway.serving import headers
+from masticpost_gateway.state import model
 from masticpost_telemetry import logs
 
 ID = "6946f0469c7e4215"
--- /dev/null
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/__init__.py
@@ -0,0 +1,1 @@
+"""What answers teach about versions, sessions and speeds."""
--- a/libs/masticpost-gateway/src/masticpost_gateway/feedback.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/feedback.py
@@ -2,8 +2,10 @@
 
 from masticpost_common import clock
 
-from masticpost_gateway import answer, placement, shared
-from masticpost_gateway import call as calls
+from masticpost_gateway import shared
+from masticpost_gateway.routing import placement
+from masticpost_gateway.serving import answer
+from masticpost_gateway.serving import call as calls
 
 
 class Feedback:
--- a/libs/masticpost-gateway/src/masticpost_gateway/stages.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/stages.py
@@ -13,7 +13,8 @@
 from loguru import logger
 from masticpost_common import clock, rendezvous
 
-from masticpost_gateway import beliefs, model, source, trial
+from masticpost_gateway.learning import trial
+from masticpost_gateway.state import beliefs, model, source
 
 TICK_S = 0.1
 STANDBY_S = 0.8
--- a/libs/masticpost-gateway/src/masticpost_gateway/trial.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/trial.py
@@ -11,7 +11,8 @@
 from loguru import logger
 from masticpost_common import clock, rendezvous
 
-from masticpost_gateway import beliefs, model, sessions, source
+from masticpost_gateway.learning import sessions
+from masticpost_gateway.state import beliefs, model, source
 
 MIN_FAILURES = 3
 FLOOR_SHARE = 0.03
--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -9,35 +9,14 @@
 from loguru import logger
 from masticpost_common import clock
 
-from masticpost_gateway import (
-    beliefs,
-    cascade,
-    choice,
-    coldpace,
-    conns,
-    counted,
-    evidencenews,
-    gateway,
-    gauges,
-    headers,
-    isolation,
-    loads,
-    measures,
-    mesh,
-    pages,
-    placement,
-    relay,
-    retryshare,
-    sessionnews,
-    sessions,
-    shared,
-    source,
-    speeds,
-    stages,
-    status,
-    trial,
-    watching,
-)
+from masticpost_gateway import shared
+from masticpost_gateway.learning import sessions, speeds, stages, trial
+from masticpost_gateway.reporting import counted, gauges, measures, pages, status
+from masticpost_gateway.routing import cascade, choice, coldpace, placement, retryshare
+from masticpost_gateway.serving import gateway, headers
+from masticpost_gateway.sharing import evidencenews, loads, mesh, relay, sessionnews
+from masticpost_gateway.state import beliefs, isolation, source, watching
+from masticpost_gateway.upstreams import conns
 
 KEEPALIVE_S = 75.0
 BACKLOG = 512
--- /dev/null
+++ b/libs/masticpost-gateway/src/masticpost_gateway/reporting/__init__.py
@@ -0,0 +1,1 @@
+"""What operators see: status, metrics, pages."""
--- a/libs/masticpost-gateway/src/masticpost_gateway/counted.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/reporting/counted.py
@@ -6,7 +6,7 @@
 import prometheus_client
 import result
 
-from masticpost_gateway import model, source
+from masticpost_gateway.state import model, source
 
 T = typing.TypeVar("T")
 GOOD = "good"
--- a/libs/masticpost-gateway/src/masticpost_gateway/gauges.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/reporting/gauges.py
@@ -5,7 +5,7 @@
 
 from prometheus_client import core
 
-from masticpost_gateway import status
+from masticpost_gateway.reporting import status
 
 
 class StatusGauges:
--- a/libs/masticpost-gateway/src/masticpost_gateway/measures.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/reporting/measures.py
@@ -5,7 +5,7 @@
 from masticpost_telemetry import burn
 from prometheus_client import exposition
 
-from masticpost_gateway import call, outcomes
+from masticpost_gateway.serving import call, outcomes
 
 BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0)
 CONFIDENCE_BUCKETS = (0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9)
--- a/libs/masticpost-gateway/src/masticpost_gateway/pages.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/reporting/pages.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 from masticpost_common import codec, registry
 
-from masticpost_gateway import measures, status
+from masticpost_gateway.reporting import measures, status
 
 JSON = "application/json"
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/status.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/reporting/status.py
@@ -7,18 +7,12 @@
 import attrs
 from masticpost_common import clock
 
-from masticpost_gateway import (
-    beliefs,
-    choice,
-    gateway,
-    mesh,
-    model,
-    relay,
-    shared,
-    source,
-    trial,
-    watching,
-)
+from masticpost_gateway import shared
+from masticpost_gateway.learning import trial
+from masticpost_gateway.routing import choice
+from masticpost_gateway.serving import gateway
+from masticpost_gateway.sharing import mesh, relay
+from masticpost_gateway.state import beliefs, model, source, watching
 
 DECIMALS = 3
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/choice.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/routing/choice.py
@@ -7,16 +7,10 @@
 import attrs
 from masticpost_common import clock
 
-from masticpost_gateway import (
-    beliefs,
-    coldpace,
-    health,
-    model,
-    notices,
-    placement,
-    source,
-    trial,
-)
+from masticpost_gateway.learning import trial
+from masticpost_gateway.routing import coldpace, placement
+from masticpost_gateway.state import beliefs, model, source
+from masticpost_gateway.upstreams import health, notices
 
 
 @attrs.define(kw_only=True)
--- a/libs/masticpost-gateway/src/masticpost_gateway/placement.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/routing/placement.py
@@ -11,7 +11,10 @@
 import attrs
 from masticpost_common import clock, rendezvous
 
-from masticpost_gateway import headers, loads, model, speeds
+from masticpost_gateway.learning import speeds
+from masticpost_gateway.serving import headers
+from masticpost_gateway.sharing import loads
+from masticpost_gateway.state import model
 
 STALL_WEIGHT = 0.12
 STREAM_COST_S = 0.004
--- a/libs/masticpost-gateway/src/masticpost_gateway/answer.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/answer.py
@@ -3,7 +3,10 @@
 import aiohttp
 import attrs
 
-from masticpost_gateway import headers, health, loads, model
+from masticpost_gateway.serving import headers
+from masticpost_gateway.sharing import loads
+from masticpost_gateway.state import model
+from masticpost_gateway.upstreams import health
 
 SERVER_ERROR = 500
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/call.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/call.py
@@ -5,7 +5,8 @@
 from loguru import logger
 from masticpost_common import clock
 
-from masticpost_gateway import headers, model, outcomes
+from masticpost_gateway.serving import headers, outcomes
+from masticpost_gateway.state import model
 
 ANSWER_MARGIN_S = 0.04
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/gateway.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/gateway.py
@@ -7,17 +7,9 @@
 from loguru import logger
 from masticpost_common import clock, errors
 
-from masticpost_gateway import (
-    call,
-    headers,
-    model,
-    outcomes,
-    plain,
-    shared,
-    source,
-    streaming,
-    table,
-)
+from masticpost_gateway import shared
+from masticpost_gateway.serving import call, headers, outcomes, plain, streaming
+from masticpost_gateway.state import model, source, table
 
 FRESH_S = 6.0
 NO_CONFIG_RETRY_S = 0.5
--- a/libs/masticpost-gateway/src/masticpost_gateway/moves.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/moves.py
@@ -5,10 +5,11 @@
 
 from masticpost_common import clock
 
-from masticpost_gateway import model, patience
+from masticpost_gateway.serving import patience
+from masticpost_gateway.state import model
 
 if typing.TYPE_CHECKING:
-    from masticpost_gateway import tries
+    from masticpost_gateway.serving import tries
 
 DOUBT_AFTER_S = 0.8
 BUSY_TIMES = 3.0
--- a/libs/masticpost-gateway/src/masticpost_gateway/plain.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/plain.py
@@ -8,18 +8,18 @@
 from aiohttp import web
 from masticpost_common import clock, errors, retry
 
-from masticpost_gateway import (
+from masticpost_gateway import shared
+from masticpost_gateway.serving import (
     answer,
-    conns,
     headers,
     moves,
     outcomes,
     patience,
     sending,
-    shared,
     tries,
 )
-from masticpost_gateway import call as calls
+from masticpost_gateway.serving import call as calls
+from masticpost_gateway.upstreams import conns
 
 FIRST_TRY_SHARE = 0.6
 READ_BYTES = 65_536
--- a/libs/masticpost-gateway/src/masticpost_gateway/sending.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/sending.py
@@ -3,8 +3,10 @@
 import aiohttp
 from masticpost_common import retry
 
-from masticpost_gateway import call as calls
-from masticpost_gateway import conns, headers, model, notices
+from masticpost_gateway.serving import call as calls
+from masticpost_gateway.serving import headers
+from masticpost_gateway.state import model
+from masticpost_gateway.upstreams import conns, notices
 
 NOT_CONNECTED = "not connected"
 FULL = "full"
--- a/libs/masticpost-gateway/src/masticpost_gateway/streaming.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/streaming.py
@@ -6,22 +6,21 @@
 from aiohttp import web
 from masticpost_common import clock, errors, retry
 
-from masticpost_gateway import (
+from masticpost_gateway import shared
+from masticpost_gateway.routing import cascade
+from masticpost_gateway.serving import (
     answer,
-    cascade,
-    conns,
     events,
     headers,
-    links,
-    model,
     moves,
     outcomes,
     patience,
     sending,
-    shared,
     tries,
 )
-from masticpost_gateway import call as calls
+from masticpost_gateway.serving import call as calls
+from masticpost_gateway.state import model
+from masticpost_gateway.upstreams import conns, links
 
 FIRST_EVENT_SHARE = 1.5
 GAP_SHARE = 3.0
--- a/libs/masticpost-gateway/src/masticpost_gateway/tries.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/tries.py
@@ -7,24 +7,21 @@
 import attrs
 from masticpost_common import clock, errors, retry
 
-from masticpost_gateway import (
+from masticpost_gateway import shared
+from masticpost_gateway.learning import feedback, trial
+from masticpost_gateway.routing import choice, placement
+from masticpost_gateway.serving import (
     answer,
-    choice,
-    conns,
-    feedback,
     headers,
-    health,
-    loads,
-    model,
     moves,
     outcomes,
     patience,
-    placement,
     sending,
-    shared,
-    trial,
 )
-from masticpost_gateway import call as calls
+from masticpost_gateway.serving import call as calls
+from masticpost_gateway.sharing import loads
+from masticpost_gateway.state import model
+from masticpost_gateway.upstreams import conns, health
 
 WAIT_STEP_S = 0.03
 WAIT_SHARE = 0.5
--- a/libs/masticpost-gateway/src/masticpost_gateway/shared.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/shared.py
@@ -2,20 +2,13 @@
 
 import attrs
 
-from masticpost_gateway import (
-    beliefs,
-    cascade,
-    choice,
-    conns,
-    headers,
-    isolation,
-    loads,
-    measures,
-    placement,
-    retryshare,
-    sessions,
-    trial,
-)
+from masticpost_gateway.learning import sessions, trial
+from masticpost_gateway.reporting import measures
+from masticpost_gateway.routing import cascade, choice, placement, retryshare
+from masticpost_gateway.serving import headers
+from masticpost_gateway.sharing import loads
+from masticpost_gateway.state import beliefs, isolation
+from masticpost_gateway.upstreams import conns
 
 
 @attrs.define(kw_only=True)
--- /dev/null
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/__init__.py
@@ -0,0 +1,1 @@
+"""What instances tell each other."""
--- a/libs/masticpost-gateway/src/masticpost_gateway/evidencenews.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/evidencenews.py
@@ -7,7 +7,8 @@
 from masticpost_common import clock, codec
 from masticpost_peers import messages
 
-from masticpost_gateway import mesh, passing, relay, trial
+from masticpost_gateway.learning import trial
+from masticpost_gateway.sharing import mesh, passing, relay
 
 PERIOD_S = 0.25
 GOOD_PERIOD_S = 1.0
--- a/libs/masticpost-gateway/src/masticpost_gateway/loads.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/loads.py
@@ -16,7 +16,8 @@
 from masticpost_common import clock, rendezvous
 from masticpost_peers import messages, probes
 
-from masticpost_gateway import mesh, model, workreports
+from masticpost_gateway.sharing import mesh, workreports
+from masticpost_gateway.state import model
 
 DIRECT_MEMBERS = 12
 MIN_HUBS = 4
--- a/libs/masticpost-gateway/src/masticpost_gateway/mesh.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/mesh.py
@@ -9,7 +9,7 @@
 from masticpost_common import rendezvous
 from masticpost_peers import hub, keys, membership, probes
 
-from masticpost_gateway import source
+from masticpost_gateway.state import source
 
 JOIN_PERIOD_S = 0.5
 REJOIN_PERIOD_S = 5.0
--- a/libs/masticpost-gateway/src/masticpost_gateway/passing.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/passing.py
@@ -6,7 +6,8 @@
 from masticpost_common import codec
 from masticpost_peers import messages
 
-from masticpost_gateway import differences, model, source, trial
+from masticpost_gateway.learning import trial
+from masticpost_gateway.state import differences, model, source
 
 # Beyond it compression saves more time on the links than it takes.
 COMPRESSED_FROM_BYTES = 1024
--- a/libs/masticpost-gateway/src/masticpost_gateway/relay.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/relay.py
@@ -19,15 +19,9 @@
 from masticpost_common import clock, rendezvous
 from masticpost_peers import hub, messages, probes
 
-from masticpost_gateway import (
-    beliefs,
-    isolation,
-    mesh,
-    passing,
-    source,
-    trial,
-    watching,
-)
+from masticpost_gateway.learning import trial
+from masticpost_gateway.sharing import mesh, passing
+from masticpost_gateway.state import beliefs, isolation, source, watching
 
 WATCHERS = 3
 WATCHERS_OF_MANY = 5
--- a/libs/masticpost-gateway/src/masticpost_gateway/sessionnews.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/sessionnews.py
@@ -14,7 +14,8 @@
 from masticpost_common import clock
 from masticpost_peers import messages
 
-from masticpost_gateway import mesh, relay, sessions, trial
+from masticpost_gateway.learning import sessions, trial
+from masticpost_gateway.sharing import mesh, relay
 
 PERIOD_S = 0.2
 
--- /dev/null
+++ b/libs/masticpost-gateway/src/masticpost_gateway/state/__init__.py
@@ -0,0 +1,1 @@
+"""What this instance is told by the store, how new and how old it is."""
--- a/libs/masticpost-gateway/src/masticpost_gateway/beliefs.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/state/beliefs.py
@@ -11,7 +11,7 @@
 import attrs
 from loguru import logger
 
-from masticpost_gateway import model, source, table
+from masticpost_gateway.state import model, source, table
 
 LAPSE_GRACE_S = 2.2
 OUTAGE_AFTER_S = 1.5
--- a/libs/masticpost-gateway/src/masticpost_gateway/differences.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/state/differences.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from masticpost_gateway import model
+from masticpost_gateway.state import model
 
 Row = typing.TypeVar("Row", model.Route, model.Service, model.Customer)
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/isolation.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/state/isolation.py
@@ -13,7 +13,7 @@
 from loguru import logger
 from masticpost_common import clock
 
-from masticpost_gateway import watching
+from masticpost_gateway.state import watching
 
 SILENT_S = 2.2
 HELD_S = 0.3
--- a/libs/masticpost-gateway/src/masticpost_gateway/source.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/state/source.py
@@ -6,7 +6,7 @@
 import attrs
 import result
 
-from masticpost_gateway import model
+from masticpost_gateway.state import model
 
 
 class Kind(enum.Enum):
--- a/libs/masticpost-gateway/src/masticpost_gateway/table.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/state/table.py
@@ -2,7 +2,7 @@
 
 from masticpost_common import rendezvous
 
-from masticpost_gateway import model
+from masticpost_gateway.state import model
 
 
 class Table:
--- a/libs/masticpost-gateway/src/masticpost_gateway/watching.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/state/watching.py
@@ -8,7 +8,7 @@
 from loguru import logger
 from masticpost_common import clock
 
-from masticpost_gateway import beliefs, source
+from masticpost_gateway.state import beliefs, source
 
 WAITS_S = {
     source.Kind.CONFIGURATION: 3.0,
--- /dev/null
+++ b/libs/masticpost-gateway/src/masticpost_gateway/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to upstreams, and what their answers tell of them."""
--- a/libs/masticpost-gateway/src/masticpost_gateway/conns.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/upstreams/conns.py
@@ -10,7 +10,8 @@
 import yarl
 from loguru import logger
 
-from masticpost_gateway import links, model
+from masticpost_gateway.state import model
+from masticpost_gateway.upstreams import links
 
 CONNECT_TIMEOUT_S = 0.4
 UNACKED_TIMEOUT_MS = 1500
--- a/libs/masticpost-gateway/src/masticpost_gateway/notices.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/upstreams/notices.py
@@ -10,7 +10,8 @@
 import attrs
 from loguru import logger
 
-from masticpost_gateway import headers, model
+from masticpost_gateway.serving import headers
+from masticpost_gateway.state import model
 
 MOVED_STATUS = 421
 FULL_STATUS = 503
--- a/libs/masticpost-gateway/testing/test_speeds.py
+++ b/libs/masticpost-gateway/testing/learning/test_speeds.py
@@ -3,7 +3,7 @@
 import random
 
 import pytest
-from masticpost_gateway import speeds
+from masticpost_gateway.learning import speeds
 
 TOKENS = 4_000
 TRUE_READ_S = 6e-5
--- a/libs/masticpost-gateway/testing/test_trial.py
+++ b/libs/masticpost-gateway/testing/learning/test_trial.py
@@ -7,16 +7,9 @@
 import attrs
 import pytest
 from masticpost_common import clock
-from masticpost_gateway import (
-    beliefs,
-    evidencenews,
-    model,
-    relay,
-    sessions,
-    source,
-    stages,
-    trial,
-)
+from masticpost_gateway.learning import sessions, stages, trial
+from masticpost_gateway.sharing import evidencenews, relay
+from masticpost_gateway.state import beliefs, model, source
 from support import gatewaykit as kit
 
 
--- a/libs/masticpost-gateway/testing/test_pages.py
+++ b/libs/masticpost-gateway/testing/reporting/test_pages.py
@@ -4,7 +4,9 @@
 import pytest
 from masticpost_bench import procs
 from masticpost_common import codec
-from masticpost_gateway import model, node, source, status
+from masticpost_gateway import node
+from masticpost_gateway.reporting import status
+from masticpost_gateway.state import model, source
 from masticpost_telemetry import burn
 from prometheus_client import parser
 from support import gatewaykit as kit
--- a/libs/masticpost-gateway/testing/test_cascade.py
+++ b/libs/masticpost-gateway/testing/routing/test_cascade.py
@@ -4,7 +4,7 @@
 import hypothesis
 import pytest
 from hypothesis import strategies
-from masticpost_gateway import cascade
+from masticpost_gateway.routing import cascade
 
 MIDDLE = cascade.Option(level=1, first_s=0.3, total_s=1.0, read_s=0.25, cost=0.5)
 LARGEST = cascade.Option(level=2, first_s=0.8, total_s=3.0, read_s=0.9, cost=1.0)
--- a/libs/masticpost-gateway/testing/test_coldpace.py
+++ b/libs/masticpost-gateway/testing/routing/test_coldpace.py
@@ -2,7 +2,7 @@
 
 import hypothesis
 from hypothesis import strategies
-from masticpost_gateway import coldpace
+from masticpost_gateway.routing import coldpace
 
 NAMES = [f"instance-{number}" for number in range(100)]
 
--- a/libs/masticpost-gateway/testing/test_placement.py
+++ b/libs/masticpost-gateway/testing/routing/test_placement.py
@@ -3,7 +3,11 @@
 import random
 
 import pytest
-from masticpost_gateway import headers, loads, model, placement, speeds
+from masticpost_gateway.learning import speeds
+from masticpost_gateway.routing import placement
+from masticpost_gateway.serving import headers
+from masticpost_gateway.sharing import loads
+from masticpost_gateway.state import model
 
 NAMES = [f"engine-{number}" for number in range(5)]
 
--- a/libs/masticpost-gateway/testing/test_retryshare.py
+++ b/libs/masticpost-gateway/testing/routing/test_retryshare.py
@@ -4,7 +4,7 @@
 
 import hypothesis
 from hypothesis import strategies
-from masticpost_gateway import retryshare
+from masticpost_gateway.routing import retryshare
 
 BOUNDS = retryshare.Bounds(ratio=0.9, slack=56.0, window_s=10.0)
 
--- a/libs/masticpost-gateway/testing/test_events.py
+++ b/libs/masticpost-gateway/testing/serving/test_events.py
@@ -2,7 +2,7 @@
 
 import hypothesis
 from hypothesis import strategies
-from masticpost_gateway import events
+from masticpost_gateway.serving import events
 
 LINES = strategies.text(
     strategies.characters(codec="utf-8", exclude_characters="\r\n"), max_size=20
--- a/libs/masticpost-gateway/testing/test_outcomes.py
+++ b/libs/masticpost-gateway/testing/serving/test_outcomes.py
@@ -10,7 +10,8 @@
 import pytest
 from masticpost_cli import story
 from masticpost_common import clock, registry
-from masticpost_gateway import gateway, model, outcomes, source
+from masticpost_gateway.serving import gateway, outcomes
+from masticpost_gateway.state import model, source
 from masticpost_telemetry import logs
 from support import gatewaykit as kit
 
--- a/libs/masticpost-gateway/testing/test_patience.py
+++ b/libs/masticpost-gateway/testing/serving/test_patience.py
@@ -4,7 +4,7 @@
 import math
 
 import pytest
-from masticpost_gateway import patience
+from masticpost_gateway.serving import patience
 
 
 async def answer_after(seconds):
--- a/libs/masticpost-gateway/testing/test_plain.py
+++ b/libs/masticpost-gateway/testing/serving/test_plain.py
@@ -8,7 +8,10 @@
 import attrs
 import pytest
 from masticpost_common import clock
-from masticpost_gateway import conns, gateway, model, retryshare, source
+from masticpost_gateway.routing import retryshare
+from masticpost_gateway.serving import gateway
+from masticpost_gateway.state import model, source
+from masticpost_gateway.upstreams import conns
 from support import gatewaykit as kit
 
 
--- a/libs/masticpost-gateway/testing/test_streaming.py
+++ b/libs/masticpost-gateway/testing/serving/test_streaming.py
@@ -7,7 +7,9 @@
 import attrs
 import pytest
 from masticpost_common import clock
-from masticpost_gateway import headers, model, placement
+from masticpost_gateway.routing import placement
+from masticpost_gateway.serving import headers
+from masticpost_gateway.state import model
 from support import gatewaykit as kit
 
 PROMPT = {"Token_Counts": "100,50", "Prompt_Prefix": "a1:60,b2:40"}
--- a/libs/masticpost-gateway/testing/test_loads.py
+++ b/libs/masticpost-gateway/testing/sharing/test_loads.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies
 from masticpost_bench import procs
 from masticpost_common import clock, codec
-from masticpost_gateway import loads, mesh, workreports
+from masticpost_gateway.sharing import loads, mesh, workreports
 from masticpost_peers import probes
 from support import gatewaykit as kit
 
--- a/libs/masticpost-gateway/testing/test_relay.py
+++ b/libs/masticpost-gateway/testing/sharing/test_relay.py
@@ -5,7 +5,8 @@
 
 import result
 from masticpost_common import clock
-from masticpost_gateway import beliefs, isolation, model, passing, relay, source
+from masticpost_gateway.sharing import passing, relay
+from masticpost_gateway.state import beliefs, isolation, model, source
 from support import gatewaykit as kit
 
 
--- a/libs/masticpost-gateway/testing/test_sessionnews.py
+++ b/libs/masticpost-gateway/testing/sharing/test_sessionnews.py
@@ -3,7 +3,9 @@
 import attrs
 import pytest
 from masticpost_common import clock
-from masticpost_gateway import model, sessionnews, sessions, source
+from masticpost_gateway.learning import sessions
+from masticpost_gateway.sharing import sessionnews
+from masticpost_gateway.state import model, source
 from support import gatewaykit as kit
 
 ORDER = model.RollOut(service="desk", target="v2", duration_s=100.0)
--- a/libs/masticpost-gateway/testing/test_beliefs.py
+++ b/libs/masticpost-gateway/testing/state/test_beliefs.py
@@ -2,7 +2,7 @@
 
 import hypothesis
 from hypothesis import strategies
-from masticpost_gateway import beliefs, model, source
+from masticpost_gateway.state import beliefs, model, source
 from support import gatewaykit as kit
 
 UP = source.Kind.UPSTREAMS
--- a/libs/masticpost-gateway/testing/test_differences.py
+++ b/libs/masticpost-gateway/testing/state/test_differences.py
@@ -7,7 +7,8 @@
 import pytest
 from hypothesis import strategies
 from masticpost_common import codec
-from masticpost_gateway import differences, model, passing, source
+from masticpost_gateway.sharing import passing
+from masticpost_gateway.state import differences, model, source
 from support import gatewaykit as kit
 
 NAMES = strategies.sampled_from(["a", "b", "c", "d"])
--- a/libs/masticpost-gateway/testing/test_isolation.py
+++ b/libs/masticpost-gateway/testing/state/test_isolation.py
@@ -6,7 +6,7 @@
 import attrs
 import result
 from masticpost_common import clock
-from masticpost_gateway import isolation, source
+from masticpost_gateway.state import isolation, source
 from support import gatewaykit as kit
 
 LEFT_S = 5.0
--- a/libs/masticpost-gateway/testing/test_table.py
+++ b/libs/masticpost-gateway/testing/state/test_table.py
@@ -2,7 +2,7 @@
 
 import attrs
 import pytest
-from masticpost_gateway import model, table
+from masticpost_gateway.state import model, table
 from support import gatewaykit as kit
 
 ROUTES = (
--- a/libs/masticpost-gateway/testing/test_watching.py
+++ b/libs/masticpost-gateway/testing/state/test_watching.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from masticpost_common import clock
-from masticpost_gateway import beliefs, model, source, watching
+from masticpost_gateway.state import beliefs, model, source, watching
 from support import gatewaykit as kit
 
 BURST = 40
--- a/libs/masticpost-gateway/testing/test_herding.py
+++ b/libs/masticpost-gateway/testing/test_herding.py
@@ -8,7 +8,11 @@
 import types
 
 import attrs
-from masticpost_gateway import headers, loads, model, placement, speeds, workreports
+from masticpost_gateway.learning import speeds
+from masticpost_gateway.routing import placement
+from masticpost_gateway.serving import headers
+from masticpost_gateway.sharing import loads, workreports
+from masticpost_gateway.state import model
 
 UPSTREAMS = [
     model.Upstream(
--- a/libs/masticpost-gateway/testing/test_suspension.py
+++ b/libs/masticpost-gateway/testing/test_suspension.py
@@ -5,7 +5,7 @@
 
 import pytest
 from masticpost_common import clock
-from masticpost_gateway import source
+from masticpost_gateway.state import source
 from support import gatewaykit as kit
 
 
--- a/libs/masticpost-gateway/testing/test_health.py
+++ b/libs/masticpost-gateway/testing/upstreams/test_health.py
@@ -1,7 +1,7 @@
 """Upstreams that fail get no work, others are not blamed for single failures."""
 
 import pytest
-from masticpost_gateway import health
+from masticpost_gateway.upstreams import health
 
 
 def test_one_failure_in_ten_is_no_reason():
--- a/libs/masticpost-gateway/testing/test_notices.py
+++ b/libs/masticpost-gateway/testing/upstreams/test_notices.py
@@ -5,7 +5,9 @@
 
 import attrs
 import pytest
-from masticpost_gateway import headers, model, notices, source
+from masticpost_gateway.serving import headers
+from masticpost_gateway.state import model, source
+from masticpost_gateway.upstreams import notices
 from support import gatewaykit as kit
 
 UPSTREAM = model.Upstream(
--- a/testing/support/gatewaykit.py
+++ b/testing/support/gatewaykit.py
@@ -12,7 +12,11 @@
 import result
 import yarl
 from masticpost_bench import procs
-from masticpost_gateway import headers, mesh, model, node, retryshare, source
+from masticpost_gateway import node
+from masticpost_gateway.routing import retryshare
+from masticpost_gateway.serving import headers
+from masticpost_gateway.sharing import mesh
+from masticpost_gateway.state import model, source
 
 NAMES = headers.HeaderNames()
 HOST = "shop.example"
