--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/moves.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/moves.py
@@ -42,9 +42,8 @@
     parts = run.shared
 
     def may_leave(waited_s: float) -> bool:
-        return may_move(run, level, is_counted=is_counted) and is_doubtful(
-            run, upstream
-        )
+        moves = may_move(run, level, is_counted=is_counted)
+        return moves and is_doubtful(run, upstream)
 
     def is_overdue(waited_s: float) -> bool:
         moves = may_move(run, level, is_counted=is_counted)
