--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/tries.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/tries.py
@@ -223,7 +223,7 @@
         if exc.reason == sending.NOT_CONNECTED:
             self._take_back(now)
         if exc.reason == sending.FULL:
-            self.shared.loads.full(sent.upstream.name)
+            self.shared.loads.turned_away(sent.upstream.name)
         if exc.verdict is retry.Verdict.NEVER_JUDGED:
             if exc.reason in (sending.NOT_CONNECTED, sending.MOVED):
                 sent.health.unreachable(now, exc.reason)
--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/loads.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/loads.py
@@ -164,7 +164,7 @@
             unread=unread,
         )
 
-    def full(self, upstream: str) -> None:
+    def turned_away(self, upstream: str) -> None:
         """Note that an upstream has turned a request away for want of room."""
         self._full_until[upstream] = clock.now() + FULL_LASTS_S
 
--- a/libs/masticpost-gateway/testing/test_overflow.py
+++ b/libs/masticpost-gateway/testing/test_overflow.py
@@ -62,7 +62,7 @@
         here = self.at_work.get(name, 0)
         if here >= UPSTREAMS[0].slots + SPARE:
             self.turned_away += 1
-            self.work.full(name)
+            self.work.turned_away(name)
             return
         self.at_work[name] = here + 1
         work = self.work.begin(name, 0.0)
@@ -140,7 +140,7 @@
 def test_upstream_that_has_turned_a_request_away_has_no_room_for_a_moment(monkeypatch):
     day, now = make(6), clock.now()
     first = day.places.best(UPSTREAMS, reading_of(0))
-    day.work.full(first.name)
+    day.work.turned_away(first.name)
     assert day.places.best(UPSTREAMS, reading_of(0)) != first
     monkeypatch.setattr(clock, "now", lambda: now + 2 * loads.FULL_LASTS_S)
     assert day.work.has_room(first)
@@ -149,7 +149,7 @@
 def test_full_upstreams_are_asked_all_the_same_when_none_has_room():
     day = make(6)
     for upstream in UPSTREAMS:
-        day.work.full(upstream.name)
+        day.work.turned_away(upstream.name)
     assert day.places.best(UPSTREAMS, reading_of(0)) in UPSTREAMS
 
 
