--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/stages.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/stages.py
@@ -118,13 +118,15 @@
         if now < self._next_write.get(service, 0.0):
             return
         self._next_write[service] = now + RETRY_S
-        await self._write(service, wanted)
+        await self._write(row, wanted)
 
-    async def _write(self, service: str, wanted: model.RollOut) -> None:
+    async def _write(self, evidence: trial.Trial, wanted: model.RollOut) -> None:
+        service = wanted.service
         entry = self.known.views[source.Kind.ROLL_OUTS].entries.get(service)
         if entry is None:
             return
         outcome = await self.store.decide(entry, wanted)
+        on_trial, base = evidence.pooled()
         row = logger.bind(
             event="roll-out",
             service=service,
@@ -132,6 +134,8 @@
             state=wanted.state.value,
             share=wanted.share,
             rev=entry.revision,
+            on_trial=str(on_trial),
+            base=str(base),
         )
         if outcome.is_ok():
             row.info("decided")
--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/trial.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/trial.py
@@ -60,6 +60,16 @@
         lowest = math.ceil(log * BINS_PER_LOG)
         return sum(count for number, count in self.gap_bins.items() if number >= lowest)
 
+    def typical_gap_s(self) -> float:
+        """Return the geometric mean of the pauses between events, 0 for none seen."""
+        return math.exp(self.gap_logs / self.gaps) if self.gaps else 0.0
+
+    def __str__(self) -> str:
+        return (
+            f"{self.failures} of {self.calls} failed, {self.gaps} gaps of"
+            f" {self.typical_gap_s():.3f} s"
+        )
+
     def add(self, other: "Tally", sign: int = 1) -> None:
         """Add the sums of another tally, or take them off again with `sign` -1."""
         self.calls += sign * other.calls
