Log which request an ended run of an upstream was at work on

By the logs alone it could not be told whether crashes under a request were counted nowhere or at one instance only: no line named what its repeats have in common, and none said that a run of an upstream had ended.

--- /dev/null
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/crashes.py
@@ -0,0 +1,217 @@
+"""Which requests crash the upstreams that run them, from what all instances saw.
+
+A crash speaks against every request that was at work there, and most of these only
+stood beside. So a request is quarantined after its third crash, and only if no other
+one may have caused the same crashes; a request that does cause them crashes one more
+upstream, which the others do not. A whole answer to an identical request clears it.
+"""
+
+import collections
+import collections.abc
+
+import attrs
+
+ACCUSED_AFTER = 2
+QUARANTINED_AFTER = 3
+# So many crashes are no chance, whoever else was there.
+CERTAIN_AFTER = 5
+KEPT_S = 600.0
+# Upstreams answer a request that is no danger again and again.
+ANSWER_VOUCHES_S = 60.0
+# Time for others to tell what they know of the same crashes, and of answers.
+HEARING_S = 0.3
+MAX_SUSPECTS = 4096
+MAX_ANSWERED = 4096
+
+
+@attrs.frozen(kw_only=True)
+class Crash:
+    """The end of a run of an upstream under a request.
+
+    Attributes
+    ----------
+    run : str
+        Identity of the run.
+    at : float
+        Monotonic seconds.
+    had_begun : bool
+        Whether the request had brought a part of its answer there.
+    """
+
+    run: str
+    at: float
+    had_begun: bool
+
+
+@attrs.define(kw_only=True)
+class Suspect:
+    """A request under which runs of upstreams have ended."""
+
+    fingerprint: str
+    crashes: dict[str, Crash] = attrs.field(factory=dict)
+
+    def weight(self, explained: collections.abc.Set[str]) -> tuple[int, int]:
+        """Return how many crashes speak against it, and of these without an answer.
+
+        Parameters
+        ----------
+        explained : set of str
+            Runs whose end another request accounts for.
+        """
+        rows = [row for run, row in self.crashes.items() if run not in explained]
+        return len(rows), sum(not row.had_begun for row in rows)
+
+    def last_at(self) -> float:
+        """Return the time of its latest crash."""
+        return max(row.at for row in self.crashes.values())
+
+
+class Crashes:
+    """Suspects, quarantined requests, and what was answered lately."""
+
+    def __init__(self) -> None:
+        self._suspects: dict[str, Suspect] = {}
+        self._accused_at: dict[str, float] = {}
+        self._quarantined_at: dict[str, float] = {}
+        self._answered: collections.OrderedDict[str, float] = collections.OrderedDict()
+
+    def crashed(self, fingerprint: str, crash: Crash) -> bool:
+        """Count a crash; return whether it is news."""
+        if crash.at <= self._vouched_until(fingerprint):
+            return False
+        row = self._suspects.get(fingerprint)
+        if row is None:
+            self._forget(crash.at - KEPT_S)
+            row = Suspect(fingerprint=fingerprint)
+            self._suspects[fingerprint] = row
+        if crash.run in row.crashes:
+            return False
+        row.crashes[crash.run] = crash
+        if len(row.crashes) >= ACCUSED_AFTER:
+            self._accused_at.setdefault(fingerprint, crash.at)
+        return True
+
+    def answered(self, fingerprint: str, at: float) -> bool:
+        """Note a whole answer; return whether the request stood accused."""
+        known = self._answered.get(fingerprint, at)
+        self._answered[fingerprint] = max(known, at)
+        self._answered.move_to_end(fingerprint)
+        if len(self._answered) > MAX_ANSWERED:
+            self._answered.popitem(last=False)
+        was_accused = fingerprint in self._accused_at
+        was_quarantined = fingerprint in self._quarantined_at
+        self._suspects.pop(fingerprint, None)
+        self._accused_at.pop(fingerprint, None)
+        self._quarantined_at.pop(fingerprint, None)
+        return was_accused or was_quarantined
+
+    def accuse(self, fingerprint: str, at: float) -> float | None:
+        """Take over an accusation; return when it was answered here, if lately."""
+        answered_at = self._answered.get(fingerprint)
+        if at <= self._vouched_until(fingerprint):
+            return answered_at
+        self._accused_at.setdefault(fingerprint, at)
+        return None
+
+    def quarantine(self, fingerprint: str, at: float) -> bool:
+        """Quarantine a request from a monotonic time on; return whether it is news."""
+        if at <= self._vouched_until(fingerprint):
+            return False
+        known = self._quarantined_at.get(fingerprint)
+        self._quarantined_at[fingerprint] = at if known is None else max(known, at)
+        return known is None
+
+    def accused(self) -> list[str]:
+        """Return the requests that more crashes would quarantine."""
+        return [fp for fp in self._accused_at if fp not in self._quarantined_at]
+
+    def quarantined(self, now: float) -> dict[str, float]:
+        """Return the quarantined requests and since when they are."""
+        self._forget(now - KEPT_S)
+        return dict(self._quarantined_at)
+
+    def crashes_of(self, fingerprint: str) -> int:
+        """Return how many crashes are known of a request."""
+        row = self._suspects.get(fingerprint)
+        return len(row.crashes) if row is not None else 0
+
+    def left_s(self, fingerprint: str, now: float) -> float:
+        """Return for how long a request is still quarantined, 0 if it is not."""
+        at = self._quarantined_at.get(fingerprint)
+        return 0.0 if at is None else max(0.0, at + KEPT_S - now)
+
+    def hearing_left_s(self, fingerprint: str, now: float) -> float:
+        """Return the time until a request with crashes enough may be judged."""
+        row = self._suspects.get(fingerprint)
+        if row is None or len(row.crashes) < QUARANTINED_AFTER:
+            return 0.0
+        times = sorted(crash.at for crash in row.crashes.values())
+        return max(0.0, times[QUARANTINED_AFTER - 1] + HEARING_S - now)
+
+    def judge(self, now: float) -> list[str]:
+        """Quarantine the requests that are to blame; return the new ones."""
+        new: list[str] = []
+        while True:
+            row = self._worst(now)
+            if row is None:
+                return new
+            self._quarantined_at[row.fingerprint] = row.last_at()
+            new.append(row.fingerprint)
+
+    def next_hearing_s(self, now: float) -> float | None:
+        """Return the time until the next accused request may be judged."""
+        times = [self.hearing_left_s(fp, now) for fp in self.accused()]
+        return min((left_s for left_s in times if left_s > 0), default=None)
+
+    def _worst(self, now: float) -> Suspect | None:
+        """Return the request with the most crashes that nobody else accounts for."""
+        weights = {
+            fp: self._suspects[fp].weight(self._explained(fp))
+            for fp in self.accused()
+            if fp in self._suspects
+        }
+        for fp in sorted(weights, key=weights.get, reverse=True):
+            if weights[fp][0] < QUARANTINED_AFTER:
+                return None
+            if self.hearing_left_s(fp, now):
+                continue
+            if weights[fp][0] >= CERTAIN_AFTER or not self._has_rival(fp, weights):
+                return self._suspects[fp]
+        return None
+
+    def _has_rival(self, fingerprint: str, weights: dict[str, tuple[int, int]]) -> bool:
+        """Tell whether another request may as well have caused the same crashes."""
+        runs = self._suspects[fingerprint].crashes.keys()
+        return any(
+            other != fingerprint
+            and weight >= weights[fingerprint]
+            and runs & self._suspects[other].crashes.keys()
+            for other, weight in weights.items()
+        )
+
+    def _explained(self, fingerprint: str) -> set[str]:
+        """Return the runs whose end quarantined requests account for."""
+        count = len(self._suspects[fingerprint].crashes)
+        found: set[str] = set()
+        for other in self._quarantined_at:
+            row = self._suspects.get(other)
+            if row is not None and len(row.crashes) >= count:
+                found |= row.crashes.keys()
+        return found
+
+    def _vouched_until(self, fingerprint: str) -> float:
+        """Return up to when crashes do not speak against a request."""
+        at = self._answered.get(fingerprint)
+        return float("-inf") if at is None else at + ANSWER_VOUCHES_S
+
+    def _forget(self, before: float) -> None:
+        """Drop what is old, and the oldest suspects beyond the most that are kept."""
+        rows = self._suspects
+        old = [fp for fp, row in rows.items() if row.last_at() < before]
+        old += list(rows)[: max(0, len(rows) - len(old) - MAX_SUSPECTS + 1)]
+        for fp in old:
+            rows.pop(fp, None)
+            self._accused_at.pop(fp, None)
+        for known in (self._quarantined_at, self._accused_at):
+            for fp in [fp for fp, at in known.items() if at < before]:
+                del known[fp]
--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -10,13 +10,13 @@
 from masticpost_common import clock
 
 from masticpost_gateway import shared
-from masticpost_gateway.learning import sessions, speeds, stages, trial
+from masticpost_gateway.learning import crashes, sessions, speeds, stages, trial
 from masticpost_gateway.reporting import counted, gauges, measures, pages, status
 from masticpost_gateway.routing import cascade, choice, coldpace, placement, retryshare
 from masticpost_gateway.serving import gateway, headers
 from masticpost_gateway.sharing import evidencenews, loads, mesh, relay, sessionnews
 from masticpost_gateway.state import beliefs, isolation, source, watching
-from masticpost_gateway.upstreams import conns
+from masticpost_gateway.upstreams import conns, endings
 
 KEEPALIVE_S = 75.0
 BACKLOG = 512
@@ -159,6 +159,8 @@
             loads=self.loads,
             places=places,
             isolation=self.isolation,
+            crashes=crashes.Crashes(),
+            endings=endings.Endings(known=self.known, leaves=chooser.leaves),
         )
 
     def members(self) -> frozenset[str]:
@@ -196,6 +198,7 @@
         await self.watching.stop()
         await self.loads.stop()
         await self.mesh.stop()
+        await self.shared.endings.close()
         await self.shared.pools.close()
         await self.store.close()
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/routing/choice.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/routing/choice.py
@@ -89,9 +89,13 @@
             if upstream.service == service
             and not upstream.is_draining
             and upstream.domain not in out
-            and not math.isinf(self.notices.ready_at(upstream, now))
+            and not self.leaves(upstream)
         ]
 
+    def leaves(self, upstream: model.Upstream) -> bool:
+        """Tell whether an upstream has said in an answer that it leaves."""
+        return math.isinf(self.notices.ready_at(upstream, clock.now()))
+
     def ready_at(self, wanted: Wanted, now: float) -> float:
         """Return the time at which the first untried upstream wants requests."""
         found = self._untried(wanted, now)
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/call.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/call.py
@@ -1,5 +1,8 @@
 """A request that was admitted, and the record of what was tried for it."""
 
+import functools
+import hashlib
+
 import attrs
 import multidict
 from loguru import logger
@@ -9,6 +12,7 @@
 from masticpost_gateway.state import model
 
 ANSWER_MARGIN_S = 0.04
+FINGERPRINT_BYTES = 12
 
 
 @attrs.frozen(kw_only=True)
@@ -81,6 +85,15 @@
     first_event_s: float | None = None
     config_version: int = 0
 
+    @functools.cached_property
+    def fingerprint(self) -> str:
+        """What all repeats of a request have in common, at any instance."""
+        digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+        for part in (self.customer, self.method, self.target):
+            digest.update(part.encode() + b"\0")
+        digest.update(self.body)
+        return digest.hexdigest()
+
     @property
     def answer_by(self) -> float:
         """Monotonic time by which the caller needs some answer."""
@@ -107,6 +120,7 @@
         logger.bind(
             event="request",
             id=self.head.request_id,
+            fingerprint=self.fingerprint,
             route=self.route.name,
             kind=self.route.kind.value,
             customer=self.customer,
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/sending.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/sending.py
@@ -9,7 +9,9 @@
 from masticpost_gateway.upstreams import conns, notices
 
 NOT_CONNECTED = "not connected"
+BROKEN = "broken"
 FULL = "full"
+SILENT = "no answer in time"
 MOVED = "another upstream has the address"
 MS_PER_S = 1000.0
 URGENCY_OF_PRIORITY = (1, 4, 7)
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/tries.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/tries.py
@@ -17,6 +17,7 @@
     outcomes,
     patience,
     sending,
+    suspicion,
 )
 from masticpost_gateway.serving import call as calls
 from masticpost_gateway.sharing import loads
@@ -59,6 +60,9 @@
             call.service.name, call.head.session, call.head.request_id
         )
         self.feedback = feedback.Feedback(parts=parts, call=call)
+        self.suspicion = suspicion.Suspicion(
+            known=parts.crashes, ends=parts.endings, call=call
+        )
         self.tried: set[str] = set()
         self.runs = 0
         self.sent = 0
@@ -186,6 +190,10 @@
         """End a try: give the connection back, or cut it if its body is not read."""
         opened.health.outstanding -= 1
         self._end_work(opened.work)
+        if result.startswith("cut"):
+            self.suspicion.unanswered(
+                opened.upstream, opened.sent_at, had_begun=True, is_cut=True
+            )
         opened.resp.release() if result == "ok" else opened.resp.close()
         if result == "ok" and opened.confidence is not None:
             result = f"ok {opened.confidence:.2f}"
@@ -231,6 +239,11 @@
         self.runs += 1
         self.may_have_run = True
         sent.health.failed(now, exc.reason)
+        is_cut = exc.reason.startswith(sending.BROKEN)
+        if is_cut or exc.reason == sending.SILENT:
+            self.suspicion.unanswered(
+                sent.upstream, sent.at, had_begun=False, is_cut=is_cut
+            )
 
     def wanted(self, level: str) -> choice.Wanted:
         """Return what the next try needs."""
@@ -308,11 +321,11 @@
                 retry.Verdict.NEVER_JUDGED, sending.NOT_CONNECTED
             ) from exc
         except conns.BrokenError as exc:
-            raise sending.TryError(retry.Verdict.NOT_KNOWN, f"broken: {exc}") from exc
-        except TimeoutError as exc:
             raise sending.TryError(
-                retry.Verdict.NOT_KNOWN, "no answer in time"
+                retry.Verdict.NOT_KNOWN, f"{sending.BROKEN}: {exc}"
             ) from exc
+        except TimeoutError as exc:
+            raise sending.TryError(retry.Verdict.NOT_KNOWN, sending.SILENT) from exc
 
     def _record(
         self, upstream: model.Upstream, level: str, result: str, sent_at: float
--- a/libs/masticpost-gateway/src/masticpost_gateway/shared.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/shared.py
@@ -2,13 +2,13 @@
 
 import attrs
 
-from masticpost_gateway.learning import sessions, trial
+from masticpost_gateway.learning import crashes, sessions, trial
 from masticpost_gateway.reporting import measures
 from masticpost_gateway.routing import cascade, choice, placement, retryshare
 from masticpost_gateway.serving import headers
 from masticpost_gateway.sharing import loads
 from masticpost_gateway.state import beliefs, isolation
-from masticpost_gateway.upstreams import conns
+from masticpost_gateway.upstreams import conns, endings
 
 
 @attrs.define(kw_only=True)
@@ -33,4 +33,6 @@
     places: placement.Placement
     policy: cascade.Policy
     isolation: isolation.Isolation
+    crashes: crashes.Crashes
+    endings: endings.Endings
     closing_at: float | None = None
