--- a/testing/support/gatewaykit.py
+++ b/testing/support/gatewaykit.py
@@ -145,7 +145,9 @@
         self.cut = 0
         self.connections = 0
         self.port = port or procs.free_ports(1)[0]
+        self.runs = 1
         self._server = None
+        self._writers = set()
 
     async def start(self):
         self._server = await asyncio.start_server(
@@ -156,6 +158,13 @@
     async def stop(self):
         self._server.close()
 
+    def crash(self):
+        """End like a killed process: nothing listens, every connection is reset."""
+        self._server.close()
+        self.runs += 1
+        for writer in list(self._writers):
+            reset(writer)
+
     def record(self, **changes):
         fields = {
             "name": self.name,
@@ -169,6 +178,7 @@
 
     async def _serve(self, reader, writer):
         self.connections += 1
+        self._writers.add(writer)
         try:
             while True:
                 got = await _read_request(reader)
@@ -178,6 +188,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             self.cut += 1
         finally:
+            self._writers.discard(writer)
             writer.close()
 
 
