Quarantine requests that crash the upstreams that run them

Cause: the platform's program counted crashes nowhere. The product's quarantine (entry.suspects) is built on shards that do not run there, and was never replaced. Ruled out: more sends than a route's attempts for one attempt of a caller.

Now each instance tells the watchers which requests were at work on a run of an upstream that has ended. After its third crash a request is refused everywhere with 503 and the time to return, 502 if that attempt has run. The watchers pool the crashes, tell who stands accused after two, so that whoever has answered an identical request clears it, and tell who is quarantined. A request that shares all its crashes with another one is not blamed until one more tells them apart.

Why three: the promise counts from the third crash, and fewer would blame those that were beside two.

--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/crashes.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/crashes.py
@@ -66,17 +66,41 @@
         return max(row.at for row in self.crashes.values())
 
 
+CrashListener = collections.abc.Callable[[str, Crash], None]
+AnswerListener = collections.abc.Callable[[str, float], None]
+
+
 class Crashes:
     """Suspects, quarantined requests, and what was answered lately."""
 
     def __init__(self) -> None:
+        self._crash_listeners: list[CrashListener] = []
+        self._answer_listeners: list[AnswerListener] = []
         self._suspects: dict[str, Suspect] = {}
         self._accused_at: dict[str, float] = {}
         self._quarantined_at: dict[str, float] = {}
         self._answered: collections.OrderedDict[str, float] = collections.OrderedDict()
 
+    def listen(self, on_crash: CrashListener, on_answer: AnswerListener) -> None:
+        """Call the listeners with what this instance itself sees of suspects."""
+        self._crash_listeners.append(on_crash)
+        self._answer_listeners.append(on_answer)
+
+    def saw_crash(self, fingerprint: str, crash: Crash) -> bool:
+        """Count a crash under a request of this instance; return whether it is news."""
+        is_news = self.crashed(fingerprint, crash)
+        for listener in self._crash_listeners if is_news else ():
+            listener(fingerprint, crash)
+        return is_news
+
+    def saw_answer(self, fingerprint: str, at: float) -> None:
+        """Note a whole answer to a request of this instance."""
+        was_accused = self.answered(fingerprint, at)
+        for listener in self._answer_listeners if was_accused else ():
+            listener(fingerprint, at)
+
     def crashed(self, fingerprint: str, crash: Crash) -> bool:
-        """Count a crash; return whether it is news."""
+        """Count a crash that some instance saw; return whether it is news."""
         if crash.at <= self._vouched_until(fingerprint):
             return False
         row = self._suspects.get(fingerprint)
@@ -125,6 +149,11 @@
         """Return the requests that more crashes would quarantine."""
         return [fp for fp in self._accused_at if fp not in self._quarantined_at]
 
+    def accused_since(self, at: float) -> dict[str, float]:
+        """Return the requests that stand accused since a time or later."""
+        rows = self._accused_at.items()
+        return {fp: since for fp, since in rows if since >= at}
+
     def quarantined(self, now: float) -> dict[str, float]:
         """Return the quarantined requests and since when they are."""
         self._forget(now - KEPT_S)
--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -14,7 +14,14 @@
 from masticpost_gateway.reporting import counted, gauges, measures, pages, status
 from masticpost_gateway.routing import cascade, choice, coldpace, placement, retryshare
 from masticpost_gateway.serving import gateway, headers
-from masticpost_gateway.sharing import evidencenews, loads, mesh, relay, sessionnews
+from masticpost_gateway.sharing import (
+    crashnews,
+    evidencenews,
+    loads,
+    mesh,
+    relay,
+    sessionnews,
+)
 from masticpost_gateway.state import beliefs, isolation, source, watching
 from masticpost_gateway.upstreams import conns, endings
 
@@ -116,6 +123,9 @@
         self.session_news = sessionnews.SessionSharing(
             peers=self.mesh, watchers=self.relay, trials=trials, memory=memory
         )
+        self.crash_news = crashnews.CrashSharing(
+            peers=self.mesh, watchers=self.relay, known=self.shared.crashes
+        )
         self.stages = stages.Stages(
             me=cfg.name,
             store=store,
@@ -180,6 +190,7 @@
         await self.relay.start()
         await self.evidence_news.start()
         await self.session_news.start()
+        await self.crash_news.start()
         await self.stages.start()
         await self._listen(self.cfg.callers, self.gateway.handle)
         await self._listen(self.cfg.ready, self._ready)
@@ -192,6 +203,7 @@
         for runner in self._runners:
             await runner.cleanup()
         await self.stages.stop()
+        await self.crash_news.stop()
         await self.session_news.stop()
         await self.evidence_news.stop()
         await self.relay.stop()
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/outcomes.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/outcomes.py
@@ -27,6 +27,8 @@
         Refused: this instance stops.
     NOT_RUN
         Refused: no upstream ran it, and none will.
+    QUARANTINED
+        Refused: it crashed the upstreams that ran it, and was not run again.
     UPSTREAM_FAILED
         Given up after an upstream may have run it.
     TIMEOUT
@@ -43,5 +45,6 @@
     TOO_LARGE = "too-large"
     STOPPING = "stopping"
     NOT_RUN = "not-run"
+    QUARANTINED = "quarantined"
     UPSTREAM_FAILED = "upstream-failed"
     TIMEOUT = "timeout"
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/streaming.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/streaming.py
@@ -149,7 +149,7 @@
             async with asyncio.timeout(self._failure_timeout()):
                 body = await opened.resp.read()
         except (aiohttp.ClientError, OSError, TimeoutError):
-            result += ", then cut"
+            result = f"cut after {result}"
             return
         finally:
             self.run.close(opened, result)
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/suspicion.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/suspicion.py
@@ -1,5 +1,7 @@
 """Whether a request may be to blame for upstreams that ended while they ran it."""
 
+import asyncio
+
 from loguru import logger
 from masticpost_common import clock
 
@@ -8,14 +10,17 @@
 from masticpost_gateway.state import model
 from masticpost_gateway.upstreams import endings
 
+# Longer than a connection to an upstream that lives or has ended takes.
+SETTLE_S = 0.1
+
 
 class Suspicion:
-    """Tells of the crashes under one request.
+    """Tells of the crashes under one request, and whether it may still be run.
 
     Parameters
     ----------
     known : crashes.Crashes
-        Filled with the crashes.
+        Filled with the crashes, and tells who is quarantined.
     ends : endings.Endings
         Finds out whether an upstream's run has ended.
     call : call.Call
@@ -28,6 +33,26 @@
         self.known = known
         self.ends = ends
         self.call = call
+        self._doubted: list[model.Upstream] = []
+
+    def quarantined_s(self) -> float:
+        """Return for how many seconds the request must not be run, 0 if it may."""
+        return self.known.left_s(self.call.fingerprint, clock.now())
+
+    async def settle(self) -> None:
+        """Wait for a moment until it is known whether this request is to blame."""
+        for upstream in self._doubted:
+            await self.ends.settle(upstream, SETTLE_S)
+        self._doubted.clear()
+        fingerprint = self.call.fingerprint
+        hearing_s = self.known.hearing_left_s(fingerprint, clock.now())
+        if hearing_s:
+            await asyncio.sleep(min(hearing_s, max(0.0, self.call.left_s())))
+            self.known.judge(clock.now())
+
+    def answered(self) -> None:
+        """Note a whole answer: the request is no danger."""
+        self.known.saw_answer(self.call.fingerprint, clock.now())
 
     def unanswered(
         self,
@@ -54,13 +79,15 @@
             self._crashed(upstream, at, had_begun=had_begun)
 
         self.ends.doubt(upstream, sent_at, ended, is_cut=is_cut)
+        if is_cut:
+            self._doubted.append(upstream)
 
     def _crashed(self, upstream: model.Upstream, at: float, *, had_begun: bool) -> None:
         name, born_ms, address = upstream.incarnation
         run = f"{name}/{born_ms}/{address}"
         crash = crashes.Crash(run=run, at=at, had_begun=had_begun)
         fingerprint = self.call.fingerprint
-        if not self.known.crashed(fingerprint, crash):
+        if not self.known.saw_crash(fingerprint, crash):
             return
         logger.bind(
             event="suspect",
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/tries.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/tries.py
@@ -102,8 +102,10 @@
             No upstream can take the request in time.
         """
         give_up_at = self.call.started_at + WAIT_SHARE * self.call.route.objective_s
+        await self.suspicion.settle()
         await self.shared.isolation.wait(self.call.left_s())
         while True:
+            self._refuse_quarantined()
             found = self.shared.chooser.pick(self.wanted(level))
             if found is not None:
                 return found
@@ -190,15 +192,21 @@
         """End a try: give the connection back, or cut it if its body is not read."""
         opened.health.outstanding -= 1
         self._end_work(opened.work)
-        if result.startswith("cut"):
-            self.suspicion.unanswered(
-                opened.upstream, opened.sent_at, had_begun=True, is_cut=True
-            )
+        self._note_end(opened, result)
         opened.resp.release() if result == "ok" else opened.resp.close()
         if result == "ok" and opened.confidence is not None:
             result = f"ok {opened.confidence:.2f}"
         self._record(opened.upstream, opened.level, result, opened.sent_at)
 
+    def _note_end(self, opened: answer.Opened, result: str) -> None:
+        """Tell whether the request got a whole answer, or a crash may have cut it."""
+        if result.startswith("cut"):
+            self.suspicion.unanswered(
+                opened.upstream, opened.sent_at, had_begun=True, is_cut=True
+            )
+        elif result == "ok" or result.startswith("failed"):
+            self.suspicion.answered()
+
     def leave_version(self, version: str) -> None:
         """Run the next try on another version than one on trial that failed."""
         if self.plan.preferred == version and self.call.service.name in (
@@ -206,17 +214,30 @@
         ):
             self.plan = trial.VersionPlan(avoided=version)
 
+    def _refuse_quarantined(self) -> None:
+        left_s = self.suspicion.quarantined_s()
+        if left_s:
+            reason = "it crashed the upstreams that ran it"
+            raise self.refusal(reason, left_s, outcomes.Outcome.QUARANTINED)
+
     def refusal(
-        self, reason: str, retry_after_s: float = RETRY_AFTER_S
+        self,
+        reason: str,
+        retry_after_s: float = RETRY_AFTER_S,
+        outcome: outcomes.Outcome = outcomes.Outcome.NOT_RUN,
     ) -> errors.RefusalError:
-        """Return the error for a caller whose request was given up."""
+        """Return the error for a caller whose request was given up.
+
+        Parameters
+        ----------
+        outcome : outcomes.Outcome
+            How it ends if it has not run.
+        """
         if self.may_have_run:
             return errors.refuse(
                 502, outcomes.Outcome.UPSTREAM_FAILED, reason, ran=errors.RAN_MAYBE
             )
-        return errors.refuse(
-            503, outcomes.Outcome.NOT_RUN, reason, retry_after_s=retry_after_s
-        )
+        return errors.refuse(503, outcome, reason, retry_after_s=retry_after_s)
 
     def _end_work(self, work: loads.Work | None) -> None:
         if work is not None:
--- a/libs/masticpost-gateway/testing/serving/test_outcomes.py
+++ b/libs/masticpost-gateway/testing/serving/test_outcomes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import hashlib
 import io
 
 import aiohttp
@@ -10,7 +11,7 @@
 import pytest
 from masticpost_cli import story
 from masticpost_common import clock, registry
-from masticpost_gateway.serving import gateway, outcomes
+from masticpost_gateway.serving import call, gateway, outcomes
 from masticpost_gateway.state import model, source
 from masticpost_telemetry import logs
 from support import gatewaykit as kit
@@ -125,6 +126,18 @@
     assert (await ask(dep, "/book/", method="POST")).status == 502
 
 
+@SCENES.register(outcomes.Outcome.QUARANTINED)
+async def quarantined(dep):
+    made = await start(dep, kit.answers())
+    head, body = "/lookup/6", b"deadly"
+    crashed = made.shared.crashes
+    digest = hashlib.blake2b(digest_size=call.FINGERPRINT_BYTES)
+    digest.update(b"acme\0POST\0" + head.encode() + b"\0" + body)
+    crashed.quarantine(digest.hexdigest(), clock.now())
+    reply = await dep.call(head, method="POST", body=body, Request_Id=ID)
+    assert reply.status == 503
+
+
 @SCENES.register(outcomes.Outcome.TIMEOUT)
 async def timeout(dep):
     book = attrs.evolve(kit.BOOK, timeout_s=0.3)
--- a/libs/masticpost-gateway/testing/test_crashing_requests.py
+++ b/libs/masticpost-gateway/testing/test_crashing_requests.py
@@ -89,3 +89,107 @@
             await dep.send_deadly(PATHS[kind], number % nodes)
             await asyncio.sleep(PAUSE_S)
         assert dep.crashes <= 3 + MOST_AFTER_THIRD
+
+
+class Beside:
+    """Callers whose requests are no danger, at every instance, until `stop`."""
+
+    def __init__(self, dep, *, callers, path, bodies):
+        self.dep = dep
+        self.path = path
+        self.bodies = bodies
+        self.replies = []
+        self._tasks = [asyncio.ensure_future(self._ask(k)) for k in range(callers)]
+
+    async def _ask(self, number):
+        while True:
+            via = number % len(self.dep.nodes)
+            body = self.bodies(number, len(self.replies))
+            method = "GET" if body is None else "POST"
+            with contextlib.suppress(Exception):
+                reply = await self.dep.call(
+                    self.path, method=method, body=body, via=via
+                )
+                self.replies.append(reply)
+
+    async def stop(self):
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def blamed(self):
+        return [reply for reply in self.replies if b"quarantined" in reply.body]
+
+
+def distinct(caller, number):
+    return f"plan {caller}.{number}".encode()
+
+
+def identical(caller, number):
+    return None
+
+
+BESIDE = {"streams": ("/chat/9", distinct), "identical": ("/lookup/9", identical)}
+
+
+async def slowly(got, writer):
+    """Answer each request, each of them at work for a while."""
+    if got.target.startswith("/chat/"):
+        await kit.streams(4, pause_s=0.05)(got, writer)
+        return
+    await asyncio.sleep(0.1)
+    await kit.answers()(got, writer)
+
+
+@pytest.mark.parametrize("beside", BESIDE)
+async def test_requests_beside_a_deadly_one_are_not_quarantined(beside):
+    """Requests that only stand beside crashes, or have identical ones answered."""
+    path, bodies = BESIDE[beside]
+    async with Fleet() as dep:
+        await dep.begin(upstreams=5, nodes=3, script=slowly)
+        others = Beside(dep, callers=24, path=path, bodies=bodies)
+        for number in range(REPEATS):
+            await dep.send_deadly(PATHS["stream"], number % 3)
+            await asyncio.sleep(PAUSE_S)
+        await others.stop()
+        assert len(others.replies) > 100
+        assert not others.blamed()
+        assert dep.crashes <= 3 + MOST_AFTER_THIRD
+
+
+async def test_upstreams_that_end_by_themselves_quarantine_nobody():
+    """Each upstream ends three times while the same requests come again."""
+    async with Fleet() as dep:
+        await dep.begin(upstreams=3, nodes=2, script=slowly)
+        others = Beside(dep, callers=8, path="/chat/9", bodies=lambda k, n: b"%d" % k)
+        for worker in dep.workers * 3:
+            await asyncio.sleep(0.2)
+            worker.crash()
+            await dep._come_back(worker)
+        await others.stop()
+        assert len(others.replies) > 50
+        assert not others.blamed()
+
+
+async def test_instance_that_starts_later_knows_who_is_quarantined():
+    """A fresh instance would run a request that the others refuse."""
+    async with Fleet() as dep:
+        await dep.begin(upstreams=6, nodes=3)
+        while not dep.nodes[0].shared.crashes.quarantined(0.0):
+            await dep.send_deadly(PATHS["once"], 0)
+        made = await dep.add_node("late", seeds=[dep.nodes[0].cfg.mesh.address])
+        await kit.until(lambda: made.shared.crashes.quarantined(0.0))
+        crashes = dep.crashes
+        reply = await dep.send_deadly(PATHS["once"], 3)
+        assert dep.crashes == crashes
+        assert reply.status == 503
+        assert float(reply.headers["Retry-After"]) > 0
+        assert reply.body.startswith(b"quarantined")
+
+
+async def test_attempt_that_has_run_is_not_told_that_it_has_not():
+    """The attempt with the third crash ran: "not run" would be false."""
+    async with Fleet() as dep:
+        await dep.begin(upstreams=6, nodes=1)
+        replies = [await dep.send_deadly(PATHS["plain"], 0) for _ in range(3)]
+        assert [reply.status for reply in replies] == [502, 503, 503]
