Keep quarantined requests in the store over a restart of all instances

A request that crashes upstreams was counted anew when all instances had been restarted at once: nobody was left to tell who is quarantined. Each watcher now reads the entries once, the first of them in an order by request writes new ones and removes those that are over. At rest this costs one list for each watcher; no watch, since the watchers tell all others anyway.

--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -19,6 +19,7 @@
     evidencenews,
     loads,
     mesh,
+    quarantines,
     relay,
     sessionnews,
 )
@@ -126,6 +127,9 @@
         self.crash_news = crashnews.CrashSharing(
             peers=self.mesh, watchers=self.relay, known=self.shared.crashes
         )
+        self.quarantines = quarantines.QuarantineKeeping(
+            me=cfg.name, store=store, watchers=self.relay, known=self.shared.crashes
+        )
         self.stages = stages.Stages(
             me=cfg.name,
             store=store,
@@ -191,6 +195,7 @@
         await self.evidence_news.start()
         await self.session_news.start()
         await self.crash_news.start()
+        await self.quarantines.start()
         await self.stages.start()
         await self._listen(self.cfg.callers, self.gateway.handle)
         await self._listen(self.cfg.ready, self._ready)
@@ -203,6 +208,7 @@
         for runner in self._runners:
             await runner.cleanup()
         await self.stages.stop()
+        await self.quarantines.stop()
         await self.crash_news.stop()
         await self.session_news.stop()
         await self.evidence_news.stop()
--- a/libs/masticpost-gateway/src/masticpost_gateway/reporting/counted.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/reporting/counted.py
@@ -68,6 +68,24 @@
         """Return the registered instances."""
         return await self._count("instances", self.store.instances())
 
+    async def quarantined(
+        self,
+    ) -> result.Result[list[source.QuarantineEntry], source.Fault]:
+        """Return the requests that are not run again."""
+        return await self._count("quarantined", self.store.quarantined())
+
+    async def keep_quarantined(
+        self, row: source.QuarantineEntry
+    ) -> result.Result[None, source.Fault]:
+        """Enter a request that is not run again."""
+        return await self._count("keep", self.store.keep_quarantined(row))
+
+    async def drop_quarantined(
+        self, fingerprint: str
+    ) -> result.Result[None, source.Fault]:
+        """Remove such an entry."""
+        return await self._count("drop", self.store.drop_quarantined(fingerprint))
+
     async def close(self) -> None:
         """Close the connections."""
         await self.store.close()
--- /dev/null
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/quarantines.py
@@ -0,0 +1,96 @@
+"""Quarantined requests in the store, so that a restart of all instances keeps them.
+
+Each watcher reads them once. The first of the watchers in an order by request writes
+what is missing there and removes what is over; the others stand by.
+"""
+
+import asyncio
+import time
+
+import mode
+from loguru import logger
+from masticpost_common import clock, rendezvous
+
+from masticpost_gateway.learning import crashes
+from masticpost_gateway.sharing import relay
+from masticpost_gateway.state import source
+
+PERIOD_S = 0.3
+
+
+class QuarantineKeeping(mode.Service):
+    """Reads and writes the quarantined requests while this instance watches.
+
+    Parameters
+    ----------
+    me : str
+        Name of this instance.
+    store : source.Source
+        Where they last.
+    watchers : relay.Relay
+        Knows who watches.
+    known : crashes.Crashes
+        Read and filled.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: str,
+        store: source.Source,
+        watchers: relay.Relay,
+        known: crashes.Crashes,
+    ) -> None:
+        super().__init__()
+        self.me = me
+        self.store = store
+        self.watchers = watchers
+        self.known = known
+        self._stored: set[str] = set()
+        self._is_read = False
+
+    @mode.Service.task
+    async def keep(self) -> None:
+        """Keep the store's entries like those known here."""
+        while not self.should_stop:
+            if self.watchers.is_watcher and not self._is_read:
+                self._is_read = await self._read()
+            if self.watchers.is_watcher and self._is_read:
+                await self._write()
+            await asyncio.sleep(PERIOD_S)
+
+    async def _read(self) -> bool:
+        """Take over what the store holds; return whether it answered."""
+        outcome = await self.store.quarantined()
+        if outcome.is_err():
+            logger.bind(event="quarantine").warning(
+                "not read: {}", outcome.unwrap_err().message
+            )
+            return False
+        for row in outcome.unwrap():
+            # Wall clocks differ, so that an entry may seem to come from the future.
+            age_s = max(0.0, time.time() - row.since_s)
+            self._stored.add(row.fingerprint)
+            self.known.quarantine(row.fingerprint, clock.now() - age_s)
+        logger.bind(event="quarantine", entries=len(self._stored)).info("read")
+        return True
+
+    async def _write(self) -> None:
+        now = clock.now()
+        wanted = self.known.quarantined(now)
+        for fingerprint in wanted.keys() - self._stored:
+            if not self._is_first(fingerprint):
+                continue
+            since_s = time.time() - (now - wanted[fingerprint])
+            row = source.QuarantineEntry(fingerprint=fingerprint, since_s=since_s)
+            if (await self.store.keep_quarantined(row)).is_ok():
+                self._stored.add(fingerprint)
+        for fingerprint in self._stored - wanted.keys():
+            is_first = self._is_first(fingerprint)
+            if not is_first or (await self.store.drop_quarantined(fingerprint)).is_ok():
+                self._stored.discard(fingerprint)
+
+    def _is_first(self, fingerprint: str) -> bool:
+        """Tell whether this instance writes for a request."""
+        names = [row.name for row in self.watchers.watchers]
+        return rendezvous.ranked(names, fingerprint)[:1] == [self.me]
--- a/libs/masticpost-gateway/src/masticpost_gateway/state/source.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/state/source.py
@@ -87,6 +87,14 @@
     domain: str
 
 
+@attrs.frozen(kw_only=True)
+class QuarantineEntry:
+    """A request that is not run again; `since_s` in seconds of Unix time."""
+
+    fingerprint: str
+    since_s: float
+
+
 class Source(typing.Protocol):
     """A store that the gateway watches and writes a few things to."""
 
@@ -109,5 +117,16 @@
     async def instances(self) -> result.Result[list[InstanceEntry], Fault]:
         """Return the registered instances, possibly seconds old."""
 
+    async def quarantined(self) -> result.Result[list[QuarantineEntry], Fault]:
+        """Return the requests that are not run again."""
+
+    async def keep_quarantined(
+        self, row: QuarantineEntry
+    ) -> result.Result[None, Fault]:
+        """Enter a request that is not run again; one that is there stays as it is."""
+
+    async def drop_quarantined(self, fingerprint: str) -> result.Result[None, Fault]:
+        """Remove such an entry, if it is there."""
+
     async def close(self) -> None:
         """Close the connections."""
--- a/libs/masticpost-gateway/testing/test_crashing_requests.py
+++ b/libs/masticpost-gateway/testing/test_crashing_requests.py
@@ -193,3 +193,21 @@
         await dep.begin(upstreams=6, nodes=1)
         replies = [await dep.send_deadly(PATHS["plain"], 0) for _ in range(3)]
         assert [reply.status for reply in replies] == [502, 503, 503]
+
+
+async def test_restart_of_all_instances_forgets_no_quarantine():
+    """All instances at once would begin to count again."""
+    async with Fleet() as dep:
+        await dep.begin(upstreams=6, nodes=3)
+        while not dep.nodes[0].shared.crashes.quarantined(0.0):
+            await dep.send_deadly(PATHS["once"], 0)
+        await kit.until(lambda: dep.store.kept)
+        before, dep.nodes = dep.nodes, []
+        for made in before:
+            await made.stop()
+        for number in range(3):
+            seeds = [made.cfg.mesh.address for made in dep.nodes[:1]]
+            await dep.add_node(f"new-{number}", seeds=seeds)
+        quarantined = [made.shared.crashes.quarantined for made in dep.nodes]
+        await kit.until(lambda: all(found(0.0) for found in quarantined))
+        assert (await dep.send_deadly(PATHS["once"], 2)).status == 503
--- a/testing/support/gatewaykit.py
+++ b/testing/support/gatewaykit.py
@@ -34,6 +34,7 @@
         self.log = []
         self.oldest = 0
         self.registered = {}
+        self.kept = {}
         self.faults = {}
         self.decided = []
         self.calls = 0
@@ -109,6 +110,19 @@
     async def instances(self):
         return result.Ok(list(self.registered.values()))
 
+    async def quarantined(self):
+        return result.Ok(list(self.kept.values()))
+
+    async def keep_quarantined(self, row):
+        self.calls += 1
+        self.kept[row.fingerprint] = row
+        return result.Ok(None)
+
+    async def drop_quarantined(self, fingerprint):
+        self.calls += 1
+        self.kept.pop(fingerprint, None)
+        return result.Ok(None)
+
     async def close(self):
         return None
 
