Ask the store at once while work is held, and stay wary when all seem dead

Traced: work is held for 0.3 s, the watch may pause for 0.25 s after a call that takes 0.1 s, so that the outcome hung on chance. Tried with a longer hold, the test showed a second hole: after a second without a message an instance takes all others for dead, counts as alone and sends by what it knew before.

Now pauses of the watch end while work is held, and an instance that had others in the last 6 s is not alone. Both have a test that failed before; test_isolation holds work for 4 s, as the stand-in's own delays add up to more than 0.3 s; what it checks is unchanged.

--- a/libs/masticpost-gateway/src/masticpost_gateway/state/isolation.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/state/isolation.py
@@ -19,6 +19,8 @@
 HELD_S = 0.3
 POLL_S = 0.02
 MAX_SILENT_S = 1e6
+# An instance that is cut off takes all others for dead after a while.
+LATELY_S = 6.0
 
 
 class Isolation:
@@ -42,6 +44,7 @@
         self.watch = watch
         self._started_at = clock.now()
         self._heard_at = -math.inf
+        self._others_at = -math.inf
 
     def heard(self, now: float) -> None:
         """Note that another instance has told how new its beliefs are."""
@@ -57,7 +60,10 @@
 
     def is_isolated(self, now: float) -> bool:
         """Tell whether neither the store nor another instance tells of changes."""
-        return self.is_silent(now) and self.has_others() and not self.watch.is_told
+        if self.has_others():
+            self._others_at = now
+        had_others = now - self._others_at <= LATELY_S
+        return self.is_silent(now) and had_others and not self.watch.is_told
 
     async def wait(self, limit_s: float) -> None:
         """Hold new work while isolated, for `HELD_S` or `limit_s` at most."""
@@ -65,8 +71,12 @@
         if not self.is_isolated(began):
             return
         ends_at = began + min(HELD_S, limit_s)
-        while self.is_isolated(clock.now()) and clock.now() < ends_at:
-            await asyncio.sleep(POLL_S)
+        self.watch.held += 1
+        try:
+            while self.is_isolated(clock.now()) and clock.now() < ends_at:
+                await asyncio.sleep(POLL_S)
+        finally:
+            self.watch.held -= 1
         self._log_held(began, clock.now())
 
     def _log_held(self, began: float, now: float) -> None:
--- a/libs/masticpost-gateway/src/masticpost_gateway/state/watching.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/state/watching.py
@@ -19,6 +19,8 @@
 FIRST_PAUSE_S = 0.15
 MAX_PAUSE_S = 1.0
 URGENT_PAUSE_S = 0.25
+# Well below the time for which work is held.
+HELD_PAUSE_S = 0.08
 IDLE_POLL_S = 0.05
 BATCH_S = 0.25
 FIRST_ANSWER_S = 0.5
@@ -42,7 +44,9 @@
         How many instances call the store for the same reason: the more, the longer
         each pauses before its first call and after a failed one.
     is_urgent : bool
-        Whether this instance holds work back until the store answers.
+        Whether this instance would hold work back until the store answers.
+    held : int
+        Requests that are held back now; pauses are cut short for them.
     first_call_at : float
         Time until which an instance that knows nothing waits to be told by another.
     """
@@ -54,6 +58,7 @@
         self.is_active = False
         self.sharers = 1.0
         self.is_urgent = False
+        self.held = 0
         self.first_call_at = -math.inf
         self.failing_since: dict[source.Kind, float] = {}
         self._asked_at: dict[source.Kind, float] = {}
@@ -115,9 +120,10 @@
 
     async def _pause(self, kind: source.Kind, pause_s: float) -> None:
         """Wait, at most for as long as the store is to be asked about a kind."""
-        ends_at = clock.now() + pause_s
+        began = clock.now()
         while self._is_needed(kind) and not self.should_stop:
-            left_s = ends_at - clock.now()
+            longest_s = HELD_PAUSE_S if self.held else pause_s
+            left_s = began + min(pause_s, longest_s) - clock.now()
             if left_s <= 0:
                 return
             await asyncio.sleep(min(IDLE_POLL_S, left_s))
--- a/libs/masticpost-gateway/testing/state/test_isolation.py
+++ b/libs/masticpost-gateway/testing/state/test_isolation.py
@@ -37,8 +37,12 @@
         made.mesh.hub.open = lambda rows: None if self.is_cut else opened(rows)
 
 
-async def test_upstream_that_left_while_the_instance_was_cut_off_gets_nothing():
+async def test_upstream_that_left_while_the_instance_was_cut_off_gets_nothing(
+    monkeypatch,
+):
     """A choked link: the leaving was told 3.5 s before a request was sent there."""
+    # The stand-in's own delays add up to more than the time for which work is held.
+    monkeypatch.setattr(isolation, "HELD_S", 4.0)
     async with kit.Deployment() as dep:
         await dep.configure()
         left = await dep.add_worker("w1", kit.answers())
@@ -65,7 +69,7 @@
 
 
 def alone(*, others=True, is_told=False):
-    watch = types.SimpleNamespace(is_told=is_told)
+    watch = types.SimpleNamespace(is_told=is_told, held=0)
     made = isolation.Isolation(has_others=lambda: others, watch=watch)
     made._started_at = clock.now() - LEFT_S
     return made
@@ -81,6 +85,18 @@
     assert not alone(others=False).is_isolated(now)
 
 
+async def test_instance_that_takes_all_others_for_dead_is_not_alone_at_once():
+    """After a second without a message all were dead, and work was sent as before."""
+    others = [True]
+    watch = types.SimpleNamespace(is_told=False, held=0)
+    made = isolation.Isolation(has_others=lambda: others[0], watch=watch)
+    now = made._started_at + LEFT_S
+    assert made.is_isolated(now)
+    others[0] = False
+    assert made.is_isolated(now + isolation.LATELY_S - 0.1)
+    assert not made.is_isolated(now + isolation.LATELY_S + 0.1)
+
+
 async def test_work_is_held_only_for_a_while():
     """An instance that nobody tells anything any more still serves."""
     made = alone()
--- a/libs/masticpost-gateway/testing/state/test_watching.py
+++ b/libs/masticpost-gateway/testing/state/test_watching.py
@@ -105,3 +105,21 @@
     await made.start()
     await kit.until(lambda: not made.may_tell_first(source.Kind.UPSTREAMS, clock.now()))
     await made.stop()
+
+
+async def test_store_is_asked_at_once_while_work_is_held(monkeypatch):
+    """Held work was sent by old beliefs while the watch paused after a lost call."""
+    monkeypatch.setattr(watching, "FIRST_PAUSE_S", 60.0)
+    monkeypatch.setattr(watching, "URGENT_PAUSE_S", 60.0)
+    store, known = kit.FakeStore(), beliefs.Beliefs()
+    made = watching.Watching(store=store, known=known)
+    for kind in source.Kind:
+        store.fail(kind, source.FaultKind.NOT_KNOWN)
+    made.is_active = made.is_urgent = True
+    await made.start()
+    await kit.until(lambda: len(made.failing_since) == len(source.Kind))
+    for kind in source.Kind:
+        store.fail(kind, None)
+    made.held = 1
+    await kit.until(lambda: made.is_told)
+    await made.stop()
