--- a/libs/masticpost-gateway/src/masticpost_gateway/reporting/gauges.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/reporting/gauges.py
@@ -47,6 +47,11 @@
             "Log lines that were left out to bound their volume.",
             value=row.dropped_lines,
         )
+        yield core.GaugeMetricFamily(
+            "masticpost_gateway_quarantined_requests",
+            "Requests that are not run, since they crash upstreams.",
+            value=len(row.quarantined),
+        )
         yield _ages(row)
         yield _upstreams(row)
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/reporting/status.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/reporting/status.py
@@ -92,6 +92,8 @@
         Instances that it knows to be alive, itself included.
     watchers : list of str
         Instances that watch the store for all.
+    quarantined : list of str
+        Fingerprints of requests that are not run, since they crash upstreams.
     """
 
     instance: str
@@ -106,6 +108,7 @@
     beliefs: list[BeliefStatus]
     upstreams: list[UpstreamStatus]
     trials: list[TrialStatus]
+    quarantined: list[str] = attrs.field(factory=list)
 
 
 class Parts(typing.Protocol):
@@ -142,6 +145,7 @@
             for upstream in known.upstreams(now)
         ],
         trials=[_trial(row) for row in parts.shared.trials.open.values()],
+        quarantined=sorted(parts.shared.crashes.quarantined(now)),
     )
 
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/tries.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/tries.py
@@ -4,11 +4,10 @@
 import math
 
 import aiohttp
-import attrs
 from masticpost_common import clock, errors, retry
 
 from masticpost_gateway import shared
-from masticpost_gateway.learning import feedback, paces, trial
+from masticpost_gateway.learning import feedback, trial
 from masticpost_gateway.routing import choice, placement
 from masticpost_gateway.serving import (
     answer,
@@ -17,32 +16,18 @@
     outcomes,
     patience,
     sending,
+    sends,
     suspicion,
 )
 from masticpost_gateway.serving import call as calls
-from masticpost_gateway.sharing import loads
 from masticpost_gateway.state import model
-from masticpost_gateway.upstreams import conns, health
+from masticpost_gateway.upstreams import conns
 
 WAIT_STEP_S = 0.03
 WAIT_SHARE = 0.5
 RETRY_AFTER_S = 0.4
 
 
-@attrs.define(kw_only=True)
-class Sent:
-    """A send that was begun; `at` is in monotonic seconds."""
-
-    upstream: model.Upstream
-    level: str
-    health: health.Health
-    pace: paces.Pace
-    at: float
-    reading: placement.Reading | None
-    work: loads.Work | None = None
-    unread_tokens: int = 0
-
-
 class Tries:
     """Sends one request to one upstream after the other.
 
@@ -61,12 +46,12 @@
             call.service.name, call.head.session, call.head.request_id
         )
         self.feedback = feedback.Feedback(parts=parts, call=call)
+        self.sends = sends.Sends(parts=parts, call=call, notes=self.feedback)
         self.suspicion = suspicion.Suspicion(
             known=parts.crashes, ends=parts.endings, call=call
         )
         self.tried: set[str] = set()
         self.runs = 0
-        self.sent = 0
         self.may_have_run = False
 
     @property
@@ -78,7 +63,7 @@
         """Tell whether another upstream may be tried."""
         if not self.has_runs_left or self.call.left_s() <= 0:
             return False
-        if not self.sent:
+        if not self.sends.count:
             # Nothing has reached an upstream: the next send is no repeat.
             return True
         now = clock.now()
@@ -150,14 +135,13 @@
             is_counted=False,
             silent_after_s=silent_after_s,
         )
-        sent = self._begin(upstream, level)
+        self.tried.add(upstream.name)
+        sent = self.sends.begin(upstream, level, self.reading(level))
         try:
             opened = await self._exchange(out, sent, leaves)
         except BaseException as exc:
-            sent.health.outstanding -= 1
-            self._end_work(sent.work)
             self._note_failure(sent, exc)
-            self.feedback.end(sent.pace)
+            self.sends.end(sent.health, sent.work, sent.pace)
             raise
         self.shared.trials.began(sent.pace, opened.head_at)
         opened.work = sent.work
@@ -169,34 +153,9 @@
         self.feedback.ran(upstream.version)
         return opened
 
-    def _begin(self, upstream: model.Upstream, level: str) -> Sent:
-        """Note a send before it is made."""
-        now = clock.now()
-        self._count_sent(now)
-        self.tried.add(upstream.name)
-        row = self.shared.chooser.health_of(upstream)
-        row.outstanding += 1
-        sent = Sent(
-            upstream=upstream,
-            level=level,
-            health=row,
-            pace=self.feedback.begin(upstream),
-            at=now,
-            reading=self.reading(level),
-        )
-        if sent.reading is not None:
-            places = self.shared.places
-            sent.unread_tokens = places.unread_tokens(upstream.name, sent.reading)
-            read_s = places.read_s(upstream.name, sent.reading)
-            sent.work = self.shared.loads.begin(upstream.name, read_s)
-            self.feedback.sent(upstream.name, sent.reading)
-        return sent
-
     def close(self, opened: answer.Opened, result: str) -> None:
         """End a try: give the connection back, or cut it if its body is not read."""
-        opened.health.outstanding -= 1
-        self._end_work(opened.work)
-        self.feedback.end(opened.pace)
+        self.sends.end(opened.health, opened.work, opened.pace)
         self._note_end(opened, result)
         opened.resp.release() if result == "ok" else opened.resp.close()
         if result == "ok" and opened.confidence is not None:
@@ -244,18 +203,14 @@
             )
         return errors.refuse(503, outcome, reason, retry_after_s=retry_after_s)
 
-    def _end_work(self, work: loads.Work | None) -> None:
-        if work is not None:
-            self.shared.loads.end(work)
-
-    def _note_failure(self, sent: Sent, exc: BaseException) -> None:
+    def _note_failure(self, sent: sends.Sent, exc: BaseException) -> None:
         if not isinstance(exc, sending.TryError):
             self._record(sent.upstream, sent.level, "cancelled", sent.at)
             return
         now = clock.now()
         self._record(sent.upstream, sent.level, exc.reason, sent.at)
         if exc.reason == sending.NOT_CONNECTED:
-            self._take_back(now)
+            self.sends.take_back(now)
         if exc.reason == sending.FULL:
             self.shared.loads.turned_away(sent.upstream.name)
         if exc.verdict is retry.Verdict.NEVER_JUDGED:
@@ -293,20 +248,8 @@
             has_levels=len(self.call.route.levels) > 1,
         )
 
-    def _count_sent(self, now: float) -> None:
-        service = self.call.service.name
-        if self.sent:
-            self.shared.retries.repeated(service, now)
-        self.sent += 1
-
-    def _take_back(self, now: float) -> None:
-        """Forget a send that has reached no upstream: it spends no retry budget."""
-        self.sent -= 1
-        if self.sent:
-            self.shared.retries.not_arrived(self.call.service.name, now)
-
     async def _exchange(
-        self, out: conns.Outgoing, sent: Sent, leaves: tuple[patience.Leave, ...]
+        self, out: conns.Outgoing, sent: sends.Sent, leaves: tuple[patience.Leave, ...]
     ) -> answer.Opened:
         sent_at = clock.now()
         resp = await self._send(out, sent.upstream, leaves)
--- a/libs/masticpost-gateway/testing/reporting/test_pages.py
+++ b/libs/masticpost-gateway/testing/reporting/test_pages.py
@@ -3,7 +3,7 @@
 import aiohttp
 import pytest
 from masticpost_bench import procs
-from masticpost_common import codec
+from masticpost_common import clock, codec
 from masticpost_gateway import node
 from masticpost_gateway.reporting import status
 from masticpost_gateway.state import model, source
@@ -46,12 +46,14 @@
             source.Kind.DOMAINS_OUT, "out", model.DomainOut(domain="out")
         )
         await kit.until(lambda: made.known.domains_out())
+        made.shared.crashes.quarantine("5f1d", clock.now())
         failing = next(u for u in made.known.upstreams(0.0) if u.name == "w4")
         made.shared.chooser.health_of(failing).unreachable(1e12, "as the test wants")
         _, text = await read(made, "/status")
         row = codec.from_json(text, status.Status)
         assert (row.instance, row.is_ready, row.config_version) == ("one", True, 1)
         assert row.watchers == ["one"]
+        assert row.quarantined == ["5f1d"]
         ages = {belief.kind: belief.age_s for belief in row.beliefs}
         assert set(ages) == set(source.Kind)
         assert all(age_s >= 0 for age_s in ages.values())
