Give a starting instance five seconds before it watches by itself

Cause, from the 'own watch switched' lines: 70 instances that started together had heard no watcher for 2.2 s, since the lists of members were not full yet, and each watched for 10 s, at 14 to 16 calls.

Now silence counts from 5 s after the start on, an instance that was only not told stays for 2 s and not for 10, and one of its two tellers lies in its own failure domain, so that a cut of the domain does not silence it.

--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/relay.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/relay.py
@@ -30,6 +30,8 @@
 BEAT_S = 1.0
 STALE_S = 5.0
 HELP_S = 10.0
+# Stay of one that was only not told for a while.
+SHORT_HELP_S = 2.0
 BOOT_WAIT_S = 0.6
 SETTLE_S = 1.0
 ASK_TIMEOUT_S = 1.0
@@ -97,11 +99,20 @@
         names = [row.name for row in self.watchers]
         found = []
         for member in self.peers.others():
-            tellers = rendezvous.ranked(names, member.name)[:TOLD_BY]
-            if member.name in names or self.peers.me.name in tellers:
+            if member.name in names or self.peers.me.name in self._tellers(member):
                 found.append(member.address)
         return found
 
+    def _tellers(self, member: probes.Member) -> list[str]:
+        """Return the watchers that tell an instance, one of its own domain first.
+
+        That one is heard while the domain is cut off, and over no long link.
+        """
+        domains = {row.name: row.domain for row in self.watchers}
+        ranked = rendezvous.ranked(domains, member.name)
+        near = [name for name in ranked if domains[name] == member.domain][:1]
+        return (near + [name for name in ranked if name not in near])[:TOLD_BY]
+
     @mode.Service.task
     async def choose(self) -> None:
         """Keep the watchers chosen and the own watch on or off."""
@@ -121,7 +132,8 @@
         is_cut_off = oldest_s > STALE_S or self.silence.is_silent(now)
         lost = is_cut_off and now - self._started_at > 2 * BOOT_WAIT_S
         if lost and not self.watch.is_active:
-            self._helps_until = now + HELP_S
+            stay_s = HELP_S if oldest_s > STALE_S else SHORT_HELP_S
+            self._helps_until = now + stay_s
         wanted = self._is_chosen_for_good(now) or lost or now < self._helps_until
         self.watch.sharers = self._sharers(now)
         self.watch.is_urgent = self.silence.is_isolated(now)
--- a/libs/masticpost-gateway/src/masticpost_gateway/state/isolation.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/state/isolation.py
@@ -16,6 +16,8 @@
 from masticpost_gateway.state import watching
 
 SILENT_S = 2.2
+# Instances that start together learn who watches some seconds after their start.
+START_S = 5.0
 HELD_S = 0.3
 POLL_S = 0.02
 MAX_SILENT_S = 1e6
@@ -56,7 +58,7 @@
 
     def is_silent(self, now: float) -> bool:
         """Tell whether none was heard for a while, the first moments left out."""
-        return not self.hears(now) and now - self._started_at > SILENT_S
+        return not self.hears(now) and now - self._started_at > START_S
 
     def is_isolated(self, now: float) -> bool:
         """Tell whether neither the store nor another instance tells of changes."""
--- a/libs/masticpost-gateway/testing/sharing/test_relay.py
+++ b/libs/masticpost-gateway/testing/sharing/test_relay.py
@@ -255,3 +255,27 @@
         dep.store.is_deaf = True
         made = await dep.add_node("node-2", seeds=seeds, store=dep.store)
         assert version(made) in (1, 7)
+
+
+async def test_each_instance_is_told_by_a_watcher_of_its_own_domain():
+    """Both tellers lay in other domains for most, beyond a cut and over long links."""
+    async with kit.Deployment() as dep:
+        await dep.configure()
+        first = None
+        for number in range(9):
+            seeds = (first.cfg.mesh.address,) if first else ()
+            made = await dep.add_node(
+                f"node-{number}", seeds=seeds, domain="abc"[number % 3]
+            )
+            first = first or made
+        await kit.until(lambda: all(len(n.members()) == 9 for n in dep.nodes))
+        await kit.until(lambda: all(len(n.relay.watchers) == 3 for n in dep.nodes))
+        watchers = [n for n in dep.nodes if n.relay.is_watcher]
+        assert len({n.cfg.domain for n in watchers}) == 3
+        for told in dep.nodes:
+            if told in watchers:
+                continue
+            address = told.cfg.mesh.address
+            tellers = [n for n in watchers if address in n.relay.told_by_me()]
+            assert len(tellers) == relay.TOLD_BY
+            assert told.cfg.domain in {n.cfg.domain for n in tellers}
