--- a/libs/masticpost-gateway/src/masticpost_gateway/upstreams/endings.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/upstreams/endings.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import collections.abc
-import enum
 import socket
 
 import attrs
@@ -22,14 +21,6 @@
 OPEN_FOR_S = 10.0
 
 
-class Finding(enum.Enum):
-    """What is known of a run after a connection to it was cut."""
-
-    ENDED = "ended"
-    LIVES = "lives"
-    OPEN = "open"
-
-
 Listener = collections.abc.Callable[[], None]
 
 
@@ -117,11 +108,9 @@
         await asyncio.gather(*probes, return_exceptions=True)
 
     async def _probe(self, row: Doubt) -> None:
-        found = await _connect(row.upstream.address)
-        if found is Finding.ENDED:
+        # One that can be reached may be the next run already: its entry tells.
+        if not await _listens(row.upstream.address):
             self._ended(row, "nothing listens")
-        elif found is Finding.LIVES and not row.is_ended:
-            row.listeners.clear()
 
     def _ended(self, row: Doubt, sign: str) -> None:
         if row.is_ended:
@@ -157,8 +146,8 @@
             del self._doubts[key]
 
 
-async def _connect(address: str) -> Finding:
-    """Tell whether something listens at an address."""
+async def _listens(address: str) -> bool:
+    """Tell whether something may listen at an address."""
     host, _, port = address.rpartition(":")
     target = (host, int(port))
     sock = conns.make_socket((socket.AF_INET, socket.SOCK_STREAM, 0, "", target))
@@ -166,9 +155,10 @@
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             await asyncio.get_running_loop().sock_connect(sock, target)
     except ConnectionRefusedError:
-        return Finding.ENDED
+        return False
     except (OSError, TimeoutError):
-        return Finding.OPEN
+        # Out of reach, which tells nothing of the upstream.
+        return True
     finally:
         sock.close()
-    return Finding.LIVES
+    return True
--- a/libs/masticpost-gateway/testing/upstreams/test_endings.py
+++ b/libs/masticpost-gateway/testing/upstreams/test_endings.py
@@ -66,10 +66,20 @@
     scene.tell(record)
     scene.doubt(record)
     await scene.ends.settle(record, LONG_S)
-    scene.tell()
+    scene.tell(record)
     assert not scene.blamed
 
 
+async def test_upstream_that_is_back_at_once_is_told_by_its_entry(scene, worker):
+    """Something listens again, or a proxy before it always did."""
+    record = worker.record()
+    scene.tell(record)
+    scene.doubt(record)
+    await scene.ends.settle(record, LONG_S)
+    scene.tell(attrs.evolve(record, born_ms=7))
+    assert scene.blamed == ["request"]
+
+
 @pytest.mark.parametrize("back", [True, False])
 async def test_silent_run_ends_with_its_entry(scene, worker, back):
     record = worker.record()
