Make the instance's news in a part of its own

node.__init__ had grown over 50 lines with the quarantine: what tells others of evidence, sessions and crashes is made in one method and started in one loop. No behaviour changes; the gateway's tests pass.

--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -110,31 +110,19 @@
             has_others=lambda: bool(self.mesh.others()), watch=self.watching
         )
         self.shared = self._make_shared(names)
-        trials, memory = self.shared.trials, self.shared.sessions
         self.relay = relay.Relay(
             peers=self.mesh,
             known=self.known,
             watch=self.watching,
-            trials=trials,
+            trials=self.shared.trials,
             silence=self.isolation,
         )
-        self.evidence_news = evidencenews.EvidenceSharing(
-            peers=self.mesh, watchers=self.relay, trials=trials
-        )
-        self.session_news = sessionnews.SessionSharing(
-            peers=self.mesh, watchers=self.relay, trials=trials, memory=memory
-        )
-        self.crash_news = crashnews.CrashSharing(
-            peers=self.mesh, watchers=self.relay, known=self.shared.crashes
-        )
-        self.quarantines = quarantines.QuarantineKeeping(
-            me=cfg.name, store=store, watchers=self.relay, known=self.shared.crashes
-        )
+        self.news = self._make_news(store)
         self.stages = stages.Stages(
             me=cfg.name,
             store=store,
             known=self.known,
-            trials=trials,
+            trials=self.shared.trials,
             members=lambda: {row.name for row in self.relay.watchers},
         )
         self.gateway = gateway.Gateway(parts=self.shared)
@@ -143,6 +131,25 @@
         self._runners: list[web.ServerRunner] = []
         self.known.listen(self._on_change)
 
+    def _make_news(self, store: source.Source) -> tuple[mode.Service, ...]:
+        """Return what tells the others of evidence, sessions and crashes."""
+        trials, known = self.shared.trials, self.shared.crashes
+        return (
+            evidencenews.EvidenceSharing(
+                peers=self.mesh, watchers=self.relay, trials=trials
+            ),
+            sessionnews.SessionSharing(
+                peers=self.mesh,
+                watchers=self.relay,
+                trials=trials,
+                memory=self.shared.sessions,
+            ),
+            crashnews.CrashSharing(peers=self.mesh, watchers=self.relay, known=known),
+            quarantines.QuarantineKeeping(
+                me=self.cfg.name, store=store, watchers=self.relay, known=known
+            ),
+        )
+
     def _make_shared(self, names: headers.HeaderNames) -> shared.Shared:
         """Return the parts that every request uses."""
         cfg = self.cfg
@@ -192,10 +199,8 @@
         await self.loads.start()
         await self.watching.start()
         await self.relay.start()
-        await self.evidence_news.start()
-        await self.session_news.start()
-        await self.crash_news.start()
-        await self.quarantines.start()
+        for service in self.news:
+            await service.start()
         await self.stages.start()
         await self._listen(self.cfg.callers, self.gateway.handle)
         await self._listen(self.cfg.ready, self._ready)
@@ -208,10 +213,8 @@
         for runner in self._runners:
             await runner.cleanup()
         await self.stages.stop()
-        await self.quarantines.stop()
-        await self.crash_news.stop()
-        await self.session_news.stop()
-        await self.evidence_news.stop()
+        for service in reversed(self.news):
+            await service.stop()
         await self.relay.stop()
         await self.watching.stop()
         await self.loads.stop()
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/sends.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/sends.py
@@ -44,7 +44,7 @@
     ) -> None:
         self.shared = parts
         self.call = call
-        self.feedback = notes
+        self.notes = notes
         self.count = 0
 
     def begin(
@@ -61,7 +61,7 @@
             upstream=upstream,
             level=level,
             health=row,
-            pace=self.feedback.begin(upstream),
+            pace=self.notes.begin(upstream),
             at=now,
             reading=reading,
         )
@@ -70,7 +70,7 @@
             sent.unread_tokens = places.unread_tokens(upstream.name, reading)
             read_s = places.read_s(upstream.name, reading)
             sent.work = self.shared.loads.begin(upstream.name, read_s)
-            self.feedback.sent(upstream.name, reading)
+            self.notes.sent(upstream.name, reading)
         return sent
 
     def end(
@@ -80,7 +80,7 @@
         row.outstanding -= 1
         if work is not None:
             self.shared.loads.end(work)
-        self.feedback.end(pace)
+        self.notes.end(pace)
 
     def take_back(self, now: float) -> None:
         """Forget a send that has reached no upstream: it spends no retry budget."""
