Take only watchers that watch for news of the store

In these its watchers lose power at 14 to 16 s; it hears nobody for 2.2 s, asks the store and knows at 17.5 s.

Suspected by reading: a watcher that was just chosen tells its beat before it has begun to watch, and those it tells took it for news, which puts off their own watch by 2.2 s more. Such a beat does not count now; the test failed before.

--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/passing.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/passing.py
@@ -111,12 +111,16 @@
 
     Attributes
     ----------
+    watches : bool
+        Whether the sender has begun to watch the store. One that was chosen a moment
+        ago knows no more than those that it tells.
     doubted : list of BadVersion
         Versions on trial that may be bad.
     """
 
     views: list[Freshness]
     bad: list[BadVersion]
+    watches: bool = True
     doubted: list[BadVersion] = attrs.field(factory=list)
 
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/relay.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/relay.py
@@ -197,7 +197,9 @@
             for service, row in self.trials.open.items()
             if self.is_watcher and row.is_doubtful(now)
         ]
-        return passing.Beat(views=views, bad=bad, doubted=doubted)
+        return passing.Beat(
+            views=views, bad=bad, watches=self.watch.is_active, doubted=doubted
+        )
 
     def _advanced(self, step: beliefs.Advance) -> None:
         bases, self._passed = self._passed, self._configurations()
@@ -270,7 +272,8 @@
 
     async def _on_beat(self, envelope: messages.Envelope, body: passing.Beat) -> None:
         now = clock.now()
-        if any(row.name == envelope.sender for row in self.watchers):
+        is_watcher = any(row.name == envelope.sender for row in self.watchers)
+        if is_watcher and body.watches:
             self.silence.heard(now)
         for row in body.views:
             view = self.known.views[row.kind]
--- a/libs/masticpost-gateway/testing/sharing/test_relay.py
+++ b/libs/masticpost-gateway/testing/sharing/test_relay.py
@@ -279,3 +279,19 @@
             tellers = [n for n in watchers if address in n.relay.told_by_me()]
             assert len(tellers) == relay.TOLD_BY
             assert told.cfg.domain in {n.cfg.domain for n in tellers}
+
+
+async def test_watcher_that_has_not_begun_to_watch_is_not_taken_for_news():
+    """Those that it told sent by old beliefs, without asking the store themselves."""
+    async with kit.Deployment() as dep:
+        await dep.configure()
+        await deployment(dep, 5)
+        made = next(n for n in dep.nodes if not n.relay.is_watcher)
+        heard = []
+        made.relay.silence = types.SimpleNamespace(heard=heard.append)
+        teller = types.SimpleNamespace(sender=made.relay.watchers[0].name)
+        for watches in (False, True):
+            heard.clear()
+            body = passing.Beat(views=[], bad=[], watches=watches)
+            await relay.Relay._on_beat(made.relay, teller, body)
+            assert bool(heard) == watches
