Show crashes under a request beside its end, not as one more end

masticpost explain took every line that names a request's id for an end of it; the new suspect lines, and an upstream's notices before them, name one too.

--- a/libs/masticpost-cli/src/masticpost_cli/story.py
+++ b/libs/masticpost-cli/src/masticpost_cli/story.py
@@ -15,7 +15,10 @@
     "store",
     "belief",
     "watch",
+    "isolation",
     "upstream",
+    "suspect",
+    "quarantine",
     "trial",
     "roll-out",
     "mesh",
@@ -98,7 +101,8 @@
 
 def tell(lines: Lines, request_id: str) -> Story | None:
     """Return the story of a request, None when no line names it."""
-    ends = [row for row in lines.entries if row.rest.get("id") == request_id]
+    named = [row for row in lines.entries if row.rest.get("id") == request_id]
+    ends = [row for row in named if row.event not in CONTEXT_EVENTS]
     if not ends:
         return None
     context = [row for row in lines.entries if any(_is_near(row, end) for end in ends)]
--- a/libs/masticpost-cli/testing/test_explain.py
+++ b/libs/masticpost-cli/testing/test_explain.py
@@ -82,6 +82,16 @@
     assert "another" not in text
 
 
+def test_lines_of_upstreams_that_name_the_request_are_no_ends_of_it(log):
+    """A crash under a request was shown as one more end of the request."""
+    row = loguru.logger.bind(event="suspect", id=ID, upstream="u1", crashes=2)
+    row.warning("an upstream has ended under a request")
+    end()
+    found = story.tell(lines_of(log.getvalue()), ID)
+    assert len(found.ends) == 1
+    assert "crashes=2" in "\n".join(explain.render(found))
+
+
 def test_unreadable_and_dropped_lines_and_clock_steps_are_counted(log):
     end()
     row = json.loads(log.getvalue())
