--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/relay.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/relay.py
@@ -30,8 +30,6 @@
 BEAT_S = 1.0
 STALE_S = 5.0
 HELP_S = 10.0
-# Stay of one that was only not told for a while.
-SHORT_HELP_S = 2.0
 BOOT_WAIT_S = 0.6
 SETTLE_S = 1.0
 ASK_TIMEOUT_S = 1.0
@@ -132,8 +130,7 @@
         is_cut_off = oldest_s > STALE_S or self.silence.is_silent(now)
         lost = is_cut_off and now - self._started_at > 2 * BOOT_WAIT_S
         if lost and not self.watch.is_active:
-            stay_s = HELP_S if oldest_s > STALE_S else SHORT_HELP_S
-            self._helps_until = now + stay_s
+            self._helps_until = now + HELP_S
         wanted = self._is_chosen_for_good(now) or lost or now < self._helps_until
         self.watch.sharers = self._sharers(now)
         self.watch.is_urgent = self.silence.is_isolated(now)
