--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
@@ -189,7 +189,7 @@
         """Note that the answer was complete, or that a crash may have cut it."""
         if result.startswith("cut"):
             self.suspects.note_no_answer(
-                opened.upstream, opened.sent_at, had_begun=True, is_cut=True
+                opened.upstream, opened.sent_at, begun_at=opened.head_at, is_cut=True
             )
         elif result == "ok" or result.startswith("failed"):
             self.suspects.note_answer()
@@ -249,7 +249,7 @@
         is_cut = exc.reason.startswith(sending.BROKEN)
         if is_cut or exc.reason == sending.SILENT:
             self.suspects.note_no_answer(
-                dispatch.upstream, dispatch.sent_at, had_begun=False, is_cut=is_cut
+                dispatch.upstream, dispatch.sent_at, begun_at=None, is_cut=is_cut
             )
 
     def requirements(self, level: str) -> choice.Requirements:
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/call.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/call.py
@@ -142,6 +142,7 @@
             customer=self.customer,
             session=self.head.session,
             config=self.config_version,
+            parts=self.head.prompt.shared_names,
             tokens=(self.head.prompt.tokens_in, self.head.prompt.tokens_expected),
             outcome=outcome,
             status=status,
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/headers.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/headers.py
@@ -94,6 +94,11 @@
         """The leading parts, which prompts of other requests may share."""
         return self.parts[:-1]
 
+    @property
+    def shared_names(self) -> tuple[str, ...]:
+        """The names of the leading parts."""
+        return tuple(part.name for part in self.shared)
+
 
 @attrs.frozen(kw_only=True)
 class CallHead:
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/suspects.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/suspects.py
@@ -65,7 +65,7 @@
         upstream: model.Upstream,
         sent_at: float,
         *,
-        had_begun: bool,
+        begun_at: float | None,
         is_cut: bool,
     ) -> None:
         """Note an attempt without a complete answer, possibly due to a crash.
@@ -74,25 +74,26 @@
         ----------
         sent_at : float
             Time of sending, in monotonic seconds.
-        had_begun : bool
-            Whether a part of the answer was received.
+        begun_at : float or None
+            Time at which the head of the answer arrived, None if it did not.
         is_cut : bool
             Whether the connection was cut; else the upstream was silent.
         """
         at = clock.now()
 
         def ended() -> None:
-            self._note_crash(upstream, at, had_begun=had_begun)
+            self._note_crash(upstream, at, begun_at)
 
         self.exit_detector.watch_for_exit(upstream, sent_at, ended, is_cut=is_cut)
         if is_cut:
             self._unsettled.append(upstream)
 
     def _note_crash(
-        self, upstream: model.Upstream, at: float, *, had_begun: bool
+        self, upstream: model.Upstream, at: float, begun_at: float | None
     ) -> None:
         name, born_ms, address = upstream.incarnation
         run = f"{name}/{born_ms}/{address}"
+        had_begun = begun_at is not None
         crash = crashes.Crash(run=run, at=at, had_begun=had_begun)
         fingerprint = self.call.fingerprint
         if not self.crash_tracker.record_local_crash(fingerprint, crash):
@@ -101,7 +102,9 @@
             event="suspect",
             id=self.call.head.request_id,
             fingerprint=fingerprint,
+            parts=self.call.head.prompt.shared_names,
             upstream=upstream.name,
-            had_begun=had_begun,
+            run=run,
+            begun_s=None if begun_at is None else round(at - begun_at, 3),
             crashes=self.crash_tracker.crash_count(fingerprint),
         ).warning("upstream run ended while serving the request")
