--- a/testing/support/gatewaykit.py
+++ b/testing/support/gatewaykit.py
@@ -188,6 +188,11 @@
     async def stop(self):
         self._server.close()
 
+    @property
+    def is_up(self):
+        """Whether the current run listens."""
+        return self._server.is_serving()
+
     def crash(self):
         """Act like a killed process: stop listening and reset every connection."""
         self._server.close()
