Count crashes for the parts of prompts too, and try what is quarantined again

What callers saw: requests that share one part of their prompt, none alike, crashed one upstream after the other for as long as they came; most sound streams of that time were cut.

Cause: crashes were counted for a request identical to the letter. What different requests have in common was counted nowhere, so that each new request was innocent until it had crashed three upstreams by itself. The class: the unit that is counted is finer than the cause.

Now a crash counts against the request and each part of its prompt but the last, pooled by the watchers as before. A part is blamed if three crashes have it in common, no single request was at all of them, and no other cause explains them as well: parts that were answered shortly before need five, of equal evidence the narrower cause is blamed, and rivals get 1.5 s to be cleared by an answer. An answer that goes on for 0.5 s clears the parts, since what crashes an upstream as it begins to answer did not. Only watchers judge prompts; others know too few of the crashes and answers. An attempt that was given up up to 0.4 s before a crash that others saw counts as well.

What is quarantined is tried again after 60 s, doubling with each failure: one request at one instance, then at twice as many every 10 s. An answer frees it everywhere, in the store too. Suspects, quarantines, reports and messages are bounded; a storm does not push the strongest suspect out.

--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/progress.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/progress.py
@@ -53,6 +53,11 @@
         self.events += events
         self._last_at = now
 
+    @property
+    def first_event_at(self) -> float | None:
+        """Time of the first event, in monotonic seconds; None before it."""
+        return self._first_at if self.events else None
+
     @property
     def is_measured(self) -> bool:
         """Whether enough events have arrived for a representative mean gap."""
--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -10,7 +10,14 @@
 from masticpost_common import clock
 
 from masticpost_gateway import shared
-from masticpost_gateway.learning import crashes, sessions, speeds, stages, trial
+from masticpost_gateway.learning import (
+    crashes,
+    quarantine,
+    sessions,
+    speeds,
+    stages,
+    trial,
+)
 from masticpost_gateway.reporting import (
     countedstore,
     gauges,
@@ -204,6 +211,7 @@
             placement=places,
             isolation=self.isolation,
             crashes=crashes.CrashTracker(),
+            trial_turns=quarantine.TrialTurns(me=cfg.name, members=self.members),
             exits=exits.ExitDetector(
                 records=self.records, is_leaving=chooser.is_leaving
             ),
--- a/libs/masticpost-gateway/src/masticpost_gateway/reporting/countedstore.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/reporting/countedstore.py
@@ -71,20 +71,18 @@
     async def quarantined(
         self,
     ) -> result.Result[list[source.QuarantineEntry], source.Fault]:
-        """Return the quarantined requests."""
+        """Return the quarantined causes."""
         return await self._count("quarantined", self.store.quarantined())
 
-    async def add_quarantined(
+    async def put_quarantined(
         self, row: source.QuarantineEntry
     ) -> result.Result[None, source.Fault]:
-        """Add a quarantined request."""
-        return await self._count("keep", self.store.add_quarantined(row))
+        """Add a quarantined cause or replace its entry."""
+        return await self._count("keep", self.store.put_quarantined(row))
 
-    async def remove_quarantined(
-        self, fingerprint: str
-    ) -> result.Result[None, source.Fault]:
-        """Remove a quarantined request."""
-        return await self._count("drop", self.store.remove_quarantined(fingerprint))
+    async def remove_quarantined(self, key: str) -> result.Result[None, source.Fault]:
+        """Remove a quarantined cause."""
+        return await self._count("drop", self.store.remove_quarantined(key))
 
     async def close(self) -> None:
         """Close the store's connections."""
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/answer.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/answer.py
@@ -24,6 +24,8 @@
         When the request was sent and when the headers arrived, in monotonic seconds.
     confidence : float or None
         Confidence on which the choice of the model was based, None for none.
+    has_survived : bool
+        Whether it went on for so long that no part of the prompt crashes the upstream.
     """
 
     upstream: model.Upstream
@@ -37,6 +39,7 @@
     work: loads.ActiveRequest | None = None
     uncached_tokens: int = 0
     confidence: float | None = None
+    has_survived: bool = False
 
     @property
     def is_failure(self) -> bool:
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
@@ -61,7 +61,10 @@
             parts=parts, call=call, observer=self.feedback
         )
         self.suspects = suspects.SuspectTracker(
-            crash_tracker=parts.crashes, exit_detector=parts.exits, call=call
+            crash_tracker=parts.crashes,
+            exit_detector=parts.exits,
+            turns=parts.trial_turns,
+            call=call,
         )
         self.tried: set[str] = set()
         self.executions = 0
@@ -189,10 +192,12 @@
         """Note that the answer was complete, or that a crash may have cut it."""
         if result.startswith("cut"):
             self.suspects.note_no_answer(
-                opened.upstream, opened.sent_at, begun_at=opened.head_at, is_cut=True
+                opened.upstream, opened.sent_at, opened=opened, is_cut=True
             )
         elif result == "ok" or result.startswith("failed"):
-            self.suspects.note_answer()
+            self.suspects.note_answer(is_success=opened.resp.status < 400)
+        else:
+            self.suspects.note_left(opened.upstream, opened)
 
     def avoid_version(self, version: str) -> None:
         """Avoid a version on trial in the next attempts, as it has failed."""
@@ -231,6 +236,7 @@
             self._record(
                 dispatch.upstream, dispatch.level, "cancelled", dispatch.sent_at
             )
+            self.suspects.note_left(dispatch.upstream, None)
             return
         now = clock.now()
         self._record(dispatch.upstream, dispatch.level, exc.reason, dispatch.sent_at)
@@ -249,7 +255,7 @@
         is_cut = exc.reason.startswith(sending.BROKEN)
         if is_cut or exc.reason == sending.SILENT:
             self.suspects.note_no_answer(
-                dispatch.upstream, dispatch.sent_at, begun_at=None, is_cut=is_cut
+                dispatch.upstream, dispatch.sent_at, opened=None, is_cut=is_cut
             )
 
     def requirements(self, level: str) -> choice.Requirements:
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/call.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/call.py
@@ -8,6 +8,7 @@
 from loguru import logger
 from masticpost_common import clock
 
+from masticpost_gateway.learning import causes
 from masticpost_gateway.serving import headers, outcomes
 from masticpost_gateway.state import model
 
@@ -110,6 +111,11 @@
         digest.update(self.body)
         return digest.hexdigest()
 
+    @functools.cached_property
+    def part_keys(self) -> tuple[str, ...]:
+        """Keys of the shared parts of the prompt, as possible causes of crashes."""
+        return tuple(map(causes.part_key, self.head.prompt.shared_names))
+
     @property
     def answer_due_at(self) -> float:
         """Monotonic time by which the caller must get an answer."""
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/streaming.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/streaming.py
@@ -289,6 +289,7 @@
             self.attempts.feedback.record_events(
                 opened, len(completed), now - last_event_at
             )
+            self.attempts.suspects.note_events(opened)
             opened.health.last_response_at = last_event_at = now
             await self._write(opened, completed)
         body_end.check()
--- a/libs/masticpost-gateway/src/masticpost_gateway/shared.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/shared.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from masticpost_gateway.learning import crashes, sessions, trial
+from masticpost_gateway.learning import crashes, quarantine, sessions, trial
 from masticpost_gateway.reporting import requestmetrics
 from masticpost_gateway.routing import cascade, choice, placement, retrybudget
 from masticpost_gateway.serving import headers
@@ -34,5 +34,6 @@
     policy: cascade.Policy
     isolation: isolation.Isolation
     crashes: crashes.CrashTracker
+    trial_turns: quarantine.TrialTurns
     exits: exits.ExitDetector
     closing_at: float | None = None
--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/crashreports.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/crashreports.py
@@ -1,13 +1,14 @@
-"""Crash reports, pooled by the watchers, and their verdicts on suspected requests.
+"""Crash reports, pooled by the watchers, and their verdicts on the possible causes.
 
-A request that crashes upstreams may be retried at any instance. Each instance reports
-to the watchers which requests were running when a run (one process lifetime) of an
-upstream ended. The watchers announce to all others which requests are accused, so that
-an instance that has answered an identical one reports it, and which ones are
+What crashes upstreams, a request or a part of prompts, may come again at any instance.
+Each instance reports to the watchers which requests were running when a run (one
+process lifetime) of an upstream ended. The watchers announce to all others which causes
+are accused, so that an instance that has answered them reports it, and which ones are
 quarantined. All messages are idempotent.
 """
 
 import asyncio
+import collections
 import contextlib
 
 import attrs
@@ -16,7 +17,7 @@
 from masticpost_common import clock
 from masticpost_peers import messages
 
-from masticpost_gateway.learning import crashes
+from masticpost_gateway.learning import causes, crashes, quarantine
 from masticpost_gateway.sharing import mesh, relay
 
 # Maximum time between two checks for something to report.
@@ -25,6 +26,9 @@
 REPEATED_S = 3.0
 # Unchanged verdicts are announced again after this time.
 REMINDER_S = 2.0
+# Limits of one message and of what an instance repeats to new watchers.
+MAX_ACCUSED = 256
+MAX_REPORTED = 2048
 
 
 @attrs.frozen(kw_only=True)
@@ -33,26 +37,49 @@
 
     Attributes
     ----------
+    parts : list of str
+        Keys of the shared parts of its prompt, in order.
     run : str
         Identity of the run.
     age_s : float
         Seconds since the run ended.
     had_begun : bool
-        Whether a part of the answer to the request had arrived.
+        Whether a part of its answer had arrived.
+    had_survived : bool
+        Whether its answer had been under way for long enough to clear the parts.
     """
 
     fingerprint: str
     run: str
     age_s: float
-    had_begun: bool
+    parts: list[str] = attrs.field(factory=list)
+    had_begun: bool = False
+    had_survived: bool = False
 
 
 @attrs.frozen(kw_only=True)
 class AgedRow:
-    """A request, and the seconds since it was accused, quarantined or answered."""
+    """A cause, and the seconds since it was accused or answered."""
 
-    fingerprint: str
+    key: str
+    age_s: float
+
+
+@attrs.frozen(kw_only=True)
+class EndedRun:
+    """A run of an upstream that ended, and the seconds since then."""
+
+    run: str
+    age_s: float
+
+
+@attrs.frozen(kw_only=True)
+class QuarantineRow:
+    """A quarantined cause, the seconds since its last crash, and its failed trials."""
+
+    key: str
     age_s: float
+    failed_trials: int = 0
 
 
 @messages.message("gateway-crashes")
@@ -63,7 +90,7 @@
     Attributes
     ----------
     answers : list of AgedRow
-        Complete answers to requests that were accused.
+        Answers that clear causes that were accused.
     """
 
     crashes: list[CrashRow]
@@ -78,16 +105,19 @@
     Attributes
     ----------
     accused : list of AgedRow
-        Requests that further crashes would quarantine.
-    quarantined : list of AgedRow
-        Requests that are not run any more.
+        Causes that further crashes would quarantine.
+    quarantined : list of QuarantineRow
+        Causes that are not run any more.
     answers : list of AgedRow
-        Complete answers, which clear a request.
+        Answers, which clear a cause.
+    ended : list of EndedRun
+        Runs that ended lately; who gave an attempt up there just before reports it.
     """
 
     accused: list[AgedRow]
-    quarantined: list[AgedRow]
+    quarantined: list[QuarantineRow]
     answers: list[AgedRow]
+    ended: list[EndedRun] = attrs.field(factory=list)
 
 
 class CrashSharing(mode.Service):
@@ -110,7 +140,9 @@
         self.peers = peers
         self.relay = relay
         self.tracker = tracker
-        self._crashes: list[tuple[str, crashes.Crash]] = []
+        self._crashes: collections.deque[causes.Crash] = collections.deque(
+            maxlen=MAX_REPORTED
+        )
         self._answers: dict[str, float] = {}
         self._reported_to: set[str] = set()
         self._announced: tuple[object, ...] = ()
@@ -129,32 +161,34 @@
                 async with asyncio.timeout(min(pause_s, TICK_S)):
                     await self._wake.wait()
             self._wake.clear()
+            self.tracker.judges_prompts = self.relay.is_watcher
             self.judge()
             await self._report(clock.now())
             if self.relay.is_watcher:
                 await self._announce(clock.now())
 
     def judge(self) -> None:
-        """Quarantine the requests that caused crashes by this instance's evidence."""
-        for fingerprint in self.tracker.judge(clock.now()):
+        """Quarantine what caused crashes by this instance's evidence."""
+        for key in self.tracker.judge(clock.now()):
             logger.bind(
                 event="quarantine",
-                fingerprint=fingerprint,
-                crashes=self.tracker.crash_count(fingerprint),
-            ).warning("request quarantined")
+                cause=key,
+                crashes=self.tracker.crash_count(key),
+            ).warning("quarantined")
 
-    def _on_crash(self, fingerprint: str, crash: crashes.Crash) -> None:
-        self._crashes.append((fingerprint, crash))
+    def _on_crash(self, crash: causes.Crash) -> None:
+        self._crashes.append(crash)
         self._wake.set()
 
-    def _on_answer(self, fingerprint: str, at: float) -> None:
-        self._answers[fingerprint] = at
+    def _on_answer(self, key: str, at: float) -> None:
+        self._answers[key] = at
         self._wake.set()
 
     async def _report(self, now: float) -> None:
         """Send recent observations to the other watchers, and all to a new watcher."""
         retained_from = now - crashes.RETENTION_S
-        self._crashes = [row for row in self._crashes if row[1].at > retained_from]
+        while self._crashes and self._crashes[0].at <= retained_from:
+            self._crashes.popleft()
         self._answers = {
             fp: at for fp, at in self._answers.items() if at > now - REPEATED_S
         }
@@ -162,24 +196,26 @@
         others = {row.address for row in self.relay.watchers if row.name != me}
         new = others - self._reported_to
         self._reported_to = others
-        await self._send_report(new, self._crashes, now)
-        recent = [row for row in self._crashes if row[1].at > now - REPEATED_S]
+        await self._send_report(new, list(self._crashes), now)
+        recent = [row for row in self._crashes if row.at > now - REPEATED_S]
         await self._send_report(others - new, recent, now)
 
     async def _send_report(
-        self, addresses: set[str], rows: list[tuple[str, crashes.Crash]], now: float
+        self, addresses: set[str], rows: list[causes.Crash], now: float
     ) -> None:
         if not addresses or not (rows or self._answers):
             return
         body = CrashReport(
             crashes=[
                 CrashRow(
-                    fingerprint=fingerprint,
+                    fingerprint=crash.request,
+                    parts=list(crash.parts),
                     run=crash.run,
                     age_s=now - crash.at,
                     had_begun=crash.had_begun,
+                    had_survived=crash.had_survived,
                 )
-                for fingerprint, crash in rows
+                for crash in rows
             ],
             answers=_aged_rows(self._answers, now),
         )
@@ -189,9 +225,15 @@
 
     async def _announce(self, now: float) -> None:
         """Send the verdicts to the recipients if they have changed or are due again."""
-        accused = self.tracker.accused_since(now - REPEATED_S)
+        accused = self._accused(now)
         quarantined = self.tracker.quarantined(now)
-        verdicts = (tuple(accused), tuple(quarantined), tuple(self._answers))
+        ended = self.tracker.runs.ended_since(now - REPEATED_S)
+        verdicts = (
+            tuple(ended),
+            tuple(accused),
+            tuple(quarantined.items()),
+            tuple(self._answers),
+        )
         is_due = any(verdicts) and now - self._announced_at >= REMINDER_S
         if verdicts == self._announced and not is_due:
             return
@@ -201,45 +243,69 @@
             return
         body = Verdicts(
             accused=_aged_rows(accused, now),
-            quarantined=_aged_rows(quarantined, now),
+            quarantined=[
+                QuarantineRow(
+                    key=key, age_s=now - row.at, failed_trials=row.failed_trials
+                )
+                for key, row in quarantined.items()
+            ],
             answers=_aged_rows(self._answers, now),
+            ended=[EndedRun(run=run, age_s=now - at) for run, at in ended.items()],
         )
         await self.peers.hub.broadcast(addresses, body, queue_until_connected=True)
 
+    def _accused(self, now: float) -> dict[str, float]:
+        """Return the latest accused causes, those with the most crashes if too many."""
+        rows = self.tracker.accused_since(now - REPEATED_S)
+        if len(rows) <= MAX_ACCUSED:
+            return rows
+        ranked = sorted(rows, key=self.tracker.crash_count, reverse=True)
+        return {key: rows[key] for key in ranked[:MAX_ACCUSED]}
+
     async def _on_report(self, envelope: messages.Envelope, body: CrashReport) -> None:
         now = clock.now()
         for row in body.answers:
             self._merge_answer(row, now)
         for row in body.crashes:
-            crash = crashes.Crash(
-                run=row.run, at=now - row.age_s, had_begun=row.had_begun
+            crash = causes.Crash(
+                run=row.run,
+                at=now - row.age_s,
+                request=row.fingerprint,
+                parts=tuple(row.parts),
+                had_begun=row.had_begun,
+                had_survived=row.had_survived,
             )
-            if self.tracker.record_crash(row.fingerprint, crash):
+            if self.tracker.record_crash(crash):
                 self._wake.set()
 
     async def _on_verdicts(self, envelope: messages.Envelope, body: Verdicts) -> None:
         now = clock.now()
         for row in body.answers:
             self._merge_answer(row, now)
+        for ended in body.ended:
+            self.tracker.note_ended(ended.run, now - ended.age_s)
         for row in body.accused:
-            answered_at = self.tracker.accuse(row.fingerprint, now - row.age_s)
+            answered_at = self.tracker.accuse(row.key, now - row.age_s)
             if answered_at is not None:
-                self._on_answer(row.fingerprint, answered_at)
+                self._on_answer(row.key, answered_at)
         for row in body.quarantined:
-            if self.tracker.quarantine(row.fingerprint, now - row.age_s):
+            reported = quarantine.Quarantine(
+                at=now - row.age_s, failed_trials=row.failed_trials
+            )
+            if self.tracker.add_quarantine(row.key, reported):
                 logger.bind(
                     event="quarantine",
-                    fingerprint=row.fingerprint,
+                    cause=row.key,
                     teller=envelope.sender,
                     age_s=round(row.age_s, 3),
-                ).warning("request quarantined by a watcher")
+                ).warning("quarantined by a watcher")
 
     def _merge_answer(self, row: AgedRow, now: float) -> None:
-        """Record another instance's answer to a request; a watcher forwards it."""
+        """Record another instance's answer; a watcher forwards it."""
         at = now - row.age_s
-        if self.tracker.record_answer(row.fingerprint, at) and self.relay.is_watcher:
-            self._on_answer(row.fingerprint, at)
+        if self.tracker.record_answer(row.key, at) and self.relay.is_watcher:
+            self._on_answer(row.key, at)
 
 
 def _aged_rows(rows: dict[str, float], now: float) -> list[AgedRow]:
-    return [AgedRow(fingerprint=fp, age_s=now - at) for fp, at in rows.items()]
+    return [AgedRow(key=key, age_s=now - at) for key, at in rows.items()]
--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/quarantines.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/quarantines.py
@@ -1,25 +1,28 @@
-"""Persistence of quarantined requests, so that they survive a restart of all instances.
+"""Persistence of quarantined causes, so that they survive a restart of all instances.
 
-Each watcher reads them from the store once. For each request, the watcher that
-rendezvous hashing ranks first adds a missing entry and removes an expired one.
+Each watcher reads them from the store once. For each cause, the watcher that rendezvous
+hashing ranks first writes a missing or outdated entry and removes an expired one.
 """
 
 import asyncio
+import math
 import time
 
 import mode
 from loguru import logger
 from masticpost_common import clock, rendezvous
 
-from masticpost_gateway.learning import crashes
+from masticpost_gateway.learning import crashes, quarantine
 from masticpost_gateway.sharing import relay
 from masticpost_gateway.state import source
 
 PERIOD_S = 0.3
+# Later crashes within this time do not change an entry.
+STALE_AFTER_S = 30.0
 
 
 class QuarantineSync(mode.Service):
-    """Synchronizes the quarantined requests with the store while this is a watcher.
+    """Synchronizes the quarantined causes with the store while this is a watcher.
 
     Parameters
     ----------
@@ -30,7 +33,7 @@
     relay : relay.Relay
         Provides the watchers.
     tracker : crashes.CrashTracker
-        Quarantined requests to store and to restore.
+        Quarantined causes to store and to restore.
     """
 
     def __init__(
@@ -46,7 +49,7 @@
         self.store = store
         self.relay = relay
         self.tracker = tracker
-        self._stored: set[str] = set()
+        self._stored: dict[str, float] = {}
         self._is_read = False
 
     @mode.Service.task
@@ -60,42 +63,44 @@
             await asyncio.sleep(PERIOD_S)
 
     async def _read(self) -> bool:
-        """Quarantine the requests in the store; return whether it answered."""
+        """Quarantine the causes in the store; return whether it answered."""
         outcome = await self.store.quarantined()
         if outcome.is_err():
             logger.bind(event="quarantine").warning(
-                "cannot read the quarantined requests: {}", outcome.unwrap_err().message
+                "cannot read the quarantined causes: {}", outcome.unwrap_err().message
             )
             return False
         for row in outcome.unwrap():
             # Wall clocks differ, so an entry may seem to be from the future.
-            age_s = max(0.0, time.time() - row.since_s)
-            self._stored.add(row.fingerprint)
-            self.tracker.quarantine(row.fingerprint, clock.now() - age_s)
+            at = clock.now() - max(0.0, time.time() - row.since_s)
+            stored = quarantine.Quarantine(at=at, failed_trials=row.failed_trials)
+            self._stored[row.key] = at
+            self.tracker.add_quarantine(row.key, stored)
         logger.bind(event="quarantine", entries=len(self._stored)).info(
-            "read the quarantined requests"
+            "read the quarantined causes"
         )
         return True
 
     async def _write(self) -> None:
         now = clock.now()
         quarantined = self.tracker.quarantined(now)
-        for fingerprint in quarantined.keys() - self._stored:
-            if not self._is_first(fingerprint):
+        for key, row in quarantined.items():
+            stored_at = self._stored.get(key, -math.inf)
+            if row.at <= stored_at + STALE_AFTER_S or not self._is_first(key):
                 continue
-            since_s = time.time() - (now - quarantined[fingerprint])
-            row = source.QuarantineEntry(fingerprint=fingerprint, since_s=since_s)
-            if (await self.store.add_quarantined(row)).is_ok():
-                self._stored.add(fingerprint)
-        for fingerprint in self._stored - quarantined.keys():
-            is_first = self._is_first(fingerprint)
-            if (
-                not is_first
-                or (await self.store.remove_quarantined(fingerprint)).is_ok()
-            ):
-                self._stored.discard(fingerprint)
+            entry = source.QuarantineEntry(
+                key=key,
+                since_s=time.time() - (now - row.at),
+                failed_trials=row.failed_trials,
+            )
+            if (await self.store.put_quarantined(entry)).is_ok():
+                self._stored[key] = row.at
+        for key in self._stored.keys() - quarantined.keys():
+            is_first = self._is_first(key)
+            if not is_first or (await self.store.remove_quarantined(key)).is_ok():
+                self._stored.pop(key)
 
-    def _is_first(self, fingerprint: str) -> bool:
-        """Tell whether this instance is the one that writes the entry of a request."""
+    def _is_first(self, key: str) -> bool:
+        """Tell whether this instance is the one that writes the entry of a cause."""
         names = [row.name for row in self.relay.watchers]
-        return rendezvous.ranked(names, fingerprint)[:1] == [self.me]
+        return rendezvous.ranked(names, key)[:1] == [self.me]
--- a/libs/masticpost-gateway/src/masticpost_gateway/state/source.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/state/source.py
@@ -92,10 +92,21 @@
 
 @attrs.frozen(kw_only=True)
 class QuarantineEntry:
-    """A quarantined request; `since_s` is its start in seconds of Unix time."""
+    """A quarantined cause of crashes.
+
+    Attributes
+    ----------
+    key : str
+        Identifies a request or a part of prompts; fit for a name in the store.
+    since_s : float
+        Time of its last crash, in seconds of Unix time.
+    failed_trials : int
+        Trials that crashed an upstream.
+    """
 
-    fingerprint: str
+    key: str
     since_s: float
+    failed_trials: int = 0
 
 
 class Source(typing.Protocol):
@@ -121,13 +132,13 @@
         """Return the registered instances; the list may be seconds old."""
 
     async def quarantined(self) -> result.Result[list[QuarantineEntry], Fault]:
-        """Return the quarantined requests."""
+        """Return the quarantined causes."""
 
-    async def add_quarantined(self, row: QuarantineEntry) -> result.Result[None, Fault]:
-        """Add a quarantined request; an existing entry is not changed."""
+    async def put_quarantined(self, row: QuarantineEntry) -> result.Result[None, Fault]:
+        """Add a quarantined cause or replace its entry."""
 
-    async def remove_quarantined(self, fingerprint: str) -> result.Result[None, Fault]:
-        """Remove a quarantined request, if there is an entry for it."""
+    async def remove_quarantined(self, key: str) -> result.Result[None, Fault]:
+        """Remove a quarantined cause, if there is an entry for it."""
 
     async def close(self) -> None:
         """Close the connections."""
--- a/testing/support/gatewaykit.py
+++ b/testing/support/gatewaykit.py
@@ -117,14 +117,14 @@
     async def quarantined(self):
         return result.Ok(list(self.quarantine_entries.values()))
 
-    async def add_quarantined(self, row):
+    async def put_quarantined(self, row):
         self.calls += 1
-        self.quarantine_entries[row.fingerprint] = row
+        self.quarantine_entries[row.key] = row
         return result.Ok(None)
 
-    async def remove_quarantined(self, fingerprint):
+    async def remove_quarantined(self, key):
         self.calls += 1
-        self.quarantine_entries.pop(fingerprint, None)
+        self.quarantine_entries.pop(key, None)
         return result.Ok(None)
 
     async def close(self):
