Forward an answer without a length when it and the connection's end arrive together

What callers saw: 502 for a whole answer with neither length nor chunks, if head, body and the end of the connection arrived in one go; a stream was cut after its last event. Cause: how the connection had ended was asked of aiohttp only after the head had been read, when it had let go of the connection. Now the connection itself notes it, and the response keeps the connection. A failure's body is checked in the same way.

Evidence: test_answer_without_length_ends_with_its_connection failed before without a pause, single and stream, as did the stream that ends inside an event; with a pause, reset and cut in the head they passed. An answer cut in its head was no answer before either. The test of the future that nobody awaited asked an object that is gone; it now lets a real connection fail.

--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/plain.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/plain.py
@@ -10,7 +10,6 @@
 
 from masticpost_gateway import shared
 from masticpost_gateway.serving import (
-    answer,
     attempts,
     headers,
     migration,
@@ -23,7 +22,6 @@
 
 # Share of the latency objective after which the first attempt counts as overdue.
 FIRST_ATTEMPT_SHARE = 0.6
-READ_BYTES = 65_536
 SERVER_ERROR = 500
 
 
@@ -103,7 +101,7 @@
     try:
         overdue_after_s -= clock.now() - started_at
         body = await stalls.wait(
-            _read_body(opened),
+            conns.read_body(opened.resp),
             limit_s=req_attempts.call.left_s(),
             rules=migration.stall_rules(
                 req_attempts, upstream, "", overdue_after_s, is_counted=True
@@ -125,14 +123,5 @@
     return CompleteAnswer(status=opened.resp.status, headers=forwarded, body=body)
 
 
-async def _read_body(opened: answer.OpenAnswer) -> bytes:
-    body_end = conns.BodyEndCheck(opened.resp)
-    chunks = []
-    while chunk := await opened.resp.content.read(READ_BYTES):
-        chunks.append(chunk)
-    body_end.check()
-    return b"".join(chunks)
-
-
 def _response(reply: CompleteAnswer) -> web.Response:
     return web.Response(status=reply.status, headers=reply.headers, body=reply.body)
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/streaming.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/streaming.py
@@ -160,7 +160,7 @@
         self.attempts.avoid_version(opened.upstream.version)
         try:
             async with asyncio.timeout(self._failure_timeout_s()):
-                body = await opened.resp.read()
+                body = await conns.read_body(opened.resp)
         except (aiohttp.ClientError, OSError, TimeoutError):
             result = f"cut after {result}"
             return
@@ -258,7 +258,6 @@
     async def _forward_events(self, opened: answer.OpenAnswer) -> None:
         splitter = events.Splitter()
         protocol.renew_byte_limit(opened.resp, MAX_EVENT_BYTES)
-        body_end = conns.BodyEndCheck(opened.resp)
         last_event_at = clock.now()
         overdue_after_s = GAP_FACTOR * self.call.route.gap_s
         rules = migration.stall_rules(
@@ -292,7 +291,7 @@
             self.attempts.suspects.note_events(opened)
             opened.health.last_response_at = last_event_at = now
             await self._write(opened, completed)
-        body_end.check()
+        conns.check_body_end(opened.resp)
         if splitter.has_partial_event or not opened.progress.events:
             raise CutError("the stream ended with an incomplete event or with none")
         self.attempts.feedback.record_stream_end(opened.progress)
--- a/libs/masticpost-gateway/src/masticpost_gateway/upstreams/conns.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/upstreams/conns.py
@@ -61,6 +61,7 @@
         )
         self._http = aiohttp.ClientSession(
             connector=connector,
+            response_class=protocol.UpstreamResponse,
             auto_decompress=False,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
             read_bufsize=READ_BUFFER_BYTES,
@@ -102,51 +103,34 @@
         await self._http.close()
 
 
-class BodyEndCheck:
-    """Detects truncation of a body whose end is marked only by closing the connection.
+def check_body_end(resp: protocol.UpstreamResponse) -> None:
+    """Raise unless a body that was read to its end is known to be complete.
 
-    aiohttp treats any end of the connection as the end of a body without a length. An
-    object of this class must be created before the body is read, and `check` called
-    after it.
+    aiohttp takes any end of the connection for the end of a body without a length.
 
-    Parameters
-    ----------
-    resp : aiohttp.ClientResponse
-        The response whose body is to be read.
+    Raises
+    ------
+    aiohttp.ClientPayloadError
+        The connection was reset.
     """
+    if "Content-Length" in resp.headers or "Transfer-Encoding" in resp.headers:
+        return
+    conn = resp.protocol
+    if conn.is_lost and conn.lost_exc is not None:
+        raise aiohttp.ClientPayloadError(f"connection reset: {conn.lost_exc}")
 
-    def __init__(self, resp: aiohttp.ClientResponse) -> None:
-        head = resp.headers
-        is_framed = "Content-Length" in head or "Transfer-Encoding" in head
-        self._needs_clean_end = not is_framed
-        conn = resp.connection
-        self._closed = conn.protocol.closed if conn is not None else None
-        if self._closed is not None:
-            self._closed.add_done_callback(_mark_retrieved)
 
-    def check(self) -> None:
-        """Raise unless the body is known to be complete.
+async def read_body(resp: protocol.UpstreamResponse) -> bytes:
+    """Return the whole body of a response.
 
-        Raises
-        ------
-        aiohttp.ClientPayloadError
-            The connection was reset, or was closed before this object was created.
-        """
-        if not self._needs_clean_end:
-            return
-        if self._closed is None or not self._closed.done():
-            raise aiohttp.ClientPayloadError(
-                "body may be truncated: end of connection unknown"
-            )
-        exc = self._closed.exception()
-        if exc is not None:
-            raise aiohttp.ClientPayloadError(f"connection reset: {exc}")
-
-
-def _mark_retrieved(fut: asyncio.Future) -> None:
-    """Retrieve a future's exception, so that asyncio does not log it as unretrieved."""
-    if not fut.cancelled():
-        fut.exception()
+    Raises
+    ------
+    aiohttp.ClientError, OSError
+        The connection failed before its end.
+    """
+    body = await resp.read()
+    check_body_end(resp)
+    return body
 
 
 class Pools:
--- a/libs/masticpost-gateway/src/masticpost_gateway/upstreams/protocol.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/upstreams/protocol.py
@@ -1,9 +1,10 @@
-"""Client protocol that limits how many bytes an upstream may send.
+"""Client protocol that guards against bytes that belong to no request.
 
 A faulty upstream may send an endless stream of bytes that is not a valid response. Each
 connection counts the bytes received since the last valid head or event and is reset
 when they exceed a limit. A connection without a request in flight is reset on any byte,
-since the byte cannot belong to a request.
+since the byte cannot belong to a request. A refusal ends its connection, since its
+repetition there would be taken for the answer to the next request.
 """
 
 import asyncio
@@ -13,6 +14,7 @@
 
 import aiohttp
 import aiohttp.client_proto
+from aiohttp import connector
 
 # Enough for the largest head and for interim (1xx) responses before it.
 MAX_HEAD_BYTES = 262_144
@@ -36,6 +38,10 @@
         Bytes after which the connection is reset.
     is_idle : bool
         Whether the connection is kept open without a request in flight.
+    is_lost : bool
+        Whether the connection has ended.
+    lost_exc : BaseException or None
+        Why it ended; None if the upstream closed it.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -43,6 +49,8 @@
         self.received = 0
         self.limit = MAX_HEAD_BYTES
         self.is_idle = False
+        self.is_lost = False
+        self.lost_exc: BaseException | None = None
 
     def set_response_params(self, **params) -> None:
         """Prepare for the response to the next request."""
@@ -65,6 +73,11 @@
             return
         super().data_received(data)
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Note how the connection ended, before readers of the body are woken."""
+        self.is_lost, self.lost_exc = True, exc
+        super().connection_lost(exc)
+
     def _reject_endless(self) -> None:
         exc = EndlessError(f"over {self.limit} bytes without a valid response")
         if self._payload is not None:
@@ -73,6 +86,24 @@
         reset(self.transport)
 
 
+class UpstreamResponse(aiohttp.ClientResponse):
+    """A response that knows its connection, even after its end.
+
+    Attributes
+    ----------
+    protocol : UpstreamProtocol or None
+        The connection, None before the head has arrived.
+    """
+
+    protocol: UpstreamProtocol | None = None
+
+    async def start(self, connection: connector.Connection) -> "UpstreamResponse":
+        """Read the head."""
+        self.protocol = connection.protocol
+        await super().start(connection)
+        return self
+
+
 class Connector(aiohttp.TCPConnector):
     """Creates connections, and resets those whose response is abandoned.
 
--- /dev/null
+++ b/libs/masticpost-gateway/testing/serving/test_faulty_answers.py
@@ -0,0 +1,117 @@
+"""Answers of faulty upstreams, as operators of similar systems met them (issue 27).
+
+Each is tried with a single answer and with a stream.
+"""
+
+import asyncio
+
+import pytest
+from support import gatewaykit as kit
+
+PATHS = {"single": "/book/1", "stream": "/chat/1"}
+EVENT_STREAM = "text/event-stream"
+# An error page whose lines could be taken for an event.
+ERROR_PAGE = b"error\n\nid: 3\ndata: page-of-an-error\n\n"
+
+
+def events(count):
+    return b"".join(kit.event(number) for number in range(1, count + 1))
+
+
+def both_kinds(test):
+    return pytest.mark.parametrize("path", PATHS.values(), ids=PATHS)(test)
+
+
+async def start(dep, *scripts):
+    workers = [
+        await dep.add_worker(f"w{number}", script)
+        for number, script in enumerate(scripts)
+    ]
+    await dep.configure()
+    await dep.add_node()
+    return workers
+
+
+def whole_body(req):
+    return events(3) if req.target.startswith("/chat/") else b"all of it"
+
+
+def head_without_length(req):
+    extra = {"Content_Type": EVENT_STREAM, "Confidence": 90}
+    return (kit.response_head(req, **extra) + "\r\n").encode()
+
+
+@both_kinds
+@pytest.mark.parametrize("framing", ["", "Content-Length: 9\r\n"])
+@pytest.mark.parametrize("ending", ["", "\r\n", "\r", ": of-the-up"])
+async def test_answer_cut_in_its_head_is_no_answer(path, framing, ending):
+    """Guards against a success with an empty body, framed as whole."""
+
+    async def script(req, writer):
+        head = f"HTTP/1.1 200 X\r\nRequest-Id: {req.request_id}\r\n"
+        head += f"Answer-Signature: s\r\n{framing}Confidence{ending}"
+        writer.write(head.encode())
+        await writer.drain()
+        writer.close()
+
+    async with kit.Deployment() as dep:
+        await start(dep, script)
+        reply = await dep.call(path, method="POST", body=b"p")
+        assert reply.status == 502
+
+
+@both_kinds
+@pytest.mark.parametrize("pauses", [(), ("head",), ("body",), ("head", "body")])
+async def test_answer_without_length_ends_with_its_connection(path, pauses):
+    """Guards against 502 when head, body and the end arrive together."""
+
+    async def script(req, writer):
+        writer.write(head_without_length(req))
+        if "head" in pauses:
+            await writer.drain()
+            await asyncio.sleep(0.03)
+        writer.write(whole_body(req))
+        if "body" in pauses:
+            await writer.drain()
+            await asyncio.sleep(0.03)
+        writer.close()
+
+    async with kit.Deployment() as dep:
+        (worker,) = await start(dep, script)
+        reply = await dep.call(path, method="POST", body=b"p")
+        assert (reply.status, reply.is_complete) == (200, True)
+        assert reply.body == whole_body(worker.requests[0])
+        assert len(worker.requests) == 1
+
+
+@both_kinds
+@pytest.mark.parametrize("pause_s", [0.0, 0.03])
+async def test_answer_without_length_that_is_reset_is_not_complete(path, pause_s):
+    """Guards against a short body that looks whole."""
+
+    async def script(req, writer):
+        writer.write(head_without_length(req) + whole_body(req))
+        await writer.drain()
+        await asyncio.sleep(pause_s)
+        kit.reset(writer)
+
+    async with kit.Deployment() as dep:
+        await start(dep, script)
+        reply = await dep.call(path, method="POST", body=b"p")
+        assert reply.status == 502 or not reply.is_complete
+
+
+async def test_stream_without_length_that_ends_inside_an_event_is_resumed():
+    """Guards against a stream that looks complete before its last event."""
+
+    async def script(req, writer):
+        last_id = int(req.headers.get("last-event-id") or 0)
+        body = b"".join(kit.event(number) for number in range(last_id + 1, 6))
+        writer.write(head_without_length(req) + (body if last_id else body[:-3]))
+        writer.close()
+
+    async with kit.Deployment() as dep:
+        await start(dep, script, script)
+        reply = await dep.call("/chat/1", method="POST", body=b"p")
+        assert (reply.status, reply.is_complete) == (200, True)
+        assert reply.body == events(5)
--- a/libs/masticpost-gateway/testing/serving/test_plain.py
+++ b/libs/masticpost-gateway/testing/serving/test_plain.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import gc
-import types
 
 import aiohttp
 import attrs
@@ -11,7 +10,6 @@
 from masticpost_gateway.routing import retrybudget
 from masticpost_gateway.serving import gateway
 from masticpost_gateway.state import model, source
-from masticpost_gateway.upstreams import conns
 from support import gatewaykit as kit
 
 
@@ -331,13 +329,18 @@
     loop.set_exception_handler(
         lambda loop, context: reported.append(context["message"])
     )
-    closed = loop.create_future()
-    protocol = types.SimpleNamespace(closed=closed)
-    conn = types.SimpleNamespace(protocol=protocol)
-    conns.BodyEndCheck(types.SimpleNamespace(headers={}, connection=conn))
-    closed.set_exception(ConnectionResetError())
-    await asyncio.sleep(0)
-    del closed, protocol, conn
+    async with kit.Deployment() as dep:
+
+        async def script(req, writer):
+            writer.write((kit.response_head(req) + "\r\nhalf of").encode())
+            await writer.drain()
+            await asyncio.sleep(0.03)
+            kit.reset(writer)
+
+        await dep.add_worker("w1", script)
+        await dep.configure()
+        await dep.add_node()
+        assert (await dep.call("/book/", method="POST")).status == 502
     gc.collect()
     await asyncio.sleep(0)
     assert reported == []
