Take a refusal for this request only if it bears its id, and end its connection

What callers could see: "not run, try again" for a request that an upstream was running, or a second run of it, if an upstream wrote an earlier refusal once more on a kept connection. Cause: whether an answer says "not run" was asked before whether it belongs to the request. Now the id comes first, and a connection is not used again after a refusal, so that one with the same id cannot be met either.

Evidence: test_refusal_of_an_earlier_request was red, single and stream (503 for a request at work), and is green.

--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/sending.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/sending.py
@@ -79,14 +79,14 @@
     TryError
         The upstream did not run the request, or the answer is not usable.
     """
+    if head.request_id != request_id:
+        raise TryError(retry.Verdict.NOT_KNOWN, "answer to another request")
     if resp.status == leaving.MISDIRECTED_STATUS:
         raise TryError(retry.Verdict.NOT_PROCESSED, MOVED)
     if head.is_not_run and resp.status == leaving.UNAVAILABLE_STATUS:
         raise TryError(retry.Verdict.NOT_PROCESSED, FULL)
     if head.is_not_run:
         raise TryError(retry.Verdict.NOT_PROCESSED, f"not run: {resp.status}")
-    if head.request_id != request_id:
-        raise TryError(retry.Verdict.NOT_KNOWN, "answer to another request")
     if resp.status < 300 and not head.is_signed:
         raise TryError(retry.Verdict.NOT_KNOWN, "answer without signature")
     if "Content-Encoding" in resp.headers:
--- a/libs/masticpost-gateway/src/masticpost_gateway/upstreams/protocol.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/upstreams/protocol.py
@@ -21,6 +21,8 @@
 MAX_ANSWER_BYTES = 16 * 2**20
 # SO_LINGER with a time of 0: closing sends a reset and drops unsent data.
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+# Statuses that may tell that a request was not run.
+REFUSAL_STATUSES = frozenset((400, 408, 421, 429, 503))
 
 
 class EndlessError(aiohttp.ClientPayloadError):
@@ -73,6 +75,13 @@
             return
         super().data_received(data)
 
+    def feed_data(self, data: object, size: int = 0) -> None:
+        """Pass a response on, and let a refusal end the connection."""
+        message, _ = data
+        if message.code in REFUSAL_STATUSES:
+            self.force_close()
+        super().feed_data(data, size)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Note how the connection ended, before readers of the body are woken."""
         self.is_lost, self.lost_exc = True, exc
--- a/libs/masticpost-gateway/testing/serving/test_faulty_answers.py
+++ b/libs/masticpost-gateway/testing/serving/test_faulty_answers.py
@@ -41,6 +41,51 @@
     return (kit.response_head(req, **extra) + "\r\n").encode()
 
 
+@both_kinds
+async def test_refusal_repeated_on_a_kept_connection_answers_no_other_request(path):
+    """Guards against "not run" for a request that an upstream runs."""
+    refused, runs = [], []
+
+    async def script(req, writer):
+        if not refused:
+            refused.append((req, writer))
+            await kit.not_run()(req, writer)
+            return
+        runs.append(req)
+        (earlier, its_writer), *_ = refused
+        if its_writer is writer:
+            await kit.not_run()(earlier, writer)
+            await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.write(head_without_length(req) + whole_body(req))
+        await writer.drain()
+        writer.close()
+
+    async with kit.Deployment() as dep:
+        await start(dep, script)
+        while not runs:
+            reply = await dep.call(path, method="POST", body=b"p")
+            await asyncio.sleep(0.05)
+        assert (reply.status, len(runs)) == (200, 1)
+
+
+@both_kinds
+async def test_refusal_of_an_earlier_request_is_not_taken_for_one_of_this(path):
+    """Guards against a second run: the upstream may be running the request."""
+
+    async def script(req, writer):
+        refusal = kit.response(req, 503, b"full", Not_Run="1")
+        other = req.request_id.encode()
+        writer.write(refusal.replace(other, b"of-an-earlier-request"))
+
+    async with kit.Deployment() as dep:
+        workers = await start(dep, script, script)
+        reply = await dep.call(path, method="POST", body=b"p", Request_Id="mine")
+        assert reply.status != 503
+        if path == PATHS["single"]:
+            assert sum(len(worker.requests) for worker in workers) == 1
+
+
 @both_kinds
 @pytest.mark.parametrize("framing", ["", "Content-Length: 9\r\n"])
 @pytest.mark.parametrize("ending", ["", "\r\n", "\r", ": of-the-up"])
