Go on with a stream only with a stream, and forward other answers whole

What callers saw: a stream had begun and broke off; the next upstream answered 400 or 404, and lines of its page stood in the middle of the caller's stream, which ended as if it were whole. An answer of 4xx before the first event became 502. Cause: only 5xx counted as no stream. Now a stream goes on only with 200 and text/event-stream; anything else is a failed attempt once the stream has begun, and the whole answer before.

Evidence: test_text_of_an_error_is_not_added_to_a_begun_stream was red for 200 text/plain, 400 and 404 (500 and 503 were green), test_error_before_the_first_event for three of three; all are green.

--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
@@ -28,6 +28,7 @@
 WAIT_OBJECTIVE_SHARE = 0.5
 # Sent to callers with a refusal unless a better estimate is available.
 RETRY_AFTER_S = 0.4
+CLIENT_ERROR = 400
 
 
 class Attempts:
@@ -195,7 +196,8 @@
                 opened.upstream, opened.sent_at, opened=opened, is_cut=True
             )
         elif result == "ok" or result.startswith("failed"):
-            self.suspects.note_answer(is_success=opened.resp.status < 400)
+            is_success = result == "ok" and opened.resp.status < CLIENT_ERROR
+            self.suspects.note_answer(is_success=is_success)
         else:
             self.suspects.note_left(opened.upstream, opened)
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/streaming.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/streaming.py
@@ -28,6 +28,8 @@
 # this many of the route's gap times.
 GAP_FACTOR = 3.0
 MAX_EVENT_BYTES = 2**20
+OK = 200
+EVENT_STREAM = "text/event-stream"
 
 
 class CutError(Exception):
@@ -102,6 +104,11 @@
                 await self._keep_failure(opened)
                 self._require_retry(f"failed {opened.resp.status}")
                 continue
+            if not _is_stream(opened):
+                answered = await self._forward_error(opened)
+                if answered is not None:
+                    return answered
+                continue
             if self._escalate(opened):
                 continue
             if await self._forward(opened):
@@ -171,6 +178,28 @@
             status=opened.resp.status, headers=forwarded, body=body
         )
 
+    async def _forward_error(self, opened: answer.OpenAnswer) -> web.Response | None:
+        """Return a whole answer that is no stream, None if another attempt is due.
+
+        It is never a part of a stream that has begun.
+        """
+        result = f"no stream: {opened.resp.status}"
+        try:
+            if self.resp is None:
+                async with asyncio.timeout(self.call.left_s()):
+                    body = await conns.read_body(opened.resp)
+                result = "ok"
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            result = f"cut: {type(exc).__name__}"
+            self.attempts.feedback.record_failure(opened, result)
+        finally:
+            self.attempts.close(opened, result)
+        if result != "ok":
+            self._require_retry(result)
+            return None
+        forwarded = headers.end_to_end(opened.resp.headers, frozenset())
+        return web.Response(status=opened.resp.status, headers=forwarded, body=body)
+
     def _failure_timeout_s(self) -> float:
         return min(self.call.left_s(), GAP_FACTOR * self.call.route.gap_s)
 
@@ -313,3 +342,7 @@
         if self.shared.closing_at is not None:
             self.resp.force_close()
         await self.resp.prepare(self.req)
+
+
+def _is_stream(opened: answer.OpenAnswer) -> bool:
+    return opened.resp.status == OK and opened.resp.content_type == EVENT_STREAM
--- a/libs/masticpost-gateway/testing/serving/test_faulty_answers.py
+++ b/libs/masticpost-gateway/testing/serving/test_faulty_answers.py
@@ -86,6 +86,40 @@
             assert sum(len(worker.requests) for worker in workers) == 1
 
 
+@pytest.mark.parametrize(
+    "status, content_type",
+    [(200, "text/plain")]
+    + [
+        (status, content_type)
+        for status in (400, 404, 500, 503)
+        for content_type in ("text/plain", EVENT_STREAM)
+    ],
+)
+async def test_text_of_an_error_is_not_added_to_a_begun_stream(status, content_type):
+    """Guards against the page of the second upstream in the caller's stream."""
+    failing = kit.answers(status, ERROR_PAGE, Content_Type=content_type)
+
+    async def script(req, writer):
+        if "last-event-id" in req.headers:
+            await failing(req, writer)
+            return
+        await kit.streams(5, cut_after=2)(req, writer)
+
+    async with kit.Deployment() as dep:
+        await start(dep, script, script)
+        reply = await dep.call("/chat/1", method="POST", body=b"p")
+        assert (reply.body, reply.is_complete) == (events(2), False)
+
+
+@pytest.mark.parametrize("status", [400, 404, 422])
+async def test_error_before_the_first_event_is_forwarded_whole(status):
+    async with kit.Deployment() as dep:
+        await start(dep, kit.answers(status, b"no such model"))
+        reply = await dep.call("/chat/1", method="POST", body=b"p")
+        assert (reply.status, reply.body) == (status, b"no such model")
+        assert reply.is_complete
+
+
 @both_kinds
 @pytest.mark.parametrize("framing", ["", "Content-Length: 9\r\n"])
 @pytest.mark.parametrize("ending", ["", "\r\n", "\r", ": of-the-up"])
