Guard the product daemon's connections to upstreams as the gateway's

What callers could see: 429 for a chat request that an engine runs, if the engine writes an earlier refusal once more on a kept connection, whether before or after the next request; and a short answer of a plain service that looks whole, if it has no length and its connection is reset. Cause: aiohttp gives what waits on an idle connection to the next request, and takes any end of a connection for the end of a body without a length. The gateway had a guard for the first, in a module of its own.

The guard is now masticpost_upstream.connections, used by both daemons; the gateway adds its limit of bytes. Evidence: of test_faulty_answers five were red (repeated refusal and surplus refusal, complete and stream; reset without a length, plain) and are green; cut in the head, no length, and an error's text in a stream were green before.

--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/streaming.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/streaming.py
@@ -5,6 +5,7 @@
 import aiohttp
 from aiohttp import web
 from masticpost_common import clock, errors, retry
+from masticpost_upstream import connections
 
 from masticpost_gateway import shared
 from masticpost_gateway.routing import cascade
@@ -320,7 +321,7 @@
             self.attempts.suspects.note_events(opened)
             opened.health.last_response_at = last_event_at = now
             await self._write(opened, completed)
-        conns.check_body_end(opened.resp)
+        connections.check_body_end(opened.resp)
         if splitter.has_partial_event or not opened.progress.events:
             raise CutError("the stream ended with an incomplete event or with none")
         self.attempts.feedback.record_stream_end(opened.progress)
--- a/libs/masticpost-gateway/src/masticpost_gateway/upstreams/conns.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/upstreams/conns.py
@@ -9,6 +9,7 @@
 import multidict
 import yarl
 from loguru import logger
+from masticpost_upstream import connections
 
 from masticpost_gateway.state import model
 from masticpost_gateway.upstreams import protocol
@@ -54,14 +55,15 @@
 
     def __init__(self, *, upstream: model.Upstream) -> None:
         self.upstream = upstream
-        connector = protocol.Connector(
+        connector = connections.GuardedConnector(
+            protocol_class=protocol.UpstreamProtocol,
             limit=0,
             keepalive_timeout=KEEPALIVE_S,
             socket_factory=make_socket,
         )
         self._http = aiohttp.ClientSession(
             connector=connector,
-            response_class=protocol.UpstreamResponse,
+            response_class=connections.GuardedResponse,
             auto_decompress=False,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
             read_bufsize=READ_BUFFER_BYTES,
@@ -103,24 +105,7 @@
         await self._http.close()
 
 
-def check_body_end(resp: protocol.UpstreamResponse) -> None:
-    """Raise unless a body that was read to its end is known to be complete.
-
-    aiohttp takes any end of the connection for the end of a body without a length.
-
-    Raises
-    ------
-    aiohttp.ClientPayloadError
-        The connection was reset.
-    """
-    if "Content-Length" in resp.headers or "Transfer-Encoding" in resp.headers:
-        return
-    conn = resp.protocol
-    if conn.is_lost and conn.lost_exc is not None:
-        raise aiohttp.ClientPayloadError(f"connection reset: {conn.lost_exc}")
-
-
-async def read_body(resp: protocol.UpstreamResponse) -> bytes:
+async def read_body(resp: connections.GuardedResponse) -> bytes:
     """Return the whole body of a response.
 
     Raises
@@ -129,7 +114,7 @@
         The connection failed before its end.
     """
     body = await resp.read()
-    check_body_end(resp)
+    connections.check_body_end(resp)
     return body
 
 
--- /dev/null
+++ b/libs/masticpost-upstream/src/masticpost_upstream/connections.py
@@ -0,0 +1,135 @@
+"""Connections to upstreams that guard against bytes that belong to no request.
+
+A connection without a request in flight is reset on any byte, since the byte cannot
+belong to a request. A refusal ends its connection, since its repetition there would be
+taken for the answer to the next request. A connection notes how it ended, since a body
+without a length ends with it.
+"""
+
+import asyncio
+import functools
+import socket
+import struct
+
+import aiohttp
+import aiohttp.client_proto
+from aiohttp import connector
+
+# SO_LINGER with a time of 0: closing sends a reset and drops unsent data.
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+# Statuses that may tell that a request was not run.
+REFUSAL_STATUSES = frozenset((400, 404, 408, 421, 429, 503))
+
+
+class GuardedProtocol(aiohttp.client_proto.ResponseHandler):
+    """One connection to an upstream.
+
+    Attributes
+    ----------
+    is_idle : bool
+        Whether the connection is kept open without a request in flight.
+    is_lost : bool
+        Whether the connection has ended.
+    lost_exc : BaseException or None
+        Why it ended; None if the upstream closed it.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self.is_idle = False
+        self.is_lost = False
+        self.lost_exc: BaseException | None = None
+
+    def set_response_params(self, **params) -> None:
+        """Prepare for the response to the next request."""
+        self.is_idle = False
+        super().set_response_params(**params)
+
+    def data_received(self, data: bytes) -> None:
+        """Process bytes from the upstream, or reset the connection."""
+        if self.is_idle and data:
+            reset(self.transport)
+            return
+        super().data_received(data)
+
+    def feed_data(self, data: object, size: int = 0) -> None:
+        """Pass a response on, and let a refusal end the connection."""
+        message, _ = data
+        if message.code in REFUSAL_STATUSES:
+            self.force_close()
+        super().feed_data(data, size)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Note how the connection ended, before readers of the body are woken."""
+        self.is_lost, self.lost_exc = True, exc
+        super().connection_lost(exc)
+
+
+class GuardedResponse(aiohttp.ClientResponse):
+    """A response that knows its connection, even after its end.
+
+    Attributes
+    ----------
+    protocol : GuardedProtocol or None
+        The connection, None before the head has arrived.
+    """
+
+    protocol: GuardedProtocol | None = None
+
+    async def start(self, connection: connector.Connection) -> "GuardedResponse":
+        """Read the head."""
+        self.protocol = connection.protocol
+        await super().start(connection)
+        return self
+
+
+class GuardedConnector(aiohttp.TCPConnector):
+    """Creates connections, and resets those whose response is abandoned.
+
+    A plain close would still deliver data that is delayed by the network or by a full
+    TCP window, so the request would reach the upstream long after its caller has
+    disconnected.
+
+    Parameters
+    ----------
+    protocol_class : type
+        Class of the connections.
+    """
+
+    def __init__(
+        self, *, protocol_class: type[GuardedProtocol] = GuardedProtocol, **options
+    ) -> None:
+        super().__init__(**options)
+        self._factory = functools.partial(protocol_class, asyncio.get_running_loop())
+
+    def _release(self, key, protocol, *, should_close: bool = False) -> None:
+        if should_close:
+            reset(protocol.transport)
+        super()._release(key, protocol, should_close=should_close)
+        protocol.is_idle = True
+
+
+def reset(transport: asyncio.Transport | None) -> None:
+    """Reset a connection and drop data that is not delivered yet."""
+    if transport is None or transport.is_closing():
+        return
+    sock = transport.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+    transport.abort()
+
+
+def check_body_end(resp: GuardedResponse) -> None:
+    """Raise unless a body that was read to its end is known to be complete.
+
+    aiohttp takes any end of the connection for the end of a body without a length.
+
+    Raises
+    ------
+    aiohttp.ClientPayloadError
+        The connection was reset.
+    """
+    if "Content-Length" in resp.headers or "Transfer-Encoding" in resp.headers:
+        return
+    conn = resp.protocol
+    if conn.is_lost and conn.lost_exc is not None:
+        raise aiohttp.ClientPayloadError(f"connection reset: {conn.lost_exc}")
--- a/libs/masticpost-upstream/src/masticpost_upstream/plain.py
+++ b/libs/masticpost-upstream/src/masticpost_upstream/plain.py
@@ -6,7 +6,7 @@
 import aiohttp
 import attrs
 
-from masticpost_upstream import faults, pool
+from masticpost_upstream import connections, faults, pool
 
 MAX_ANSWER_BYTES = 1_000_000
 ECHO_HEADER = "X-Request-Id"
@@ -76,6 +76,7 @@
                 body = await resp.content.read(MAX_ANSWER_BYTES + 1)
                 while len(body) <= MAX_ANSWER_BYTES and not resp.content.at_eof():
                     body += await resp.content.read(MAX_ANSWER_BYTES)
+                connections.check_body_end(resp)
         return _check_answer(target, resp, body)
 
 
--- a/libs/masticpost-upstream/src/masticpost_upstream/pool.py
+++ b/libs/masticpost-upstream/src/masticpost_upstream/pool.py
@@ -7,7 +7,7 @@
 import aiohttp
 import attrs
 
-from masticpost_upstream import faults
+from masticpost_upstream import connections, faults
 
 CONNECT_TIMEOUT_S = 0.5
 READ_BUFFER_BYTES = 1_000_000
@@ -60,13 +60,14 @@
     def session(self) -> aiohttp.ClientSession:
         """Return the session; opens it on first use."""
         if self._http is None:
-            connector = aiohttp.TCPConnector(
+            connector = connections.GuardedConnector(
                 limit=0,
                 force_close=not self._keep_alive,
                 ssl=self._tls if self._tls is not None else True,
             )
             self._http = aiohttp.ClientSession(
                 connector=connector,
+                response_class=connections.GuardedResponse,
                 read_bufsize=READ_BUFFER_BYTES,
                 cookie_jar=aiohttp.DummyCookieJar(),
             )
