Blame the cause that was at all crashes of another and at more of them

Cause: a part of different requests outranked any single request, even one that explains all its crashes and more.

Evidence: test_part_is_not_blamed_for_crashes_that_one_request_explains failed before.

--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/causes.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/causes.py
@@ -223,12 +223,18 @@
         return self.is_pattern and len(self.runs) >= needed
 
     def is_rivalled_by(self, other: "Evidence") -> bool:
-        """Return whether another cause explains these crashes as well or better."""
-        return (
-            other.suspect is not self.suspect
-            and other.weight >= self.weight
-            and not self.runs.isdisjoint(other.runs)
-        )
+        """Return whether another cause explains these crashes as well or better.
+
+        One that was at all of these crashes and at more of them does, whatever else
+        speaks for this one.
+        """
+        if other.suspect is self.suspect or self.runs.isdisjoint(other.runs):
+            return False
+        if self.was_sound != other.was_sound:
+            return self.was_sound
+        if self.runs < other.runs or other.runs < self.runs:
+            return self.runs < other.runs
+        return other.weight >= self.weight
 
 
 def _have_no_common_request(crashes: dict[str, list[Crash]]) -> bool:
--- a/libs/masticpost-gateway/testing/learning/test_deadly_parts.py
+++ b/libs/masticpost-gateway/testing/learning/test_deadly_parts.py
@@ -94,6 +94,17 @@
     assert prompts.verdicts() == ["deadly"]
 
 
+def test_part_is_not_blamed_for_crashes_that_one_request_explains(prompts):
+    """Guards against blaming a rare part beside a request that is sent again."""
+    for run in "abcd":
+        prompts.crash(run, "deadly", request="first")
+    for run in "abd":
+        prompts.crash(run, "rare", request="moving")
+    prompts.crash("d", "rare", request="another")
+    prompts.crash("a", "rare", request="a-third")
+    assert prompts.verdicts() == ["first"]
+
+
 def test_request_blamed_before_does_not_explain_what_it_was_not_at(prompts):
     """Guards against a sound request that hides the part for which it was blamed."""
     for run in "abc":
