Remember a deadly message over a restart of all product daemons

What callers could see: after a restart of all instances a message that was refused crashed engines again until it had crashed three more. Cause: what is quarantined stood in memory only; a late instance is reminded by the others, but then there are none. The first instance by name now writes one crash into the log of the part's shard for the verdict and for each failed trial, and every instance asks its shared view before it runs a part.

--- a/libs/masticpost-daemon/src/masticpost_daemon/instance.py
+++ b/libs/masticpost-daemon/src/masticpost_daemon/instance.py
@@ -228,7 +228,7 @@
         permits=permits.Permits(shards=shards, issuer=issuer),
         shared_view=view,
         rollouts=rollouts.RolloutMonitor(shards=shards, texts=texts, view=view),
-        deadly_parts=deadlyparts.DeadlyParts(peers=peers, members=members),
+        deadly_parts=deadlyparts.DeadlyParts(peers=peers, members=members, view=view),
     )
 
 
--- a/libs/masticpost-entry/src/masticpost_entry/deadlyparts.py
+++ b/libs/masticpost-entry/src/masticpost_entry/deadlyparts.py
@@ -2,7 +2,9 @@
 
 Requests that share a deadly message are not identical, so that the quarantine of
 requests does not stop them. Every instance tells all others which parts of prompts were
-at work at an engine that went down; each judges by the reports of all.
+at work at an engine that went down; each judges by the reports of all. The log of the
+part's shard holds one crash for each verdict and each failed trial, so that instances
+that start later know it.
 """
 
 import asyncio
@@ -15,7 +17,7 @@
 from masticpost_common import clock, codec, errors
 from masticpost_gateway.learning import causes, crashes, quarantine
 from masticpost_peers import hub, membership, messages
-from masticpost_shards import claims
+from masticpost_shards import claims, views
 from masticpost_upstream import openai
 
 # Parts of one prompt that are counted, at its beginning and at its end.
@@ -28,6 +30,9 @@
 REMINDER_S = 2.0
 MAX_REPORTED = 512
 MAX_ENGINES = 4096
+# Stands for the upstream in the log of a quarantined part.
+STORED_AS = "a verdict"
+MS_PER_S = 1000.0
 
 
 def part_keys(sent: list[openai.Message]) -> tuple[str, ...]:
@@ -88,12 +93,21 @@
         Carries the reports.
     members : membership.Membership
         The instances that get them.
+    view : views.SharedView
+        Holds what is quarantined over a restart.
     """
 
-    def __init__(self, *, peers: hub.Hub, members: membership.Membership) -> None:
+    def __init__(
+        self,
+        *,
+        peers: hub.Hub,
+        members: membership.Membership,
+        view: views.SharedView,
+    ) -> None:
         super().__init__()
         self.peers = peers
         self.members = members
+        self.view = view
         self.tracker = crashes.CrashTracker()
         self.turns = quarantine.TrialTurns(me=peers.name, members=self._names)
         self._engine_crashes: collections.OrderedDict[str, tuple[str, float]] = (
@@ -104,6 +118,7 @@
         )
         self._answers: dict[str, float] = {}
         self._reminded_at = 0.0
+        self._stored: dict[str, int] = {}
         self._wake = asyncio.Event()
         self.tracker.listen(lambda crash: None, self._on_answer)
         peers.handle(PartReport, self._on_report)
@@ -111,6 +126,8 @@
     def retry_after_s(self, parts: tuple[str, ...]) -> float:
         """Return the seconds until a request may be tried, 0 if it may run now."""
         now = clock.now()
+        for key in parts:
+            self._restore(key, now)
         rows = self.tracker.quarantines_of(parts, now)
         if not rows or self.turns.take(rows, now):
             return 0.0
@@ -156,6 +173,26 @@
             logger.bind(event="quarantine", cause=key, crashes=count).warning(
                 "quarantined"
             )
+        if not self._is_first():
+            return
+        for key, row in self.tracker.quarantined(clock.now()).items():
+            if row.failed_trials >= self._stored_count(key):
+                self._stored[key] = row.failed_trials + 1
+                self.add_future(self.view.report_crash(key, STORED_AS))
+
+    def _stored_count(self, key: str) -> int:
+        """Return how many crashes of a part the log holds or is about to hold."""
+        return max(self._stored.get(key, 0), self.view.crash_count(key))
+
+    def _restore(self, key: str, now: float) -> None:
+        """Quarantine a part by what the log holds of it."""
+        suspect = self.view.suspect_of(key)
+        if suspect is None or key in self._stored:
+            return
+        self._stored[key] = suspect.count
+        age_s = max(0.0, (clock.wall_ms() - suspect.at) / MS_PER_S)
+        row = quarantine.Quarantine(at=now - age_s, failed_trials=suspect.count - 1)
+        self.tracker.add_quarantine(key, row)
 
     async def _send(self, now: float) -> None:
         recent = [row for row in self._observed if row[1].at > now - REPEATED_S]
@@ -187,8 +224,7 @@
 
     def _reminder(self, now: float) -> list[AgedPart]:
         """Return what is quarantined if this instance is to remind the others now."""
-        is_first = min(self._names(), default="") == self.peers.name
-        if not is_first or now - self._reminded_at < REMINDER_S:
+        if not self._is_first() or now - self._reminded_at < REMINDER_S:
             return []
         self._reminded_at = now
         return [
@@ -257,6 +293,10 @@
             self._engine_crashes.popitem(last=False)
         return run
 
+    def _is_first(self) -> bool:
+        """Whether this instance reminds the others and writes to the log."""
+        return min(self._names(), default="") == self.peers.name
+
     def _names(self) -> list[str]:
         return [row.name for row in self.members.alive()]
 
--- a/libs/masticpost-entry/testing/test_deadlyparts.py
+++ b/libs/masticpost-entry/testing/test_deadlyparts.py
@@ -1,10 +1,13 @@
 """Deadly parts of chat prompts: which parts count, and how instances pool them."""
 
+import asyncio
+
 import attrs
 import pytest
 from masticpost_common import clock
 from masticpost_entry import deadlyparts
 from masticpost_gateway.learning import quarantine
+from masticpost_shards import views
 from masticpost_upstream import openai
 
 NAMES = ("one", "two", "three")
@@ -40,15 +43,42 @@
             await self.hubs[address].handlers[type(body)](None, body)
 
 
+class FakeView:
+    """The log of the shards, which a restart of all instances outlasts."""
+
+    def __init__(self):
+        self.suspects = {}
+
+    def suspect_of(self, key):
+        return self.suspects.get(key)
+
+    def crash_count(self, key):
+        return self.suspects[key].count if key in self.suspects else 0
+
+    async def report_crash(self, key, upstream):
+        count = self.crash_count(key) + 1
+        at = clock.wall_ms()
+        self.suspects[key] = views.Suspect(fingerprint=key, count=count, at=at)
+
+
 @pytest.fixture
-def instances():
+def view():
+    return FakeView()
+
+
+def start_all(view):
     hubs, members = {}, FakeMembers()
     return [
-        deadlyparts.DeadlyParts(peers=FakeHub(name, hubs), members=members)
+        deadlyparts.DeadlyParts(peers=FakeHub(name, hubs), members=members, view=view)
         for name in NAMES
     ]
 
 
+@pytest.fixture
+def instances(view):
+    return start_all(view)
+
+
 async def share(instances, now=None):
     for instance in instances:
         await instance._send(clock.now() if now is None else now)
@@ -123,3 +153,18 @@
     instances[waits.index(0.0)].note_answer(("part-a",))
     await share(instances)
     assert not any(instance.retry_after_s(("part-a",)) for instance in instances)
+
+
+async def test_restart_of_all_instances_remembers_the_part(instances, view):
+    """Guards against instances that restart together and count crashes from zero."""
+    row = quarantine.Quarantine(at=clock.now())
+    for instance in instances:
+        instance.tracker.add_quarantine("part-a", row)
+        instance._judge()
+    await asyncio.sleep(0)
+    assert view.crash_count("part-a") == 1
+    restarted = start_all(view)
+    assert all(instance.retry_after_s(("part-a",)) > 0 for instance in restarted)
+    restarted[1]._judge()
+    await asyncio.sleep(0)
+    assert view.crash_count("part-a") == 1
--- a/libs/masticpost-shards/src/masticpost_shards/views.py
+++ b/libs/masticpost-shards/src/masticpost_shards/views.py
@@ -29,7 +29,7 @@
 
 @attrs.frozen(kw_only=True)
 class Suspect:
-    """A request that may have caused `count` crashes, the last one `at` (ms)."""
+    """A request or a part that may have caused `count` crashes, the last `at` (ms)."""
 
     fingerprint: str
     count: int
@@ -91,13 +91,18 @@
 
     def crash_count(self, fingerprint: str) -> int:
         """Return how many crashes the request may have caused recently."""
-        cached = self._suspects.get(fingerprint)
+        suspect = self.suspect_of(fingerprint)
+        return 0 if suspect is None else suspect.count
+
+    def suspect_of(self, key: str) -> Suspect | None:
+        """Return the recent crashes of a request or of a part of prompts."""
+        cached = self._suspects.get(key)
         if cached is None:
-            return 0
+            return None
         if clock.wall_ms() - cached.at < state.CRASH_RETENTION_MS:
-            return cached.count
-        del self._suspects[fingerprint]
-        return 0
+            return cached
+        del self._suspects[key]
+        return None
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """Return whether the request must not run again."""
--- a/testing/test_leaving.py
+++ b/testing/test_leaving.py
@@ -225,6 +225,26 @@
         assert (reply.status, reply.code) == (503, "part_quarantined")
 
 
+async def test_restart_of_all_instances_remembers_a_deadly_message():
+    """Guards against instances that restart together and count crashes from zero."""
+    plan = layout.small(instances=3, engines=4)
+    async with deployment.Deployment(plan=plan) as dep:
+
+        async def refuses_the_message():
+            body = conversation("rules [crash]", str(time.monotonic()))
+            reply = await dep.call("POST", "/v1/chat/completions", body=body)
+            return reply.code == "part_quarantined"
+
+        await procs.wait_for(refuses_the_message, "the message to be refused", 60.0)
+        for index, name in enumerate(list(dep.daemons)):
+            daemon = dep.daemons.pop(name)
+            daemon.proc.kill()
+            dep.start_daemon(f"entry-1{index}", daemon.domain)
+        await dep.publish_instance_list()
+        await dep.wait_ready()
+        assert await refuses_the_message()
+
+
 async def test_streams_of_a_crashed_engine_resume_concurrently():
     """A moved stream is on trial only until its next tokens, not until its end."""
     plan = layout.small(instances=2, engines=2)
