Read the rate that an upstream names, log it and show it; keep nothing to it yet

Both daemons now read the header (a single decimal number in range, else it is logged and ignored), log when a rate is named, changed or ended with value, teller, age and request, and show it on the metrics address, in the status and in `masticpost status`. Of two statements the newer one holds only where the order is certain; else the lower rate does. The choice of upstreams is as before.

--- a/libs/masticpost-cli/src/masticpost_cli/gateways.py
+++ b/libs/masticpost-cli/src/masticpost_cli/gateways.py
@@ -11,7 +11,7 @@
 from masticpost_gateway.serving import gateway
 from masticpost_telemetry import burn
 
-from masticpost_cli import session
+from masticpost_cli import rates, session
 
 T = typing.TypeVar("T")
 # Age of cached records above which `status` reports them as old.
@@ -124,6 +124,8 @@
     ses.print_table(
         ["UPSTREAM", "SERVICE", "DOMAIN", "STATES"], _upstream_rows(overview)
     )
+    for line in rates.lines(rate for row in overview.instances for rate in row.rates):
+        ses.print(line)
     for line in _rollout_lines(overview):
         ses.print(line)
     for line in overview.findings():
--- a/libs/masticpost-cli/src/masticpost_cli/status.py
+++ b/libs/masticpost-cli/src/masticpost_cli/status.py
@@ -6,7 +6,7 @@
 from masticpost_confsync import head
 from masticpost_entry import admin, stages
 
-from masticpost_cli import commands, gateways, session
+from masticpost_cli import commands, gateways, rates, session
 
 
 @attrs.define(kw_only=True)
@@ -109,6 +109,8 @@
     _print_trials(ses, overview)
     ses.print("")
     ses.print_table(["UPSTREAM", "DOMAIN", "STATE"], _upstream_rows(overview))
+    for line in rates.lines(rate for row in overview.instances for rate in row.rates):
+        ses.print(line)
 
 
 def _print_trials(ses: session.Session, overview: Overview) -> None:
--- a/libs/masticpost-daemon/src/masticpost_daemon/instance.py
+++ b/libs/masticpost-daemon/src/masticpost_daemon/instance.py
@@ -15,11 +15,13 @@
     deadlyparts,
     estimatesharing,
     indoubt,
+    ratelimits,
     rollouts,
     runtime,
 )
 from masticpost_orders import dispatcher
 from masticpost_peers import hub, keys, membership
+from masticpost_rates import upstreamrates
 from masticpost_shards import (
     billreplicas,
     bills,
@@ -187,7 +189,7 @@
         domain=cfg.domain,
         cluster=cluster,
         admin_key_hash=cfg.admin_key_hash,
-        clients=_build_clients(cfg),
+        clients=_build_clients(cfg, cluster.rates),
         ask_at_once_s=cfg.ask_at_once_s,
     )
     cluster.texts.listen(rt.apply_text)
@@ -229,16 +231,22 @@
         shared_view=view,
         rollouts=rollouts.RolloutMonitor(shards=shards, texts=texts, view=view),
         deadly_parts=deadlyparts.DeadlyParts(peers=peers, members=members, view=view),
+        rates=upstreamrates.UpstreamRates(me=peers.name),
     )
 
 
-def _build_clients(cfg: settings.Settings) -> runtime.Clients:
+def _build_clients(
+    cfg: settings.Settings, rates: upstreamrates.UpstreamRates
+) -> runtime.Clients:
     tls = _upstream_tls(cfg)
-    return runtime.Clients(
+    clients = runtime.Clients(
         engines=engine.EngineClient(tls=tls),
         services=plain.PlainClient(tls=tls),
         ratings=rating.RatingClient(tls=tls),
     )
+    for pool in (clients.engines.pool, clients.services.pool):
+        pool.on_rate = ratelimits.listener(rates)
+    return clients
 
 
 def _upstream_tls(cfg: settings.Settings) -> ssl.SSLContext | None:
--- a/libs/masticpost-entry/src/masticpost_entry/admin.py
+++ b/libs/masticpost-entry/src/masticpost_entry/admin.py
@@ -8,6 +8,7 @@
 from masticpost_common import errors
 from masticpost_decide import tracker
 from masticpost_peers import hub, probes
+from masticpost_rates import upstreamrates
 from masticpost_shards import directory, records
 from masticpost_store import client
 from masticpost_telemetry import burn, metrics
@@ -47,6 +48,7 @@
     upstreams: list[UpstreamStatus]
     trials: list[records.Trial]
     rollouts: list[stages.RolloutStatus]
+    rates: list[upstreamrates.RateStatus] = attrs.field(factory=list)
 
 
 @attrs.frozen(kw_only=True)
@@ -101,6 +103,9 @@
     }
     for name, value in values.items():
         rt.meters.gauges[name].set(value)
+    rt.meters.upstream_rate.clear()
+    for row in cluster.rates.statuses():
+        rt.meters.upstream_rate.labels(row.upstream).set(row.rate)
 
 
 def check_admin(rt: runtime.Runtime, req: web.Request) -> None:
@@ -136,6 +141,7 @@
         upstreams=_upstreams(rt),
         trials=cluster.shared_view.trials(),
         rollouts=cluster.rollouts.stages.statuses(),
+        rates=cluster.rates.statuses(),
     )
 
 
--- a/libs/masticpost-entry/src/masticpost_entry/runtime.py
+++ b/libs/masticpost-entry/src/masticpost_entry/runtime.py
@@ -8,6 +8,7 @@
 from masticpost_confsync import synchronizer
 from masticpost_decide import admission, cascade, choice, tracker
 from masticpost_peers import hub, membership
+from masticpost_rates import upstreamrates
 from masticpost_shards import (
     billreplicas,
     bills,
@@ -22,7 +23,7 @@
 from masticpost_text import model
 from masticpost_upstream import engine, plain, rating
 
-from masticpost_entry import budgets, deadlyparts, rollouts, subset
+from masticpost_entry import budgets, deadlyparts, ratelimits, rollouts, subset
 
 ASK_AT_ONCE_S = 2.0
 MAX_BODY_BYTES = 1_000_000
@@ -61,6 +62,7 @@
     shared_view: views.SharedView
     rollouts: rollouts.RolloutMonitor
     deadly_parts: deadlyparts.DeadlyParts
+    rates: upstreamrates.UpstreamRates
 
 
 @attrs.define(kw_only=True)
@@ -138,6 +140,8 @@
         }
         self.upstream_states.retain_only(set(text.upstreams))
         self.pools = subset.build(text, self.cluster.peers.name)
+        runs = {ratelimits.run_of(up) for up in text.upstreams.values()}
+        self.cluster.rates.statements.keep_only(runs)
         self.cluster.sessions.clear_cache()
 
     def cascade_of(self, svc: model.Service) -> cascade.Cascade:
--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 from loguru import logger
 from masticpost_common import clock
+from masticpost_rates import upstreamrates
 
 from masticpost_gateway import shared
 from masticpost_gateway.learning import (
@@ -211,6 +212,7 @@
             placement=places,
             isolation=self.isolation,
             crashes=crashes.CrashTracker(),
+            rates=upstreamrates.UpstreamRates(me=cfg.name),
             trial_turns=quarantine.TrialTurns(me=cfg.name, members=self.members),
             exits=exits.ExitDetector(
                 records=self.records, is_leaving=chooser.is_leaving
@@ -310,6 +312,7 @@
         if kind is source.Kind.UPSTREAMS:
             upstreams = self.records.upstreams(clock.now())
             self.shared.pools.keep_only(upstreams)
+            self.shared.rates.statements.keep_only({u.run_key for u in upstreams})
             self.loads.keep_only({upstream.name for upstream in upstreams})
         if kind is source.Kind.CONFIGURATION and self.records.table is not None:
             cache_sizes = [s.cache_tokens for s in self.records.table.cfg.services]
--- a/libs/masticpost-gateway/src/masticpost_gateway/reporting/gauges.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/reporting/gauges.py
@@ -54,6 +54,7 @@
         )
         yield _record_ages(current)
         yield _upstream_counts(current)
+        yield _rates(current)
 
 
 def _record_ages(current: status.Status) -> core.Metric:
@@ -78,3 +79,14 @@
     for labels, count in sorted(counts.items()):
         family.add_metric(list(labels), count)
     return family
+
+
+def _rates(current: status.Status) -> core.Metric:
+    family = core.GaugeMetricFamily(
+        "masticpost_gateway_upstream_rate",
+        "Requests per second that an upstream takes from all instances.",
+        labels=["upstream"],
+    )
+    for row in current.rates:
+        family.add_metric([row.upstream], row.rate)
+    return family
--- a/libs/masticpost-gateway/src/masticpost_gateway/reporting/status.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/reporting/status.py
@@ -6,6 +6,7 @@
 
 import attrs
 from masticpost_common import clock
+from masticpost_rates import upstreamrates
 
 from masticpost_gateway import shared
 from masticpost_gateway.learning import trial
@@ -105,6 +106,8 @@
         Instances that watch the store on behalf of all.
     quarantined : list of str
         Fingerprints of requests that are refused because they crash upstreams.
+    rates : list of upstreamrates.RateStatus
+        Rates that upstreams name.
     """
 
     instance: str
@@ -120,6 +123,7 @@
     upstreams: list[UpstreamStatus]
     trials: list[TrialStatus]
     quarantined: list[str] = attrs.field(factory=list)
+    rates: list[upstreamrates.RateStatus] = attrs.field(factory=list)
 
 
 class Parts(typing.Protocol):
@@ -159,6 +163,7 @@
         ],
         trials=[_trial(row) for row in parts.shared.trials.open.values()],
         quarantined=sorted(parts.shared.crashes.quarantined(now)),
+        rates=parts.shared.rates.statuses(),
     )
 
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
@@ -21,7 +21,7 @@
 )
 from masticpost_gateway.serving import call as calls
 from masticpost_gateway.state import model
-from masticpost_gateway.upstreams import conns
+from masticpost_gateway.upstreams import conns, leaving
 
 POLL_S = 0.03
 # Share of the latency objective for which a request may wait for an upstream.
@@ -299,6 +299,7 @@
             request_id,
             dispatch.health.last_response_at,
         )
+        self._record_rate(dispatch, resp.status, head)
         try:
             sending.check(resp, head, request_id)
         except sending.TryError:
@@ -315,6 +316,20 @@
             progress=dispatch.progress,
         )
 
+    def _record_rate(
+        self, dispatch: dispatches.Dispatch, status: int, head: headers.AnswerHead
+    ) -> None:
+        """Record the rate that the answer states, unless another upstream sent it."""
+        request_id = self.call.head.request_id
+        if head.request_id != request_id or status == leaving.MISDIRECTED_STATUS:
+            return
+        self.shared.rates.record_response(
+            dispatch.upstream.run_key,
+            head.rates,
+            sent_at=dispatch.sent_at,
+            request_id=request_id,
+        )
+
     async def _send(
         self,
         out: conns.OutgoingRequest,
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/headers.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/headers.py
@@ -34,7 +34,7 @@
         Sent by callers.
     expected_instance, customer, urgency
         Set by the gateway for upstreams.
-    signature, not_run, confidence, leaving
+    signature, not_run, confidence, leaving, rate
         Sent by upstreams.
     internal : frozenset of str
         Lower-case names of headers that are removed when a caller sends them.
@@ -56,6 +56,7 @@
     not_run: str = "Not-Run"
     confidence: str = "Confidence"
     leaving: str = "Upstream-Leaving"
+    rate: str = "Upstream-Rate"
     internal: frozenset[str] = frozenset()
 
 
@@ -125,6 +126,9 @@
     retry_after_s : float or None
         Seconds for which the upstream asks to get no further requests; None when the
         header is absent or not valid.
+    rates : tuple of str
+        Values of the header in which the upstream names the requests per second that it
+        takes from all instances; empty without one.
     """
 
     request_id: str
@@ -133,6 +137,7 @@
     confidence: float | None
     is_leaving: bool = False
     retry_after_s: float | None = None
+    rates: tuple[str, ...] = ()
 
 
 def read_call(headers: multidict.CIMultiDictProxy, names: HeaderNames) -> CallHead:
@@ -158,6 +163,7 @@
         confidence=None if confidence is None else confidence / 100.0,
         is_leaving=headers.get(names.leaving, "") not in FALSE_VALUES,
         retry_after_s=_parse_number(headers.get(RETRY_AFTER, "")),
+        rates=tuple(headers.getall(names.rate, ())),
     )
 
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/shared.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/shared.py
@@ -1,6 +1,7 @@
 """Components of an instance that are shared by all requests."""
 
 import attrs
+from masticpost_rates import upstreamrates
 
 from masticpost_gateway.learning import crashes, quarantine, sessions, trial
 from masticpost_gateway.reporting import requestmetrics
@@ -36,4 +37,5 @@
     crashes: crashes.CrashTracker
     trial_turns: quarantine.TrialTurns
     exits: exits.ExitDetector
+    rates: upstreamrates.UpstreamRates
     closing_at: float | None = None
--- a/libs/masticpost-gateway/src/masticpost_gateway/state/model.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/state/model.py
@@ -6,6 +6,7 @@
 import enum
 
 import attrs
+from masticpost_rates import statements
 
 DEFAULT_PRIORITY = 2
 # Fraction of the sessions that the new version gets first in a trial.
@@ -167,6 +168,11 @@
         """Identity of one run: one process lifetime of the upstream."""
         return (self.name, self.born_ms, self.address)
 
+    @property
+    def run_key(self) -> str:
+        """The incarnation as a string, for messages between instances."""
+        return statements.run_key(*self.incarnation)
+
 
 class RollOutState(enum.Enum):
     """Progress of a roll-out."""
--- a/libs/masticpost-gateway/testing/upstreams/test_leaving.py
+++ b/libs/masticpost-gateway/testing/upstreams/test_leaving.py
@@ -4,6 +4,7 @@
 import math
 
 import attrs
+import multidict
 import pytest
 from masticpost_gateway.serving import headers
 from masticpost_gateway.state import model, source
@@ -22,6 +23,10 @@
 RESTARTED = attrs.evolve(UPSTREAM, born_ms=8)
 
 
+def _fields(name, text):
+    return multidict.CIMultiDictProxy(multidict.CIMultiDict({name: text}))
+
+
 def answer_head(**changes):
     fields = {
         "request_id": "r",
@@ -100,7 +105,7 @@
     ],
 )
 def test_retry_after_is_parsed_as_seconds(text, seconds):
-    head = headers.read_answer({"Retry-After": text}, headers.HeaderNames())
+    head = headers.read_answer(_fields("Retry-After", text), headers.HeaderNames())
     assert head.retry_after_s == seconds
 
 
@@ -108,7 +113,7 @@
     ("text", "is_leaving"), [("1", True), ("0", False), ("", False)]
 )
 def test_leave_announcement_is_parsed(text, is_leaving):
-    head = headers.read_answer({"Upstream-Leaving": text}, headers.HeaderNames())
+    head = headers.read_answer(_fields("Upstream-Leaving", text), headers.HeaderNames())
     assert head.is_leaving is is_leaving
 
 
--- /dev/null
+++ b/libs/masticpost-rates/src/masticpost_rates/__init__.py
@@ -0,0 +1,1 @@
+"""Rates that upstreams name, kept by all instances together."""
--- a/libs/masticpost-telemetry/src/masticpost_telemetry/metrics.py
+++ b/libs/masticpost-telemetry/src/masticpost_telemetry/metrics.py
@@ -61,6 +61,12 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.upstream_rate = prometheus_client.Gauge(
+            "masticpost_upstream_rate",
+            "Requests per second that an upstream takes from all instances.",
+            ["upstream"],
+            registry=self.registry,
+        )
         self.gauges = {
             name: prometheus_client.Gauge(
                 f"masticpost_{name}", help_text, registry=self.registry
--- a/libs/masticpost-upstream/src/masticpost_upstream/engine.py
+++ b/libs/masticpost-upstream/src/masticpost_upstream/engine.py
@@ -130,12 +130,12 @@
             load.REQUEST_HEADER: "JSON",
         }
         with pool.translated_errors(target):
-            async with self.pool.session().post(
+            async with self.pool.request(
+                target,
+                "POST",
                 f"{target.url}/v1/chat/completions",
                 data=codec.to_json(req),
                 headers=headers,
-                timeout=target.timeout(),
-                allow_redirects=False,
             ) as resp:
                 await _check_status(target, resp)
                 yield resp
--- a/libs/masticpost-upstream/src/masticpost_upstream/plain.py
+++ b/libs/masticpost-upstream/src/masticpost_upstream/plain.py
@@ -65,13 +65,8 @@
         if req.query:
             url += f"?{req.query}"
         with pool.translated_errors(target):
-            async with self.pool.session().request(
-                req.method,
-                url,
-                data=req.body,
-                headers=_headers(target, req),
-                timeout=target.timeout(),
-                allow_redirects=False,
+            async with self.pool.request(
+                target, req.method, url, data=req.body, headers=_headers(target, req)
             ) as resp:
                 body = await resp.content.read(MAX_ANSWER_BYTES + 1)
                 while len(body) <= MAX_ANSWER_BYTES and not resp.content.at_eof():
--- a/libs/masticpost-upstream/src/masticpost_upstream/pool.py
+++ b/libs/masticpost-upstream/src/masticpost_upstream/pool.py
@@ -6,11 +6,14 @@
 
 import aiohttp
 import attrs
+from masticpost_common import clock
 
 from masticpost_upstream import connections, faults
 
 CONNECT_TIMEOUT_S = 0.5
 READ_BUFFER_BYTES = 1_000_000
+# Names the requests per second that an upstream takes from all instances.
+RATE_HEADER = "X-Upstream-Rate"
 
 
 @attrs.frozen(kw_only=True)
@@ -41,6 +44,26 @@
         )
 
 
+@attrs.frozen(kw_only=True)
+class StatedRate:
+    """What the head of an answer states of the upstream's rate.
+
+    Attributes
+    ----------
+    values : tuple of str
+        Values of `RATE_HEADER`; empty without one.
+    sent_at : float
+        When the call was sent, in monotonic seconds.
+    """
+
+    target: Target
+    values: tuple[str, ...]
+    sent_at: float
+
+
+RateListener = collections.abc.Callable[[StatedRate], None]
+
+
 class Pool:
     """Connection pool of one client, opened on first use.
 
@@ -50,11 +73,17 @@
         Context for https upstreams; None for the default context.
     keep_alive : bool
         Whether connections are reused for further calls.
+
+    Attributes
+    ----------
+    on_rate : callable
+        Called with the `StatedRate` of each answer.
     """
 
     def __init__(self, *, tls: ssl.SSLContext | None, keep_alive: bool) -> None:
         self._tls = tls
         self._keep_alive = keep_alive
+        self.on_rate: RateListener = lambda stated: None
         self._http: aiohttp.ClientSession | None = None
 
     def session(self) -> aiohttp.ClientSession:
@@ -73,6 +102,19 @@
             )
         return self._http
 
+    @contextlib.asynccontextmanager
+    async def request(
+        self, target: Target, method: str, url: str, **options: object
+    ) -> collections.abc.AsyncIterator[aiohttp.ClientResponse]:
+        """Send a call and yield its answer, whose body is still unread."""
+        sent_at = clock.now()
+        async with self.session().request(
+            method, url, timeout=target.timeout(), allow_redirects=False, **options
+        ) as resp:
+            values = tuple(resp.headers.getall(RATE_HEADER, ()))
+            self.on_rate(StatedRate(target=target, values=values, sent_at=sent_at))
+            yield resp
+
     async def close(self) -> None:
         """Close all connections; calls in flight are cancelled."""
         if self._http is not None:
