Show that upstreams get a multiple of the rates that they name, on both daemons

Eight gateways, and four product daemons, before upstreams that name 0.5 to 30 requests a second: the upstreams get 56 to 69 requests in 4 s where 8, 11 and 18.8 are allowed, nothing is held back, and no instance tells another of a rate. The bounds are those of the users' rule (1.5 x 4 x rate + 5) and of the design (0.8 of the rate used).

--- a/libs/masticpost-standins/src/masticpost_standins/engine.py
+++ b/libs/masticpost-standins/src/masticpost_standins/engine.py
@@ -14,7 +14,7 @@
 import msgspec
 from aiohttp import web
 
-from masticpost_standins import answers, batch, control
+from masticpost_standins import answers, batch, control, ratenaming
 
 # In a prompt: its hardness, which lowers the quality of answers.
 HARDNESS_MARK = re.compile(r"\[hard=([0-9.]+)\]")
@@ -82,6 +82,8 @@
         Subtracted from the quality of every answer.
     delay_s : float
         Added to each request, in seconds.
+    rate : str
+        Rate named in each response, in requests per second; empty for none.
     """
 
     outage: str = ""
@@ -91,6 +93,7 @@
     down_s: float = 0.5
     quality_drop: float = 0.0
     delay_s: float = 0.0
+    rate: str = ""
 
 
 @attrs.define(kw_only=True)
@@ -122,6 +125,8 @@
         Number of orders refused for an old fencing token.
     loaded : list of str
         Versions loaded now.
+    limited_arrivals : list of float
+        Wall-clock seconds of the requests received while `Faults.rate` is set.
     """
 
     requests: int = 0
@@ -137,6 +142,7 @@
     orders: list[str] = attrs.field(factory=list)
     refused_orders: int = 0
     loaded: list[str] = attrs.field(factory=list)
+    limited_arrivals: list[float] = attrs.field(factory=list)
 
 
 class Engine(control.StandIn):
@@ -163,6 +169,7 @@
     def make_app(self) -> web.Application:
         """Return the engine's application."""
         app = web.Application(client_max_size=8_000_000)
+        ratenaming.add_to(app, self)
         app.router.add_post("/v1/chat/completions", self.chat)
         app.router.add_get("/v1/models", self.models)
         app.router.add_get("/health", self.health)
--- a/libs/masticpost-standins/src/masticpost_standins/plainsvc.py
+++ b/libs/masticpost-standins/src/masticpost_standins/plainsvc.py
@@ -6,7 +6,7 @@
 import attrs
 from aiohttp import web
 
-from masticpost_standins import control
+from masticpost_standins import control, ratenaming
 
 
 @attrs.define(kw_only=True)
@@ -38,6 +38,8 @@
         How many of the next responses carry another request's id.
     pad_bytes : int
         Bytes added to the body of each booking's response.
+    rate : str
+        Rate named in each response, in requests per second; empty for none.
     """
 
     outage: str = ""
@@ -48,6 +50,7 @@
     delay_s: float = 0.0
     cross_answers: int = 0
     pad_bytes: int = 0
+    rate: str = ""
 
 
 @attrs.define(kw_only=True)
@@ -64,12 +67,15 @@
         Number of runs of bookings and payments, by idempotency key.
     last_request_at : float
         Wall-clock seconds of the last request.
+    limited_arrivals : list of float
+        Wall-clock seconds of the requests received while `Faults.rate` is set.
     """
 
     lookups: int = 0
     asked: int = 0
     runs: dict[str, int] = attrs.field(factory=dict)
     last_request_at: float = 0.0
+    limited_arrivals: list[float] = attrs.field(factory=list)
 
 
 class PlainService(control.StandIn):
@@ -82,6 +88,7 @@
     def make_app(self) -> web.Application:
         """Return the service's application."""
         app = web.Application()
+        ratenaming.add_to(app, self)
         app.router.add_get("/stock/{sku}", self.stock)
         app.router.add_post("/bookings", self.book)
         app.router.add_post("/payments", self.book)
