Keep the requests of all instances within the rates that upstreams name

What callers and operators saw: an upstream in need named the requests a second that it takes (1 and 2.3) and got 12 to 27 in 4 s, allowed 11 and 19, from eight instances; in the own test 56 to 69 in 4 s at rates of 0.5 to 30.

Cause: no limit that an upstream names was read; each instance sent as its load suggested. Class: what is bound over all instances, kept by each as if it were alone.

Fix: libs/masticpost-rates, used by both daemons. Statements are merged by a certain order, told to all instances and repeated; one instance grants single-use permits that expire in 0.1 s; the choice goes elsewhere without one; where every upstream is at its rate the more urgent requests queue, and what cannot go in time is rejected at once with a Retry-After of its own. Across a cut all granters together stay at 1.3 of the rate.

--- a/libs/masticpost-cli/src/masticpost_cli/rates.py
+++ b/libs/masticpost-cli/src/masticpost_cli/rates.py
@@ -16,6 +16,6 @@
             newest[row.upstream] = row
     return [
         f"upstream {row.upstream} takes {row.rate:g} requests/s from all instances:"
-        f" told to {row.told_by} {row.age_s:.1f} s ago"
+        f" told to {row.told_by} {row.age_s:.1f} s ago, permits from {row.granter}"
         for _, row in sorted(newest.items())
     ]
--- a/libs/masticpost-daemon/src/masticpost_daemon/instance.py
+++ b/libs/masticpost-daemon/src/masticpost_daemon/instance.py
@@ -113,6 +113,7 @@
             cluster.shared_view,
             cluster.rollouts,
             cluster.deadly_parts,
+            cluster.rates,
             self.discovery,
             self.order_dispatcher,
             self.in_doubt_resolver,
@@ -184,7 +185,8 @@
         shard_count=cfg.shards,
         settle_after_s=cfg.settle_after_s,
     )
-    cluster = _build_cluster(store, peers, members, shards)
+    seeds = len({*map(str, cfg.seeds), str(cfg.peer_advertise)})
+    cluster = _build_cluster(store, peers, members, shards, seeds)
     rt = runtime.Runtime(
         domain=cfg.domain,
         cluster=cluster,
@@ -201,6 +203,7 @@
     peers: hub.Hub,
     members: membership.Membership,
     shards: directory.Directory,
+    seeds: int,
 ) -> runtime.Cluster:
     issuer = permits.PermitIssuer(shards=shards)
     view = views.SharedView(shards=shards)
@@ -231,7 +234,7 @@
         shared_view=view,
         rollouts=rollouts.RolloutMonitor(shards=shards, texts=texts, view=view),
         deadly_parts=deadlyparts.DeadlyParts(peers=peers, members=members, view=view),
-        rates=upstreamrates.UpstreamRates(me=peers.name),
+        rates=upstreamrates.UpstreamRates(peers=peers, members=members, seeds=seeds),
     )
 
 
--- a/libs/masticpost-entry/src/masticpost_entry/admin.py
+++ b/libs/masticpost-entry/src/masticpost_entry/admin.py
@@ -103,9 +103,17 @@
     }
     for name, value in values.items():
         rt.meters.gauges[name].set(value)
-    rt.meters.upstream_rate.clear()
-    for row in cluster.rates.statuses():
-        rt.meters.upstream_rate.labels(row.upstream).set(row.rate)
+    _set_rate_gauges(rt)
+
+
+def _set_rate_gauges(rt: runtime.Runtime) -> None:
+    rates, granted = rt.meters.upstream_rate, rt.meters.rate_permits
+    rates.clear()
+    granted.clear()
+    for row in rt.cluster.rates.statuses():
+        rates.labels(row.upstream).set(row.rate)
+        granted.labels(row.upstream, "granted").set(row.granted)
+        granted.labels(row.upstream, "held").set(row.held)
 
 
 def check_admin(rt: runtime.Runtime, req: web.Request) -> None:
--- a/libs/masticpost-entry/src/masticpost_entry/attempts.py
+++ b/libs/masticpost-entry/src/masticpost_entry/attempts.py
@@ -125,17 +125,11 @@
     try:
         routing.check_version(rt, job.call, version.name, in_session=in_session)
     except errors.RefusalError:
-        release_unused(rt, selection)
+        routing.release_unused(rt, selection)
         raise
     return selection
 
 
-def release_unused(rt: runtime.Runtime, selection: routing.Selection) -> None:
-    """Release the permit of a selection that is not used."""
-    if selection.permit is not None:
-        rt.cluster.permits.release(selection.permit)
-
-
 async def complete(
     rt: runtime.Runtime, job: Job, version: model.Version
 ) -> openai.Completion:
@@ -187,7 +181,7 @@
             job.ran = errors.RAN_MAYBE
             routing.record_cancellation(rt, selection)
         else:
-            release_unused(rt, selection)
+            routing.release_unused(rt, selection)
         raise
     if answer.report is not None:
         selection.state.record_load_report(answer.report.outstanding, time.monotonic())
@@ -214,7 +208,7 @@
             rt.cluster.rollouts.add_call(requirements.target, failed=True)
         routing.record_failure(rt, selection, requirements, exc)
     else:
-        release_unused(rt, selection)
+        routing.release_unused(rt, selection)
 
 
 async def with_permit(
--- a/libs/masticpost-entry/src/masticpost_entry/runtime.py
+++ b/libs/masticpost-entry/src/masticpost_entry/runtime.py
@@ -140,8 +140,8 @@
         }
         self.upstream_states.retain_only(set(text.upstreams))
         self.pools = subset.build(text, self.cluster.peers.name)
-        runs = {ratelimits.run_of(up) for up in text.upstreams.values()}
-        self.cluster.rates.statements.keep_only(runs)
+        runs = frozenset(ratelimits.run_of(up) for up in text.upstreams.values())
+        self.cluster.rates.keep_only(runs)
         self.cluster.sessions.clear_cache()
 
     def cascade_of(self, svc: model.Service) -> cascade.Cascade:
--- a/libs/masticpost-entry/src/masticpost_entry/streams.py
+++ b/libs/masticpost-entry/src/masticpost_entry/streams.py
@@ -153,7 +153,7 @@
         if dispatched:
             routing.record_cancellation(rt, selection)
         else:
-            attempts.release_unused(rt, selection)
+            routing.release_unused(rt, selection)
         raise
     first_s = first_s or time.monotonic() - started
     suspects.clear_parts(rt, stream.job)
--- a/libs/masticpost-entry/src/masticpost_entry/suspects.py
+++ b/libs/masticpost-entry/src/masticpost_entry/suspects.py
@@ -21,7 +21,7 @@
 from masticpost_shards import permits
 from masticpost_upstream import faults
 
-from masticpost_entry import deadlyparts, intake, routing, runtime
+from masticpost_entry import deadlyparts, healthchecks, intake, routing, runtime
 
 if typing.TYPE_CHECKING:
     from masticpost_entry import attempts
@@ -67,7 +67,7 @@
     upstream = rt.text.upstreams.get(exc.upstream)
     if not exc.is_possible_crash or not job.parts or upstream is None:
         return
-    if await rt.clients.engines.is_healthy(upstream.url.rstrip("/")):
+    if await healthchecks.is_healthy(rt, upstream):
         return
     rt.cluster.deadly_parts.report_crash(
         job.fingerprint, job.parts, exc.upstream, survived=job.are_parts_cleared
@@ -149,7 +149,7 @@
     It would cut the connection of any request, and the suspected request would be
     blamed for the crash.
     """
-    if await rt.clients.engines.is_healthy(selection.upstream.url.rstrip("/")):
+    if await healthchecks.is_healthy(rt, selection.upstream):
         return
     selection.state.record_refusal(tracker.now())
     raise faults.UpstreamError(
--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -134,6 +134,11 @@
             name=cfg.name, domain=cfg.domain, cfg=cfg.mesh, store=store
         )
         self.loads = loads.Loads(peers=self.mesh)
+        self.rates = upstreamrates.UpstreamRates(
+            peers=self.mesh.hub,
+            members=self.mesh.members,
+            seeds=len({*cfg.mesh.seeds, cfg.mesh.address}),
+        )
         self.watching = watching.StoreWatch(store=store, records=self.records)
         self.isolation = isolation.Isolation(
             has_others=lambda: bool(self.mesh.others()), watch=self.watching
@@ -194,6 +199,7 @@
             placement=places,
             domain=cfg.domain,
             connection_limit=pools.connection_share,
+            rates=self.rates,
         )
         retries = retrybudget.RetryBudget(
             bounds=cfg.retries, members=lambda: len(self.members())
@@ -212,7 +218,7 @@
             placement=places,
             isolation=self.isolation,
             crashes=crashes.CrashTracker(),
-            rates=upstreamrates.UpstreamRates(me=cfg.name),
+            rates=self.rates,
             trial_turns=quarantine.TrialTurns(me=cfg.name, members=self.members),
             exits=exits.ExitDetector(
                 records=self.records, is_leaving=chooser.is_leaving
@@ -232,6 +238,7 @@
         """Start the components, then listen."""
         await self.mesh.start()
         await self.loads.start()
+        await self.rates.start()
         await self.watching.start()
         await self.relay.start()
         for service in self.sharing_services:
@@ -252,6 +259,7 @@
             await service.stop()
         await self.relay.stop()
         await self.watching.stop()
+        await self.rates.stop()
         await self.loads.stop()
         await self.mesh.stop()
         await self.shared.exits.close()
@@ -312,7 +320,7 @@
         if kind is source.Kind.UPSTREAMS:
             upstreams = self.records.upstreams(clock.now())
             self.shared.pools.keep_only(upstreams)
-            self.shared.rates.statements.keep_only({u.run_key for u in upstreams})
+            self.rates.keep_only(frozenset(u.run_key for u in upstreams))
             self.loads.keep_only({upstream.name for upstream in upstreams})
         if kind is source.Kind.CONFIGURATION and self.records.table is not None:
             cache_sizes = [s.cache_tokens for s in self.records.table.cfg.services]
--- a/libs/masticpost-gateway/src/masticpost_gateway/reporting/gauges.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/reporting/gauges.py
@@ -55,6 +55,7 @@
         yield _record_ages(current)
         yield _upstream_counts(current)
         yield _rates(current)
+        yield _rate_permits(current)
 
 
 def _record_ages(current: status.Status) -> core.Metric:
@@ -90,3 +91,15 @@
     for row in current.rates:
         family.add_metric([row.upstream], row.rate)
     return family
+
+
+def _rate_permits(current: status.Status) -> core.Metric:
+    family = core.CounterMetricFamily(
+        "masticpost_gateway_rate_permits",
+        "Permits for upstreams that name a rate, by result of asking.",
+        labels=["upstream", "result"],
+    )
+    for row in current.rates:
+        family.add_metric([row.upstream, "granted"], row.granted)
+        family.add_metric([row.upstream, "held"], row.held)
+    return family
--- a/libs/masticpost-gateway/src/masticpost_gateway/routing/choice.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/routing/choice.py
@@ -6,6 +6,7 @@
 
 import attrs
 from masticpost_common import clock
+from masticpost_rates import upstreamrates
 
 from masticpost_gateway.learning import trial
 from masticpost_gateway.routing import coldstart, placement
@@ -40,12 +41,15 @@
         The prompt to prefill; None for a plain service.
     tried : frozenset of str
         Names of the upstreams that must not be used again.
+    priority : int
+        Rank of the request, 0 for the most urgent.
     """
 
     service: model.Service
     plan: trial.VersionPlan
     prefill: placement.Prefill | None = None
     tried: frozenset[str] = frozenset()
+    priority: int = model.DEFAULT_PRIORITY
 
 
 class Chooser:
@@ -64,6 +68,8 @@
     connection_limit : callable
         Returns the number of connections that this instance may have to one upstream
         of a service, 0 for no limit.
+    rates : upstreamrates.UpstreamRates
+        Rates that upstreams name.
     """
 
     def __init__(
@@ -74,12 +80,14 @@
         placement: placement.Placement,
         domain: str,
         connection_limit: collections.abc.Callable[[model.Service], int],
+        rates: upstreamrates.UpstreamRates,
     ) -> None:
         self.records = records
         self.cold_start = cold_start
         self.placement = placement
         self.domain = domain
         self.connection_limit = connection_limit
+        self.rates = rates
         self.notices = leaving.Notices()
         self.healths = health.HealthTable()
         self._registered: dict[str, Registered] = {}
@@ -112,17 +120,41 @@
         return min(times, default=now)
 
     def pick(self, required: Requirements) -> model.Upstream | None:
-        """Return the upstream for an attempt, None if none is ready."""
+        """Return the upstream for an attempt, None if none is ready.
+
+        The request may be sent there only after `confirm`, and with a permit if the
+        upstream has named a rate.
+        """
         now = clock.now()
         found = self._untried(required, now)
         for group in self._groups_by_preference(found, required.plan, now):
-            ready = [u for u in group if self._is_ready(u, required.service, now)]
+            ready = [u for u in group if self._is_ready(u, required, now)]
             if ready:
-                chosen = self._best(ready, required)
-                self._record_cold_request(chosen, now)
-                return chosen
+                return self._best(ready, required)
         return None
 
+    def confirm(self, upstream: model.Upstream, required: Requirements) -> bool:
+        """Note that a request is sent to an upstream now, if it is still ready."""
+        now = clock.now()
+        if upstream not in self._untried(required, now):
+            return False
+        if not self._is_open(upstream, required.service, now):
+            return False
+        if self.is_cold(upstream, now):
+            self.cold_start.record_request(upstream.name, now)
+        return True
+
+    def held_upstreams(self, required: Requirements) -> list[model.Upstream]:
+        """Return the upstreams that would be ready but for the rate that they name."""
+        now = clock.now()
+        return [
+            upstream
+            for upstream in self._untried(required, now)
+            if not self.health_of(upstream).is_ejected(now)
+            and self.rates.is_limited(upstream.run_key)
+            and self._is_open(upstream, required.service, now)
+        ]
+
     def ready_upstreams(
         self, required: Requirements, now: float
     ) -> list[model.Upstream]:
@@ -131,7 +163,7 @@
             upstream
             for upstream in self._untried(required, now)
             if not self.health_of(upstream).is_ejected(now)
-            and self._is_ready(upstream, required.service, now)
+            and self._is_ready(upstream, required, now)
         ]
 
     def _untried(self, required: Requirements, now: float) -> list[model.Upstream]:
@@ -156,8 +188,16 @@
         return groups
 
     def _is_ready(
+        self, upstream: model.Upstream, required: Requirements, now: float
+    ) -> bool:
+        return self._is_open(upstream, required.service, now) and self.rates.may_ask(
+            upstream.run_key, required.priority, now
+        )
+
+    def _is_open(
         self, upstream: model.Upstream, service: model.Service, now: float
     ) -> bool:
+        """Return whether an upstream is ready but for the rate that it may name."""
         if not self.notices.is_ready(upstream, now):
             return False
         # A request that waits for a connection could be sent after the upstream has
@@ -174,10 +214,6 @@
         row = self._registered.get(upstream.name)
         return row is not None and now < row.cold_until
 
-    def _record_cold_request(self, upstream: model.Upstream, now: float) -> None:
-        if self.is_cold(upstream, now):
-            self.cold_start.record_request(upstream.name, now)
-
     def _best(
         self, ready: list[model.Upstream], required: Requirements
     ) -> model.Upstream:
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/call.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/call.py
@@ -79,6 +79,8 @@
         The attempts that have ended, oldest first.
     decisions : list of ModelDecision
         The choices of the model, oldest first.
+    held_by : set of str
+        Upstreams whose rate had no permit for the request when it was to be sent.
     first_event_s : float or None
         Seconds from the arrival of the request to the first event of a stream.
     """
@@ -96,6 +98,7 @@
     deadline_at: float
     records: list[AttemptRecord] = attrs.field(factory=list)
     decisions: list[ModelDecision] = attrs.field(factory=list)
+    held_by: set[str] = attrs.field(factory=set)
     first_event_s: float | None = None
     config_version: int = 0
 
@@ -154,6 +157,7 @@
             status=status,
             reason=reason,
             tries=attempts,
+            held_by_rate=sorted(self.held_by),
             models=[str(decision) for decision in self.decisions],
             first_s=None
             if self.first_event_s is None
--- a/libs/masticpost-peers/src/masticpost_peers/membership.py
+++ b/libs/masticpost-peers/src/masticpost_peers/membership.py
@@ -119,6 +119,14 @@
         """Return every known member, including leaving and dead ones, by name."""
         return sorted(self._members.values(), key=lambda m: m.name)
 
+    def expected_count(self) -> int:
+        """Return the number of members that are alive or have not been seen to leave.
+
+        A member that is dead here may be alive behind a cut; it counts until it is
+        removed.
+        """
+        return sum(row.state != probes.LEAVING for row in self._members.values())
+
     def get(self, name: str) -> probes.Member | None:
         """Return the member `name`, None if it is not known."""
         return self._members.get(name)
--- a/libs/masticpost-telemetry/src/masticpost_telemetry/metrics.py
+++ b/libs/masticpost-telemetry/src/masticpost_telemetry/metrics.py
@@ -67,6 +67,12 @@
             ["upstream"],
             registry=self.registry,
         )
+        self.rate_permits = prometheus_client.Gauge(
+            "masticpost_rate_permits",
+            "Permits for upstreams that name a rate, by result of asking.",
+            ["upstream", "result"],
+            registry=self.registry,
+        )
         self.gauges = {
             name: prometheus_client.Gauge(
                 f"masticpost_{name}", help_text, registry=self.registry
--- a/libs/masticpost-upstream/src/masticpost_upstream/faults.py
+++ b/libs/masticpost-upstream/src/masticpost_upstream/faults.py
@@ -19,6 +19,7 @@
     INCOMPLETE = "answer not whole"
     PERMIT_LOST = "permit lost"
     NOT_LOADED = "version not loaded"
+    NO_PERMIT = "rate permit expired"
 
 
 VERDICTS = {
@@ -26,6 +27,7 @@
     FaultKind.OVERLOADED: retry.Verdict.NOT_PROCESSED,
     FaultKind.COLD: retry.Verdict.NOT_PROCESSED,
     FaultKind.NOT_LOADED: retry.Verdict.NOT_PROCESSED,
+    FaultKind.NO_PERMIT: retry.Verdict.NOT_PROCESSED,
     FaultKind.REJECTED: retry.Verdict.ANSWERED,
 }
 
