Read the lists that others write row by row, and give no odd value a way on

Reported by other operators: one odd entry among those of the workers (nested deeply, a number too large, a port out of range) ended the machines again and again, or they stopped following the list. It happens here, on both daemons: nesting raised RecursionError past the decoder and ended the task that follows the store, and with it the process; a number out of range, a lone surrogate or bytes that are no UTF-8 failed the whole page for as long as the entry was there; an entry without a revision too; a port out of range raised in the middle of a request (gateway) or in the loop that joins peers (zmq: invalid address).

Values that peers send were covered by the decoder, but for nesting.

--- a/libs/masticpost-common/src/masticpost_common/codec.py
+++ b/libs/masticpost-common/src/masticpost_common/codec.py
@@ -16,7 +16,10 @@
 
 def from_json(data: bytes | str, kind: type[T]) -> T:
     """Decode JSON into `kind`; raises `DecodeError`."""
-    return msgspec.json.decode(data, type=kind)
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except RecursionError as exc:
+        raise DecodeError("nested too deeply") from exc
 
 
 def to_wire(value: object) -> bytes:
@@ -26,7 +29,10 @@
 
 def from_wire(data: bytes, kind: type[T]) -> T:
     """Decode MessagePack into `kind`; raises `DecodeError`."""
-    return msgspec.msgpack.decode(data, type=kind)
+    try:
+        return msgspec.msgpack.decode(data, type=kind)
+    except RecursionError as exc:
+        raise DecodeError("nested too deeply") from exc
 
 
 def to_plain(value: object) -> object:
--- a/libs/masticpost-gateway/src/masticpost_gateway/state/source.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/state/source.py
@@ -75,10 +75,17 @@
 
 @attrs.frozen(kw_only=True)
 class Changes:
-    """Changes up to revision `at` of the store."""
+    """Changes up to revision `at` of the store.
+
+    Attributes
+    ----------
+    unreadable : int
+        Number of further changes that could not be read.
+    """
 
     events: tuple[Event, ...]
     at: int
+    unreadable: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/libs/masticpost-gateway/src/masticpost_gateway/upstreams/conns.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/upstreams/conns.py
@@ -83,7 +83,10 @@
         BrokenError
             The connection failed, or the response is not valid HTTP.
         """
-        url = yarl.URL(f"http://{self.upstream.address}{out.target}", encoded=True)
+        try:
+            url = yarl.URL(f"http://{self.upstream.address}{out.target}", encoded=True)
+        except ValueError as exc:
+            raise NotSentError(str(exc)) from exc
         try:
             resp = await self._http.request(
                 out.method,
--- a/libs/masticpost-gateway/src/masticpost_gateway/upstreams/exits.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/upstreams/exits.py
@@ -171,14 +171,17 @@
 async def _may_listen(address: str) -> bool:
     """Return False if the address refuses connections, True in all other cases."""
     host, _, port = address.rpartition(":")
-    target = (host, int(port))
+    try:
+        target = (host, int(port))
+    except ValueError:
+        return True
     sock = conns.make_socket((socket.AF_INET, socket.SOCK_STREAM, 0, "", target))
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             await asyncio.get_running_loop().sock_connect(sock, target)
     except ConnectionRefusedError:
         return False
-    except (OSError, TimeoutError):
+    except (OSError, OverflowError, TimeoutError):
         # An unreachable address says nothing about the process.
         return True
     finally:
--- a/libs/masticpost-peers/src/masticpost_peers/hub.py
+++ b/libs/masticpost-peers/src/masticpost_peers/hub.py
@@ -87,7 +87,13 @@
         sock.immediate = 1
         sock.reconnect_ivl = RECONNECT_MIN_MS
         sock.reconnect_ivl_max = RECONNECT_MAX_MS
-        sock.connect(f"tcp://{self.address}")
+        try:
+            sock.connect(f"tcp://{self.address}")
+        except (zmq.ZMQError, UnicodeError) as exc:
+            # The address comes from a list that others write.
+            logger.warning("no address to connect to: {!r}: {}", self.address, exc)
+            sock.close(linger=0)
+            return
         self._sock = sock
 
     async def on_stop(self) -> None:
@@ -194,7 +200,7 @@
     @mode.Service.task
     async def read_replies(self) -> None:
         """Resolve pending calls with their replies until the service stops."""
-        while not self.should_stop:
+        while self._sock is not None and not self.should_stop:
             frames = await self._sock.recv_multipart()
             incoming = self.hub.open(frames)
             if incoming is None:
--- a/libs/masticpost-standins/src/masticpost_standins/instancelist.py
+++ b/libs/masticpost-standins/src/masticpost_standins/instancelist.py
@@ -1,5 +1,6 @@
 """Stand-in for the platform's list of instances, which lags behind changes."""
 
+import json
 import time
 
 import attrs
@@ -58,7 +59,9 @@
     def __init__(self, *, cfg: Config) -> None:
         super().__init__(cfg=cfg, faults=Faults(), counts=Counts())
         self._history: list[tuple[float, dict[str, Row]]] = [(0.0, {})]
+        self._odd_rows: list[str] = []
         self.actions["put"] = self._put
+        self.actions["put-odd"] = self._put_odd
         self.actions["remove"] = self._remove
 
     def make_app(self) -> web.Application:
@@ -74,6 +77,11 @@
         self._history.append((time.monotonic(), rows))
         return len(rows)
 
+    async def _put_odd(self, body: bytes) -> int:
+        """Add rows to every list as they are, which may be no JSON."""
+        self._odd_rows = msgspec.json.decode(body, type=list[str])
+        return len(self._odd_rows)
+
     async def _remove(self, body: bytes) -> int:
         rows = dict(self._history[-1][1])
         for name in msgspec.json.decode(body, type=list[str]):
@@ -90,7 +98,9 @@
         rows = [rows for at, rows in self._history if at <= until][-1]
         service = req.query["labelSelector"].partition("=")[2]
         items = [_slice(row) for row in rows.values() if row.service == service]
-        return web.json_response({"kind": "EndpointSliceList", "items": items})
+        rendered = ",".join([*self._odd_rows, *map(json.dumps, items)])
+        text = f'{{"kind": "EndpointSliceList", "items": [{rendered}]}}'
+        return web.json_response(text=text)
 
 
 def _slice(row: Row) -> dict[str, object]:
--- a/libs/masticpost-store/src/masticpost_store/instances.py
+++ b/libs/masticpost-store/src/masticpost_store/instances.py
@@ -6,11 +6,13 @@
 import aiohttp
 import attrs
 import result
-from masticpost_common import codec
+from loguru import logger
+from masticpost_common import codec, jsonrows
 
 from masticpost_store import objects, wire
 
 CALL_TIMEOUT_S = 2.0
+MAX_PORT = 65_535
 
 
 @attrs.define(kw_only=True)
@@ -55,13 +57,6 @@
     ports: list[Port] = attrs.field(factory=list)
 
 
-@attrs.define(kw_only=True)
-class EndpointSliceList:
-    """The response to a list call."""
-
-    items: list[EndpointSlice] = attrs.field(factory=list)
-
-
 @attrs.frozen(kw_only=True)
 class ListedInstance:
     """An instance or upstream in the platform's list; `leaving` once it terminates."""
@@ -106,15 +101,34 @@
         try:
             async with self._http.get(self.url, params=params) as resp:
                 resp.raise_for_status()
-                slices = codec.from_json(await resp.read(), EndpointSliceList)
-        except (aiohttp.ClientError, TimeoutError, OSError, codec.DecodeError) as exc:
+                items = _items(await resp.read())
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as exc:
             kind = objects.FaultKind.NOT_PROCESSED
             return result.Err(objects.Fault(kind=kind, message=str(exc)))
-        return result.Ok([row for item in slices.items for row in _rows(item)])
+        return result.Ok([row for item in items for row in _rows(item)])
+
+
+def _items(data: bytes) -> list[EndpointSlice]:
+    """Decode a list; slices that cannot be decoded are left out.
+
+    Raises
+    ------
+    ValueError
+        The data is no list of slices.
+    """
+    found = []
+    for raw in jsonrows.elements(jsonrows.members(data).get("items", b"[]")):
+        try:
+            found.append(codec.from_json(raw, EndpointSlice))
+        except codec.DecodeError as exc:
+            logger.warning("left out an endpoint slice that cannot be read: {}", exc)
+    return found
 
 
 def _rows(item: EndpointSlice) -> list[ListedInstance]:
     port = item.ports[0].port if item.ports else 0
+    if not 0 < port <= MAX_PORT:
+        return []
     return [
         ListedInstance(
             name=endpoint.targetRef.name,
@@ -123,5 +137,5 @@
             leaving=endpoint.conditions.terminating,
         )
         for endpoint in item.endpoints
-        if endpoint.addresses
+        if endpoint.addresses and endpoint.targetRef.name
     ]
