Answer every request that was taken before a planned stop ends, on both daemons

Reported by other operators: requests that came late in the grace of a planned stop were passed on and cut without an answer when it ended. It happens here: aiohttp takes shutdown_timeout=0 for no limit (its time-out of 0 or less is none), so that the wait for handlers at the end lasted until the requests' own deadlines and the platform killed the process first, before it had told the others that it leaves. And a request whose head came within the accepted time, but whose body came later, was passed on late.

Now requests still at work when the drain ends get 502 (may have run) or 503 (not run); streams that have begun are cut (gateway) or end with an error event (product daemon); the wait for handlers after that is bounded; a request is checked for the stop once more after its body was read.

--- a/libs/masticpost-daemon/src/masticpost_daemon/instance.py
+++ b/libs/masticpost-daemon/src/masticpost_daemon/instance.py
@@ -42,6 +42,10 @@
 # Idle time after which a caller's connection is closed.
 KEEPALIVE_S = 75.0
 LISTEN_BACKLOG = 1024
+# Time for handlers of a listener that closes; aiohttp takes 0 for no limit.
+SHUTDOWN_TIMEOUT_S = 0.1
+# Time for the answers to requests that are given up at the end of the drain.
+END_TIMEOUT_S = 1.0
 
 
 class Instance(mode.Service):
@@ -84,7 +88,7 @@
             keepalive_timeout=KEEPALIVE_S,
             max_line_size=app.MAX_HEADER_BYTES,
             max_field_size=app.MAX_HEADER_BYTES,
-            shutdown_timeout=0,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
         await self._runner.setup()
         site = web.TCPSite(
@@ -130,7 +134,8 @@
 
         Announces that the instance leaves, hands over its shards, accepts requests for
         another `drain_grace_s` seconds, waits up to `drain_limit_s` seconds for
-        requests in flight, then flushes claims, bills and budgets.
+        requests in flight, gives up the others with an error as their answer, then
+        flushes claims, bills and budgets.
         """
         logger.info("draining")
         cluster = self.rt.cluster
@@ -139,15 +144,17 @@
         hand_over = asyncio.create_task(cluster.shards.hand_over())
         await asyncio.sleep(self.cfg.drain_grace_s)
         self.rt.is_stopping = True
-        await self._wait_idle()
+        await self._wait_idle(self.cfg.drain_limit_s)
+        self.rt.end_all()
+        await self._wait_idle(END_TIMEOUT_S)
         await hand_over
         await cluster.claims.flush(FLUSH_TIMEOUT_S)
         await cluster.bills.flush(FLUSH_TIMEOUT_S)
         await cluster.budgets.flush(FLUSH_TIMEOUT_S)
         logger.bind(bills_waiting=cluster.bills.pending).info("drained")
 
-    async def _wait_idle(self) -> None:
-        deadline = time.monotonic() + self.cfg.drain_limit_s
+    async def _wait_idle(self, limit_s: float) -> None:
+        deadline = time.monotonic() + limit_s
         while self.rt.in_flight and time.monotonic() < deadline:
             await asyncio.sleep(IDLE_POLL_INTERVAL_S)
 
--- a/libs/masticpost-entry/src/masticpost_entry/app.py
+++ b/libs/masticpost-entry/src/masticpost_entry/app.py
@@ -1,5 +1,6 @@
 """The HTTP application: routes, error responses and metrics of requests."""
 
+import asyncio
 import collections.abc
 import time
 
@@ -81,12 +82,20 @@
         request_id = intake.request_id_of(req)
         started = time.monotonic()
         rt.in_flight += 1
+        task = asyncio.current_task()
+        rt.active_tasks.add(task)
         try:
             resp = await handler(rt, req, request_id)
         except errors.RefusalError as exc:
             resp = _refusal_response(rt, exc, request_id)
+        except asyncio.CancelledError:
+            if not rt.is_ending or not task.cancelling():
+                raise
+            task.uncancel()
+            resp = _refusal_response(rt, reply.ending_error(), request_id)
         finally:
             rt.in_flight -= 1
+            rt.active_tasks.discard(task)
         _record(rt, req, resp, request_id, time.monotonic() - started)
         return resp
 
--- a/libs/masticpost-entry/src/masticpost_entry/chat.py
+++ b/libs/masticpost-entry/src/masticpost_entry/chat.py
@@ -63,6 +63,7 @@
     intake.check_ready(rt)
     intake.authenticate(rt, req)
     body = await intake.read_body(req)
+    intake.check_ready(rt)
     parsed = parse(body)
     call = intake.make_call(rt, req, parsed.model, "model", request_id)
     hint = intake.id_header(req, HINT_HEADER)
@@ -192,10 +193,16 @@
         rt.meters.refusals.labels(refusal.code, refusal.ran).inc()
         await streams.end_with_error(stream, refusal, job.call)
         return stream.resp
-    except (asyncio.CancelledError, ConnectionError, TimeoutError):
+    except (asyncio.CancelledError, ConnectionError, TimeoutError) as exc:
         streams.bill_usage(stream)
         job.meter.close(records.PARTIAL)
-        raise
+        if not rt.is_ending or not stream.resp.prepared:
+            raise
+        if isinstance(exc, asyncio.CancelledError):
+            asyncio.current_task().uncancel()
+        refusal = reply.ending_error().refusal
+        await streams.end_with_error(stream, refusal, job.call)
+        return stream.resp
     streams.bill_usage(stream)
     job.meter.close(records.ANSWERED)
     _rate_stream(rt, job, plan, stream)
--- a/libs/masticpost-entry/src/masticpost_entry/plain.py
+++ b/libs/masticpost-entry/src/masticpost_entry/plain.py
@@ -37,6 +37,7 @@
     intake.check_ready(rt)
     intake.authenticate(rt, req)
     body = await intake.read_body(req)
+    intake.check_ready(rt)
     call = intake.make_call(rt, req, req.match_info["service"], "plain", request_id)
     job = _make_job(rt, req, call, body)
     call.check_deadline()
--- a/libs/masticpost-entry/src/masticpost_entry/reply.py
+++ b/libs/masticpost-entry/src/masticpost_entry/reply.py
@@ -59,3 +59,13 @@
 def json_response(value: object, headers: dict[str, str] | None = None) -> web.Response:
     """Return a JSON response."""
     return web.Response(body=codec.to_json(value), content_type=JSON, headers=headers)
+
+
+def ending_error() -> errors.RefusalError:
+    """Return the error for a request that is given up as this instance ends."""
+    return errors.refuse(
+        502,
+        "instance_ended",
+        "The instance ended before the upstream had answered.",
+        ran=errors.RAN_MAYBE,
+    )
--- a/libs/masticpost-entry/src/masticpost_entry/runtime.py
+++ b/libs/masticpost-entry/src/masticpost_entry/runtime.py
@@ -1,5 +1,6 @@
 """State and clients that the handlers of one instance share."""
 
+import asyncio
 import collections
 import random
 
@@ -100,8 +101,12 @@
         Whether the instance has begun to drain; it still accepts requests.
     is_stopping : bool
         Whether new requests are refused.
+    is_ending : bool
+        Whether the requests in progress are given up.
     in_flight : int
         Number of requests in progress.
+    active_tasks : set of asyncio.Task
+        Tasks that serve requests.
     """
 
     domain: str
@@ -125,7 +130,9 @@
     ask_at_once_s: float = ASK_AT_ONCE_S
     is_draining: bool = False
     is_stopping: bool = False
+    is_ending: bool = False
     in_flight: int = 0
+    active_tasks: set[asyncio.Task] = attrs.field(factory=set)
 
     @property
     def text(self) -> model.Text:
@@ -144,6 +151,12 @@
         self.cluster.rates.keep_only(runs)
         self.cluster.sessions.clear_cache()
 
+    def end_all(self) -> None:
+        """Give up the requests in progress, each with an error as its answer."""
+        self.is_ending = True
+        for task in list(self.active_tasks):
+            task.cancel()
+
     def cascade_of(self, svc: model.Service) -> cascade.Cascade:
         """Return the cascade of a service, created at first use."""
         key = (svc.name, svc.cascade)
--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -58,6 +58,10 @@
 # Part of the grace period that is left for stopping the components.
 KILL_MARGIN_S = 0.7
 DRAIN_POLL_S = 0.05
+# Time for the answers to requests that are given up at the end of the grace period.
+END_TIMEOUT_S = 0.2
+# Time for handlers of a listener that closes; aiohttp takes 0 for no limit.
+SHUTDOWN_TIMEOUT_S = 0.05
 
 
 @attrs.frozen(kw_only=True)
@@ -286,6 +290,10 @@
         logger.bind(event="stop", active=len(self.gateway.active_conns)).info(
             "stopping"
         )
+        self.gateway.end_all()
+        ends_at = clock.now() + END_TIMEOUT_S
+        while self.gateway.active_conns and clock.now() < ends_at:
+            await asyncio.sleep(DRAIN_POLL_S)
 
     def _close_idle(self) -> None:
         """Close callers' connections without a request in flight."""
@@ -304,7 +312,7 @@
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_LINE_BYTES,
         )
-        runner = web.ServerRunner(server, shutdown_timeout=0)
+        runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await runner.setup()
         site = web.TCPSite(runner, address.host, address.port, backlog=BACKLOG)
         await site.start()
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/gateway.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/gateway.py
@@ -33,13 +33,14 @@
 
     Attributes
     ----------
-    active_conns : set of asyncio.Protocol
-        Connections on which a request is being served.
+    active_conns : dict of asyncio.Protocol to asyncio.Task
+        Connections on which a request is being served, and the tasks that serve them.
     """
 
     def __init__(self, *, parts: shared.Shared) -> None:
         self.shared = parts
-        self.active_conns: set[asyncio.Protocol] = set()
+        self.active_conns: dict[asyncio.Protocol, asyncio.Task] = {}
+        self._is_ending = False
         names = parts.names
         own = (names.key, names.customer, names.expected_instance, names.urgency)
         self._stripped_names = names.internal | {name.lower() for name in own}
@@ -48,15 +49,24 @@
         """Serve one request."""
         started_at = clock.now()
         conn = req.protocol
-        self.active_conns.add(conn)
+        self.active_conns[conn] = asyncio.current_task()
         try:
             resp = await self._handle(req, started_at)
         finally:
-            self.active_conns.discard(conn)
+            self.active_conns.pop(conn, None)
         if self.shared.closing_at is not None:
             resp.force_close()
         return resp
 
+    def end_all(self) -> None:
+        """Give up the requests at work; those without an answer get a refusal.
+
+        Streams that have begun are cut.
+        """
+        self._is_ending = True
+        for task in list(self.active_conns.values()):
+            task.cancel()
+
     async def _handle(
         self, req: web.BaseRequest, started_at: float
     ) -> web.StreamResponse:
@@ -79,11 +89,29 @@
             # aiohttp.server logs any other exception, besides the line of this request.
             raise asyncio.CancelledError from exc
         except asyncio.CancelledError:
+            if self._is_ending and call.first_event_s is None:
+                asyncio.current_task().uncancel()
+                return self._end_unanswered(call)
             self._record_end(call, outcomes.Outcome.CALLER_GONE, CLIENT_CLOSED_REQUEST)
             raise
         self._record_end(call, outcomes.Outcome.ANSWERED, resp.status)
         return resp
 
+    def _end_unanswered(self, call: calls.Call) -> web.Response:
+        """Return the answer to a request that is given up as this instance ends."""
+        error = self._stopping_error()
+        if call.records:
+            error = errors.refuse(
+                502,
+                outcomes.Outcome.UPSTREAM_FAILED,
+                "this instance ended before the upstream had answered",
+                ran=errors.RAN_MAYBE,
+            )
+        refusal = error.refusal
+        outcome = outcomes.Outcome(refusal.code)
+        self._record_end(call, outcome, refusal.status, refusal.message)
+        return refusal_response(refusal)
+
     async def _serve(
         self, call: calls.Call, req: web.BaseRequest
     ) -> web.StreamResponse:
@@ -114,6 +142,7 @@
         head = headers.read_call(req.headers, self.shared.names)
         customer = self._customer(table, route, head)
         body = await self._read_body(req, table.cfg.limits)
+        self._refuse_while_closing(clock.now())
         timeout_s = min(
             route.timeout_s or DEFAULT_TIMEOUT_S, head.deadline_s or DEFAULT_TIMEOUT_S
         )
@@ -139,12 +168,15 @@
         """Refuse a request that may not be answered before this instance ends."""
         closing_at = self.shared.closing_at
         if closing_at is not None and now > closing_at + ACCEPT_AFTER_STOP_S:
-            raise errors.refuse(
-                503,
-                outcomes.Outcome.STOPPING,
-                "this instance is shutting down",
-                retry_after_s=STOPPING_RETRY_AFTER_S,
-            )
+            raise self._stopping_error()
+
+    def _stopping_error(self) -> errors.RefusalError:
+        return errors.refuse(
+            503,
+            outcomes.Outcome.STOPPING,
+            "this instance is shutting down",
+            retry_after_s=STOPPING_RETRY_AFTER_S,
+        )
 
     def _customer(
         self, table: tables.Table, route: model.Route, head: headers.CallHead
