Tell crash reports as differences, once and twice again, at a bounded rate

Now a row (crash, answer, accusation, ended run) is told when it comes up and after 1 and 2.5 s, whatever else happens; an answer within 0.5 s of one that was told (3 s for a request) is no news; messages are 0.1 s apart and have 128 rows of a kind at most; only quarantines are repeated whole, every 2 s. Verdicts stay in time. The product daemon's deadly parts use the same outbox, pace and rule for answers.

Bytes and messages sent are counted by kind on both daemons' metrics, so that such a storm is seen at once.

--- a/libs/masticpost-entry/src/masticpost_entry/admin.py
+++ b/libs/masticpost-entry/src/masticpost_entry/admin.py
@@ -103,6 +103,8 @@
     }
     for name, value in values.items():
         rt.meters.gauges[name].set(value)
+    for kind, row in cluster.peers.traffic.kinds.items():
+        rt.meters.peer_bytes_by_kind.labels(kind).set(row.sent_bytes)
     _set_rate_gauges(rt)
 
 
--- a/libs/masticpost-entry/src/masticpost_entry/deadlyparts.py
+++ b/libs/masticpost-entry/src/masticpost_entry/deadlyparts.py
@@ -7,15 +7,14 @@
 that start later know it.
 """
 
-import asyncio
 import collections
-import contextlib
 
 import attrs
 import mode
 from loguru import logger
 from masticpost_common import clock, codec, errors
 from masticpost_gateway.learning import causes, crashes, quarantine
+from masticpost_gateway.sharing import outbox, pacing, toldanswers
 from masticpost_peers import hub, membership, messages
 from masticpost_shards import claims, views
 from masticpost_upstream import openai
@@ -25,10 +24,14 @@
 # Cuts at an engine within this time belong to the same crash.
 SAME_CRASH_S = 1.0
 TICK_S = 1.0
-# New reports are repeated for this time, since a message may be lost.
-REPEATED_S = 2.5
+# Shortest time between two reports.
+MIN_PERIOD_S = 0.1
 REMINDER_S = 2.0
-MAX_REPORTED = 512
+# A further answer on a part is told after this time at the earliest.
+NEWS_S = 0.5
+# Time after which an answer that was told may be told again.
+REPEATED_S = 3.0
+MAX_TOLD = 4096
 MAX_ENGINES = 4096
 # Stands for the upstream in the log of a quarantined part.
 STORED_AS = "a verdict"
@@ -113,13 +116,14 @@
         self._engine_crashes: collections.OrderedDict[str, tuple[str, float]] = (
             collections.OrderedDict()
         )
-        self._observed: collections.deque[tuple[str, causes.Crash]] = collections.deque(
-            maxlen=MAX_REPORTED
+        self._observed: outbox.Outbox[tuple[str, causes.Crash]] = outbox.Outbox()
+        self._answers: outbox.Outbox[tuple[str, float]] = outbox.Outbox()
+        self._told = toldanswers.ToldAnswers(
+            interval_s=lambda key: NEWS_S, repeated_s=REPEATED_S, most=MAX_TOLD
         )
-        self._answers: dict[str, float] = {}
         self._reminded_at = 0.0
         self._stored: dict[str, int] = {}
-        self._wake = asyncio.Event()
+        self._pace = pacing.Pace(min_period_s=MIN_PERIOD_S, max_period_s=TICK_S)
         self.tracker.listen(lambda crash: None, self._on_answer)
         peers.handle(PartReport, self._on_report)
 
@@ -147,8 +151,9 @@
             upstream=engine,
             crashes=[self.tracker.crash_count(key) for key in parts],
         ).warning("engine went down while serving the request")
-        self._observed.append((engine, crash))
-        self._wake.set()
+        key = (crash.request, crash.run)
+        self._observed.put(key, (engine, crash), clock.now())
+        self._pace.wake()
 
     def note_answer(self, parts: tuple[str, ...]) -> None:
         """Note an answer that is complete or goes on, which clears the parts."""
@@ -159,13 +164,10 @@
     async def share(self) -> None:
         """Judge, and send what is new at once and what is recent again."""
         while not self.should_stop:
-            pause_s = self.tracker.next_verdict_s(clock.now()) or TICK_S
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(min(pause_s, TICK_S)):
-                    await self._wake.wait()
-            self._wake.clear()
+            may_send = await self._pace.wait(self.tracker.next_verdict_s(clock.now()))
             self._judge()
-            await self._send(clock.now())
+            if may_send:
+                await self._send(clock.now())
 
     def _judge(self) -> None:
         for key in self.tracker.judge(clock.now()):
@@ -195,12 +197,10 @@
         self.tracker.add_quarantine(key, row)
 
     async def _send(self, now: float) -> None:
-        recent = [row for row in self._observed if row[1].at > now - REPEATED_S]
-        self._answers = {
-            key: at for key, at in self._answers.items() if at > now - REPEATED_S
-        }
+        observed = self._observed.take(now)
+        answers = self._answers.take(now)
         quarantined = self._reminder(now)
-        if not (recent or self._answers or quarantined):
+        if not (observed or answers or quarantined):
             return
         report = PartReport(
             crashes=[
@@ -211,11 +211,9 @@
                     age_s=now - crash.at,
                     had_survived=crash.had_survived,
                 )
-                for engine, crash in recent
-            ],
-            answers=[
-                AgedPart(key=key, age_s=now - at) for key, at in self._answers.items()
+                for engine, crash in observed
             ],
+            answers=[AgedPart(key=key, age_s=now - at) for key, at in answers],
             quarantined=quarantined,
         )
         me = self.peers.name
@@ -243,7 +241,7 @@
             )
             if self.tracker.record_crash(crash):
                 self._speak_for(crash)
-                self._wake.set()
+                self._pace.wake()
         for row in body.quarantined:
             reported = quarantine.Quarantine(
                 at=now - row.age_s, failed_trials=row.failed_trials
@@ -260,8 +258,10 @@
                 self._on_answer(key, answered_at)
 
     def _on_answer(self, key: str, at: float) -> None:
-        self._answers[key] = at
-        self._wake.set()
+        now = clock.now()
+        if self._told.is_news(key, at, now):
+            self._answers.put(key, (key, at), now)
+            self._pace.wake()
 
     def _crash(
         self,
--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -164,7 +164,9 @@
             members=lambda: {row.name for row in self.relay.watchers},
         )
         self.gateway = gateway.Gateway(parts=self.shared)
-        gauge = gauges.StatusGauges(read=lambda: status.of(self))
+        gauge = gauges.StatusGauges(
+            read=lambda: status.of(self), traffic=self.mesh.hub.traffic
+        )
         self.metrics.registry.register(gauge)
         self._runners: list[web.ServerRunner] = []
         self.records.listen(self._on_change)
@@ -196,7 +198,8 @@
         places = placement.Placement(loads=self.loads, speeds=speeds.Speeds())
         recent_sessions = sessions.Sessions(idle_timeout_s=cfg.session_s)
         cold_start = coldstart.ColdStartLimiter(me=cfg.name, members=self.members)
-        pools = conns.Pools(instance_count=lambda: len(self.members()))
+        expected_count = self.mesh.members.expected_count
+        pools = conns.Pools(instance_count=expected_count)
         chooser = choice.Chooser(
             records=self.records,
             cold_start=cold_start,
@@ -205,9 +208,7 @@
             connection_limit=pools.connection_share,
             rates=self.rates,
         )
-        retries = retrybudget.RetryBudget(
-            bounds=cfg.retries, members=lambda: len(self.members())
-        )
+        retries = retrybudget.RetryBudget(bounds=cfg.retries, members=expected_count)
         return shared.Shared(
             names=names,
             records=self.records,
--- a/libs/masticpost-gateway/src/masticpost_gateway/reporting/gauges.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/reporting/gauges.py
@@ -3,6 +3,7 @@
 import collections
 import collections.abc
 
+from masticpost_peers import hub
 from prometheus_client import core
 
 from masticpost_gateway.reporting import status
@@ -15,10 +16,18 @@
     ----------
     read : callable
         Returns the current status.
+    traffic : hub.Traffic
+        Counts of the messages to other instances.
     """
 
-    def __init__(self, *, read: collections.abc.Callable[[], status.Status]) -> None:
+    def __init__(
+        self,
+        *,
+        read: collections.abc.Callable[[], status.Status],
+        traffic: hub.Traffic,
+    ) -> None:
         self.read = read
+        self.traffic = traffic
 
     def describe(self) -> list[core.Metric]:
         """Return no metrics, so that registration does not read the status."""
@@ -56,6 +65,7 @@
         yield _upstream_counts(current)
         yield _rates(current)
         yield _rate_permits(current)
+        yield from _peer_traffic(self.traffic)
 
 
 def _record_ages(current: status.Status) -> core.Metric:
@@ -103,3 +113,21 @@
         family.add_metric([row.upstream, "granted"], row.granted)
         family.add_metric([row.upstream, "held"], row.held)
     return family
+
+
+def _peer_traffic(traffic: hub.Traffic) -> collections.abc.Iterator[core.Metric]:
+    sent = core.CounterMetricFamily(
+        "masticpost_gateway_peer_messages",
+        "Messages sent to other instances, by kind.",
+        labels=["kind"],
+    )
+    size = core.CounterMetricFamily(
+        "masticpost_gateway_peer_bytes",
+        "Bytes of the messages sent to other instances, by kind.",
+        labels=["kind"],
+    )
+    for kind, row in sorted(traffic.kinds.items()):
+        sent.add_metric([kind], row.sent)
+        size.add_metric([kind], row.sent_bytes)
+    yield sent
+    yield size
--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/crashreports.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/crashreports.py
@@ -7,9 +7,7 @@
 quarantined. All messages are idempotent.
 """
 
-import asyncio
 import collections
-import contextlib
 
 import attrs
 import mode
@@ -18,14 +16,22 @@
 from masticpost_peers import messages
 
 from masticpost_gateway.learning import causes, crashes, quarantine
-from masticpost_gateway.sharing import mesh, relay
+from masticpost_gateway.sharing import mesh, outbox, pacing, relay, toldanswers
 
 # Maximum time between two checks for something to report.
 TICK_S = 1.0
-# New crashes and answers are repeated for this time, since a message may be lost.
+# Shortest time between two messages of a kind.
+MIN_PERIOD_S = 0.1
+# Time in which accusations and ended runs are news.
+NEWS_S = 2.0
+# Time after which an answer that was told may be told again.
 REPEATED_S = 3.0
-# Unchanged verdicts are announced again after this time.
+# A further answer on a part is told after this time at the earliest, unless it is new.
+PART_NEWS_S = 0.5
+# All quarantines are announced again after this time, for instances that start.
 REMINDER_S = 2.0
+# Answers of which is known when they were told.
+MAX_TOLD = 4096
 # Limits of one message and of what an instance repeats to new watchers.
 MAX_ACCUSED = 256
 MAX_REPORTED = 2048
@@ -143,26 +149,34 @@
         self._crashes: collections.deque[causes.Crash] = collections.deque(
             maxlen=MAX_REPORTED
         )
-        self._answers: dict[str, float] = {}
+        self._told = toldanswers.ToldAnswers(
+            interval_s=lambda key: PART_NEWS_S if causes.is_part(key) else REPEATED_S,
+            repeated_s=REPEATED_S,
+            most=MAX_TOLD,
+        )
+        self._new_crashes: outbox.Outbox[causes.Crash] = outbox.Outbox()
+        self._new_answers: outbox.Outbox[tuple[str, float]] = outbox.Outbox()
+        # What a watcher tells its recipients.
+        self._forwarded: outbox.Outbox[tuple[str, float]] = outbox.Outbox()
+        self._new_accused: outbox.Outbox[tuple[str, float]] = outbox.Outbox()
+        self._new_ended: outbox.Outbox[tuple[str, float]] = outbox.Outbox()
         self._reported_to: set[str] = set()
-        self._announced: tuple[object, ...] = ()
-        self._announced_at = 0.0
-        self._wake = asyncio.Event()
+        self._announced: dict[str, quarantine.Quarantine] = {}
+        self._reminded_at = 0.0
+        self._pace = pacing.Pace(min_period_s=MIN_PERIOD_S, max_period_s=TICK_S)
         tracker.listen(self._on_crash, self._on_answer)
         peers.hub.handle(CrashReport, self._on_report)
         peers.hub.handle(Verdicts, self._on_verdicts)
 
     @mode.Service.task
     async def report(self) -> None:
-        """Send new reports and verdicts at once, and repeat the recent ones."""
+        """Send new reports and verdicts at once, and repeat them as they are due."""
         while not self.should_stop:
-            pause_s = self.tracker.next_verdict_s(clock.now()) or TICK_S
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(min(pause_s, TICK_S)):
-                    await self._wake.wait()
-            self._wake.clear()
+            may_send = await self._pace.wait(self.tracker.next_verdict_s(clock.now()))
             self.tracker.judges_prompts = self.relay.is_watcher
             self.judge()
+            if not may_send:
+                continue
             await self._report(clock.now())
             if self.relay.is_watcher:
                 await self._announce(clock.now())
@@ -178,32 +192,41 @@
 
     def _on_crash(self, crash: causes.Crash) -> None:
         self._crashes.append(crash)
-        self._wake.set()
+        self._new_crashes.put((crash.request, crash.run), crash, clock.now())
+        self._pace.wake()
 
     def _on_answer(self, key: str, at: float) -> None:
-        self._answers[key] = at
-        self._wake.set()
+        """Tell the watchers of an answer on an accused cause."""
+        now = clock.now()
+        if not self._told.is_news(key, at, now):
+            return
+        self._new_answers.put(key, (key, at), now)
+        if self.relay.is_watcher:
+            self._forwarded.put(key, (key, at), now)
+        self._pace.wake()
 
     async def _report(self, now: float) -> None:
-        """Send recent observations to the other watchers, and all to a new watcher."""
+        """Send what is due to the other watchers, and all crashes to a new watcher."""
         retained_from = now - crashes.RETENTION_S
         while self._crashes and self._crashes[0].at <= retained_from:
             self._crashes.popleft()
-        self._answers = {
-            fp: at for fp, at in self._answers.items() if at > now - REPEATED_S
-        }
         me = self.peers.me.name
         others = {row.address for row in self.relay.watchers if row.name != me}
         new = others - self._reported_to
         self._reported_to = others
-        await self._send_report(new, list(self._crashes), now)
-        recent = [row for row in self._crashes if row.at > now - REPEATED_S]
-        await self._send_report(others - new, recent, now)
+        rows = self._new_crashes.take(now)
+        answers = self._new_answers.take(now)
+        await self._send_report(new, list(self._crashes), answers, now)
+        await self._send_report(others - new, rows, answers, now)
 
     async def _send_report(
-        self, addresses: set[str], rows: list[causes.Crash], now: float
+        self,
+        addresses: set[str],
+        rows: list[causes.Crash],
+        answers: list[tuple[str, float]],
+        now: float,
     ) -> None:
-        if not addresses or not (rows or self._answers):
+        if not addresses or not (rows or answers):
             return
         body = CrashReport(
             crashes=[
@@ -217,29 +240,24 @@
                 )
                 for crash in rows
             ],
-            answers=_aged_rows(self._answers, now),
+            answers=_aged_rows(answers, now),
         )
         await self.peers.hub.broadcast(
             sorted(addresses), body, queue_until_connected=True
         )
 
     async def _announce(self, now: float) -> None:
-        """Send the verdicts to the recipients if they have changed or are due again."""
-        accused = self._accused(now)
-        quarantined = self.tracker.quarantined(now)
-        ended = self.tracker.runs.ended_since(now - REPEATED_S)
-        verdicts = (
-            tuple(ended),
-            tuple(accused),
-            tuple(quarantined.items()),
-            tuple(self._answers),
-        )
-        is_due = any(verdicts) and now - self._announced_at >= REMINDER_S
-        if verdicts == self._announced and not is_due:
-            return
-        self._announced, self._announced_at = verdicts, now
+        """Send the recipients what is due, and all quarantines as a reminder."""
+        for key, at in self._accused(now).items():
+            self._new_accused.put(key, (key, at), now)
+        for run, at in self.tracker.runs.ended_since(now - NEWS_S).items():
+            self._new_ended.put(run, (run, at), now)
+        accused = self._new_accused.take(now)
+        ended = self._new_ended.take(now)
+        answers = self._forwarded.take(now)
+        quarantined = self._due_quarantines(now)
         addresses = self.relay.recipients()
-        if not addresses or not any(verdicts):
+        if not addresses or not (accused or ended or answers or quarantined):
             return
         body = Verdicts(
             accused=_aged_rows(accused, now),
@@ -249,14 +267,24 @@
                 )
                 for key, row in quarantined.items()
             ],
-            answers=_aged_rows(self._answers, now),
-            ended=[EndedRun(run=run, age_s=now - at) for run, at in ended.items()],
+            answers=_aged_rows(answers, now),
+            ended=[EndedRun(run=run, age_s=now - at) for run, at in ended],
         )
         await self.peers.hub.broadcast(addresses, body, queue_until_connected=True)
 
+    def _due_quarantines(self, now: float) -> dict[str, quarantine.Quarantine]:
+        """Return the new quarantines, all of them if a reminder is due."""
+        rows = self.tracker.quarantined(now)
+        new = {k: row for k, row in rows.items() if self._announced.get(k) != row}
+        self._announced = rows
+        if now - self._reminded_at < REMINDER_S:
+            return new
+        self._reminded_at = now
+        return rows
+
     def _accused(self, now: float) -> dict[str, float]:
         """Return the latest accused causes, those with the most crashes if too many."""
-        rows = self.tracker.accused_since(now - REPEATED_S)
+        rows = self.tracker.accused_since(now - NEWS_S)
         if len(rows) <= MAX_ACCUSED:
             return rows
         ranked = sorted(rows, key=self.tracker.crash_count, reverse=True)
@@ -276,7 +304,7 @@
                 had_survived=row.had_survived,
             )
             if self.tracker.record_crash(crash):
-                self._wake.set()
+                self._pace.wake()
 
     async def _on_verdicts(self, envelope: messages.Envelope, body: Verdicts) -> None:
         now = clock.now()
@@ -303,9 +331,15 @@
     def _merge_answer(self, row: AgedRow, now: float) -> None:
         """Record another instance's answer; a watcher forwards it."""
         at = now - row.age_s
-        if self.tracker.record_answer(row.key, at) and self.relay.is_watcher:
-            self._on_answer(row.key, at)
-
-
-def _aged_rows(rows: dict[str, float], now: float) -> list[AgedRow]:
-    return [AgedRow(key=key, age_s=now - at) for key, at in rows.items()]
+        was_accused = self.tracker.record_answer(row.key, at)
+        if (
+            was_accused
+            and self.relay.is_watcher
+            and self._told.is_news(row.key, at, now)
+        ):
+            self._forwarded.put(row.key, (row.key, at), now)
+            self._pace.wake()
+
+
+def _aged_rows(rows: list[tuple[str, float]], now: float) -> list[AgedRow]:
+    return [AgedRow(key=key, age_s=now - at) for key, at in rows]
--- a/libs/masticpost-peers/src/masticpost_peers/hub.py
+++ b/libs/masticpost-peers/src/masticpost_peers/hub.py
@@ -40,11 +40,20 @@
     """The peer cannot be reached, did not reply in time, or refused the call."""
 
 
+@attrs.define(kw_only=True)
+class KindTraffic:
+    """Messages of one kind that were sent, and their bytes."""
+
+    sent: int = 0
+    sent_bytes: int = 0
+
+
 @attrs.define(kw_only=True)
 class Traffic:
     """Counts of messages and bytes since the process started.
 
-    `received` includes messages that were then rejected.
+    `received` includes messages that were then rejected. `kinds` has what was sent by
+    kind of message.
     """
 
     sent: int = 0
@@ -52,6 +61,15 @@
     received: int = 0
     received_bytes: int = 0
     rejected: int = 0
+    kinds: dict[str, KindTraffic] = attrs.field(factory=dict)
+
+
+class Sealed(list[bytes]):
+    """The frames of a signed message, and its kind."""
+
+    def __init__(self, frames: list[bytes], kind: str) -> None:
+        super().__init__(frames)
+        self.kind = kind
 
 
 class PeerConn(mode.Service):
@@ -70,7 +88,7 @@
         self.hub = hub
         self.address = address
         self._pending_calls: dict[int, asyncio.Future] = {}
-        self._queued: collections.deque[list[bytes]] = collections.deque(
+        self._queued: collections.deque[Sealed] = collections.deque(
             maxlen=MAX_QUEUED_MESSAGES
         )
         self._is_flushing = False
@@ -146,11 +164,11 @@
             raise PeerUnreachableError(f"{self.address}: {reply.reason}")
         return reply
 
-    async def send_frames(self, frames: list[bytes]) -> None:
+    async def send_frames(self, frames: Sealed) -> None:
         """Send the frames of a sealed message; see `send`."""
         await self._send_now(frames)
 
-    async def send_or_queue(self, frames: list[bytes]) -> None:
+    async def send_or_queue(self, frames: Sealed) -> None:
         """Send the frames of a sealed message, queued until the peer is connected.
 
         They are dropped if there is no connection within `QUEUE_TIMEOUT_S`.
@@ -179,7 +197,7 @@
             await self._send_now(self._queued[0])
             self._queued.popleft()
 
-    async def _send_when_connected(self, frames: list[bytes]) -> None:
+    async def _send_when_connected(self, frames: Sealed) -> None:
         while True:
             try:
                 return await self._send_now(frames)
@@ -188,7 +206,7 @@
                     raise
                 await asyncio.sleep(CONNECT_POLL_S)
 
-    async def _send_now(self, frames: list[bytes]) -> None:
+    async def _send_now(self, frames: Sealed) -> None:
         if self._sock is None or self._sock.closed:
             raise PeerUnreachableError(f"{self.address}: connection closed")
         try:
@@ -335,9 +353,7 @@
         conn = await self.conn(address)
         return await conn.call(body, timeout_s)
 
-    def seal(
-        self, body: object, *, call_id: int = 0, is_reply: bool = False
-    ) -> list[bytes]:
+    def seal(self, body: object, *, call_id: int = 0, is_reply: bool = False) -> Sealed:
         """Encode and sign a message and return its frames.
 
         `call_id` is 0 for a one-way message.
@@ -350,7 +366,8 @@
             is_reply=is_reply,
         )
         frames = messages.encode(envelope, body)
-        return [*frames, self.ring.sign(b"".join(frames))]
+        signed = [*frames, self.ring.sign(b"".join(frames))]
+        return Sealed(signed, body.MESSAGE_KIND)
 
     def open(self, frames: list[bytes]) -> messages.Incoming | None:
         """Verify and decode frames; returns None for a message that is rejected."""
@@ -366,10 +383,14 @@
             logger.warning("rejected a message that cannot be decoded: {}", exc)
             return None
 
-    def record_sent(self, frames: list[bytes]) -> None:
+    def record_sent(self, frames: Sealed) -> None:
         """Count a sent message in `traffic`."""
+        size = sum(map(len, frames))
         self.traffic.sent += 1
-        self.traffic.sent_bytes += sum(map(len, frames))
+        self.traffic.sent_bytes += size
+        row = self.traffic.kinds.setdefault(frames.kind, KindTraffic())
+        row.sent += 1
+        row.sent_bytes += size
 
     @mode.Service.task
     async def read_calls(self) -> None:
--- a/libs/masticpost-telemetry/src/masticpost_telemetry/metrics.py
+++ b/libs/masticpost-telemetry/src/masticpost_telemetry/metrics.py
@@ -73,6 +73,12 @@
             ["upstream", "result"],
             registry=self.registry,
         )
+        self.peer_bytes_by_kind = prometheus_client.Gauge(
+            "masticpost_peer_bytes_sent_by_kind",
+            "Bytes sent to other instances since the start, by kind of message.",
+            ["kind"],
+            registry=self.registry,
+        )
         self.gauges = {
             name: prometheus_client.Gauge(
                 f"masticpost_{name}", help_text, registry=self.registry
