--- a/libs/masticpost-decide/src/masticpost_decide/admission.py
+++ b/libs/masticpost-decide/src/masticpost_decide/admission.py
@@ -63,7 +63,7 @@
         cust : model.Customer
             Customer of the request.
         instances : int
-            Number of live instances. Each allows the customer up to twice an even
+            Number of expected instances. Each allows the customer up to twice an even
             part of `max_concurrent`, and never more than `max_concurrent`.
 
         Raises
--- a/libs/masticpost-entry/src/masticpost_entry/chat.py
+++ b/libs/masticpost-entry/src/masticpost_entry/chat.py
@@ -71,7 +71,7 @@
     suspects.check_quarantine(rt, job.fingerprint)
     rt.cluster.budgets.check(call.customer)
     call.check_deadline()
-    instances = len(rt.cluster.members.alive())
+    instances = rt.cluster.members.expected_count()
     with rt.admission_control.admit(rt.text, call.customer, instances):
         return await _serve(rt, req, job, hint)
 
--- a/libs/masticpost-entry/src/masticpost_entry/plain.py
+++ b/libs/masticpost-entry/src/masticpost_entry/plain.py
@@ -42,7 +42,7 @@
     job = _make_job(rt, req, call, body)
     call.check_deadline()
     _check_dependencies(rt, call.service)
-    instances = len(rt.cluster.members.alive())
+    instances = rt.cluster.members.expected_count()
     with rt.admission_control.admit(rt.text, call.customer, instances):
         answer = await _run(rt, job)
     headers = {"X-Request-Id": request_id}
--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -236,8 +236,11 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether the readiness check passes: configured and not draining."""
-        return self.records.table is not None and self.shared.closing_at is None
+        """Whether the readiness check passes: all kinds are known, not draining."""
+        views = self.records.views.values()
+        is_complete = all(view.at >= 0 for view in views)
+        is_configured = self.records.table is not None and is_complete
+        return is_configured and self.shared.closing_at is None
 
     async def on_start(self) -> None:
         """Start the components, then listen."""
--- a/libs/masticpost-gateway/testing/sharing/test_relay.py
+++ b/libs/masticpost-gateway/testing/sharing/test_relay.py
@@ -3,6 +3,7 @@
 import asyncio
 import types
 
+import pytest
 import result
 from masticpost_common import clock
 from masticpost_gateway.sharing import relay, replication
@@ -243,6 +244,23 @@
         assert not listed_kinds
 
 
+# Guards against "no upstream is in service" from an instance that counts as ready
+# before it knows the upstreams, or which failure domains are out.
+@pytest.mark.parametrize("kind", list(source.Kind))
+async def test_instance_is_not_ready_before_it_knows_every_kind(kind):
+    async with kit.Deployment() as dep:
+        await dep.add_worker("w1", kit.answers())
+        await dep.configure()
+        dep.store.fail(kind, source.FaultKind.NOT_DONE)
+        starting = asyncio.ensure_future(dep.add_node())
+        await kit.until(lambda: dep.store.calls > 2 * len(source.Kind))
+        assert not starting.done()
+        dep.store.fail(kind, None)
+        instance = await starting
+        assert instance.is_ready
+        assert (await dep.call("/lookup/")).status == 200
+
+
 async def test_instance_whose_seeds_do_not_answer_reads_the_store_itself():
     async with kit.Deployment() as dep:
         await dep.add_worker("w1", kit.answers())
