Follow a store that comes back from an older copy, by its era

Every cache took only states that are at least as new by revision, so that an instance would not have followed the store until its revisions had caught up, nor written again what the store had lost.

A position is now era and revision in one number that grows over eras, so that caches, relays between instances and a status written under a condition agree without knowing of eras. Instances register again, and the quarantine's entries are compared again and written, without adopting what was freed since.

--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -135,7 +135,11 @@
         store = countedstore.CountedStore(store=store, registry=self.metrics.registry)
         self.records = recordcache.RecordCache()
         self.mesh = mesh.Mesh(
-            name=cfg.name, domain=cfg.domain, cfg=cfg.mesh, store=store
+            name=cfg.name,
+            domain=cfg.domain,
+            cfg=cfg.mesh,
+            store=store,
+            era=lambda: self.records.era,
         )
         self.loads = loads.Loads(peers=self.mesh)
         self.rates = upstreamrates.UpstreamRates(
@@ -188,7 +192,11 @@
                 peers=self.mesh, relay=self.relay, tracker=tracker
             ),
             quarantines.QuarantineSync(
-                me=self.cfg.name, store=store, relay=self.relay, tracker=tracker
+                me=self.cfg.name,
+                store=store,
+                relay=self.relay,
+                tracker=tracker,
+                era=lambda: self.records.era,
             ),
         )
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/mesh.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/mesh.py
@@ -1,6 +1,7 @@
 """Membership of the instances of one deployment, and messages between them."""
 
 import asyncio
+import collections.abc
 import time
 
 import attrs
@@ -54,12 +55,21 @@
         Addresses and secret.
     store : source.Source
         Where instances register.
+    era : callable, optional
+        Returns the era of the store, which forgets registrations when it changes.
     """
 
     def __init__(
-        self, *, name: str, domain: str, cfg: MeshSettings, store: source.Source
+        self,
+        *,
+        name: str,
+        domain: str,
+        cfg: MeshSettings,
+        store: source.Source,
+        era: collections.abc.Callable[[], int] = lambda: 0,
     ) -> None:
         super().__init__()
+        self.era = era
         self.cfg = cfg
         self.store = store
         self.me = source.InstanceEntry(name=name, address=cfg.address, domain=domain)
@@ -170,13 +180,15 @@
         The registered instances serve those whose seeds are out of date.
         """
         await asyncio.sleep(REGISTER_PERIOD_S)
-        is_registered = False
+        registered_in: int | None = None
         while not self.should_stop:
             chosen = [
                 member.name for member in self.chosen("register", REGISTERED_INSTANCES)
             ]
-            if not is_registered and self.me.name in chosen:
-                is_registered = (await self.store.register(self.me)).is_ok()
+            era = self.era()
+            if registered_in != era and self.me.name in chosen:
+                is_ok = (await self.store.register(self.me)).is_ok()
+                registered_in = era if is_ok else registered_in
             if not self.others():
                 outcome = await self.store.instances()
                 self._add_listed(outcome.unwrap_or([]))
--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/quarantines.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/quarantines.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections.abc
 import math
 import time
 
@@ -34,6 +35,8 @@
         Provides the watchers.
     tracker : crashes.CrashTracker
         Quarantined causes to store and to restore.
+    era : callable, optional
+        Returns the era of the store, which holds an older state when it changes.
     """
 
     def __init__(
@@ -43,6 +46,7 @@
         store: source.Source,
         relay: relay.Relay,
         tracker: crashes.CrashTracker,
+        era: collections.abc.Callable[[], int] = lambda: 0,
     ) -> None:
         super().__init__()
         self.me = me
@@ -50,32 +54,43 @@
         self.relay = relay
         self.tracker = tracker
         self._stored: dict[str, float] = {}
-        self._is_read = False
+        self.era = era
+        self._read_in: int | None = None
 
     @mode.Service.task
     async def synchronize(self) -> None:
         """Read the entries of the store once, then update them periodically."""
         while not self.should_stop:
-            if self.relay.is_watcher and not self._is_read:
-                self._is_read = await self._read()
-            if self.relay.is_watcher and self._is_read:
+            era = self.era()
+            if self.relay.is_watcher and self._read_in != era:
+                is_read = await self._read(adopts=self._read_in is None)
+                self._read_in = era if is_read else self._read_in
+            if self.relay.is_watcher and self._read_in == era:
                 await self._write()
             await asyncio.sleep(PERIOD_S)
 
-    async def _read(self) -> bool:
-        """Quarantine the causes in the store; return whether it answered."""
+    async def _read(self, *, adopts: bool) -> bool:
+        """Read which causes are stored; return whether the store answered.
+
+        Parameters
+        ----------
+        adopts : bool
+            Whether to quarantine them. An older copy holds what was freed since.
+        """
         outcome = await self.store.quarantined()
         if outcome.is_err():
             logger.bind(event="quarantine").warning(
                 "cannot read the quarantined causes: {}", outcome.unwrap_err().message
             )
             return False
+        self._stored.clear()
         for row in outcome.unwrap():
             # Wall clocks differ, so an entry may seem to be from the future.
             at = clock.now() - max(0.0, time.time() - row.since_s)
             stored = quarantine.Quarantine(at=at, failed_trials=row.failed_trials)
             self._stored[row.key] = at
-            self.tracker.add_quarantine(row.key, stored)
+            if adopts:
+                self.tracker.add_quarantine(row.key, stored)
         logger.bind(event="quarantine", entries=len(self._stored)).info(
             "read the quarantined causes"
         )
--- a/libs/masticpost-gateway/src/masticpost_gateway/state/recordcache.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/state/recordcache.py
@@ -94,6 +94,11 @@
         self._listeners: list[Listener] = []
         self._advance_listeners: list[AdvanceListener] = []
 
+    @property
+    def era(self) -> int:
+        """Newest era of the store of which records are cached."""
+        return max(source.era_of(view.at) for view in self.views.values())
+
     def listen(self, listener: Listener) -> None:
         """Call `listener` with the kind whenever entries of a kind have changed."""
         self._listeners.append(listener)
--- a/libs/masticpost-gateway/src/masticpost_gateway/state/source.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/state/source.py
@@ -116,6 +116,29 @@
     failed_trials: int = 0
 
 
+# Revisions of one era of the store; those of a later era are all higher.
+ERA_SPAN = 10**12
+
+
+def position(era: int, revision: int) -> int:
+    """Return a position of the store that grows over eras.
+
+    A store that comes back from an older copy begins a new era and gives out
+    revisions again.
+    """
+    return era * ERA_SPAN + revision
+
+
+def era_of(at: int) -> int:
+    """Return the era of a position, -1 before the first state has arrived."""
+    return at // ERA_SPAN
+
+
+def revision_of(at: int) -> int:
+    """Return the revision of a position within its era."""
+    return at % ERA_SPAN
+
+
 class Source(typing.Protocol):
     """A store that the gateway watches, and to which it writes a few records."""
 
