--- a/libs/masticpost-gateway/src/masticpost_gateway/routing/choice.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/routing/choice.py
@@ -190,9 +190,11 @@
     def _is_ready(
         self, upstream: model.Upstream, required: Requirements, now: float
     ) -> bool:
-        return self._is_open(upstream, required.service, now) and self.rates.may_ask(
-            upstream.run_key, required.priority, now
-        )
+        if not self._is_open(upstream, required.service, now):
+            return False
+        if not self.rates.has_limits:
+            return True
+        return self.rates.may_ask(upstream.run_key, required.priority, now)
 
     def _is_open(
         self, upstream: model.Upstream, service: model.Service, now: float
--- a/libs/masticpost-rates/src/masticpost_rates/upstreamrates.py
+++ b/libs/masticpost-rates/src/masticpost_rates/upstreamrates.py
@@ -145,6 +145,11 @@
         )
         self.telling.learn(run, row, request_id)
 
+    @property
+    def has_limits(self) -> bool:
+        """Whether any upstream names a rate."""
+        return bool(self.statements.limited)
+
     def is_limited(self, run: str) -> bool:
         """Return whether requests to a run of an upstream need a permit."""
         return run in self.statements.limited
