--- a/review/harness/record.py
+++ b/review/harness/record.py
@@ -1,7 +1,10 @@
 """The record of a script: what was sent, answered and run, and the result."""
 
+import asyncio
 import os
+import signal
 import sys
+import traceback
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
@@ -46,7 +49,29 @@
         self.path.write_text("\n".join(self.lines) + "\n")
 
 
-def end(code):
-    """End the script with its result."""
+def run(main):
+    """Run the main coroutine of a script, and exit with its result.
+
+    An error in the script, or a signal that ends it, is no broken rule.
+    """
+    try:
+        code = asyncio.run(_until_signal(main))
+    except (Exception, asyncio.CancelledError):
+        traceback.print_exc()
+        code = NOT_RUN
     sys.stdout.flush()
     sys.exit(code)
+
+
+async def _until_signal(main):
+    """Return the result of `main`; the first signal cancels it, to clean up."""
+    loop = asyncio.get_running_loop()
+    task = asyncio.current_task()
+
+    def end():
+        if not task.cancelling():
+            task.cancel()
+
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signum, end)
+    return await main()
