--- a/review/harness/record.py
+++ b/review/harness/record.py
@@ -1,7 +1,6 @@
 """The record of a script: what was sent, answered and run, and the result."""
 
 import asyncio
-import os
 import signal
 import sys
 import traceback
@@ -9,11 +8,6 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
-def has_trouble():
-    """Return whether the script is to cause its disruption."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 class Record:
     """Lines of `record.txt`; times are seconds from `zero`, a monotonic time."""
 
