--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
@@ -104,17 +104,27 @@
         ]
         return healthy or usable
 
-    async def next_upstream(self, level: str) -> model.Upstream:
+    async def next_upstream(
+        self, level: str, *, resume_by: float | None = None
+    ) -> model.Upstream:
         """Return the upstream for the next attempt, after a wait if none is ready.
 
+        Parameters
+        ----------
+        resume_by : float or None
+            Monotonic time until which an answer that has begun can wait to go on. None
+            if it has not begun: a caller without an answer learns soon that it is to
+            come back.
+
         Raises
         ------
         errors.RefusalError
             The request is quarantined, or no upstream can take it in time.
         """
-        give_up_at = (
-            self.call.started_at + WAIT_OBJECTIVE_SHARE * self.call.route.objective_s
-        )
+        give_up_at = resume_by
+        if resume_by is None:
+            wait_s = WAIT_OBJECTIVE_SHARE * self.call.route.objective_s
+            give_up_at = self.call.started_at + wait_s
         await self.suspects.settle()
         await self.shared.isolation.hold_while_isolated(self.call.left_s())
         picker = picking.Picker(parts=self.shared, call=self.call)
@@ -131,7 +141,8 @@
             now = clock.now()
             if now >= until:
                 raise self.refusal("no upstream is ready")
-            if not self.shared.chooser.usable(self.call.service.name, now):
+            usable = self.shared.chooser.usable(self.call.service.name, now)
+            if not usable and resume_by is None:
                 raise self.refusal("no upstream is in service")
             ready_at = self.shared.chooser.next_ready_at(self.requirements(level), now)
             if ready_at >= give_up_at:
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/streaming.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/streaming.py
@@ -25,7 +25,7 @@
 # An upstream is overdue with its first event after this many latency objectives.
 FIRST_EVENT_FACTOR = 1.5
 # An upstream is overdue with the next event, or with the rest of a server error, after
-# this many of the route's gap times.
+# this many of the route's gap times. A stream waits as long for one that resumes it.
 GAP_FACTOR = 3.0
 MAX_EVENT_BYTES = 2**20
 # Comments and empty lines that may follow each other without an event.
@@ -120,9 +120,14 @@
         return levels[self.level] if levels else ""
 
     async def _open(self) -> answer.OpenAnswer:
+        resume_by = None
+        if self.resp is not None:
+            resume_by = clock.now() + GAP_FACTOR * self.call.route.gap_s
         while True:
             try:
-                upstream = await self.attempts.next_upstream(self._model)
+                upstream = await self.attempts.next_upstream(
+                    self._model, resume_by=resume_by
+                )
             except errors.RefusalError as exc:
                 self._give_up(exc)
             try:
--- a/libs/masticpost-gateway/testing/serving/test_streaming.py
+++ b/libs/masticpost-gateway/testing/serving/test_streaming.py
@@ -8,7 +8,7 @@
 import pytest
 from masticpost_common import clock
 from masticpost_gateway.routing import placement
-from masticpost_gateway.serving import headers
+from masticpost_gateway.serving import attempts, headers
 from masticpost_gateway.state import model
 from support import gatewaykit as kit
 
@@ -44,6 +44,38 @@
         assert set(resumed) <= {None, "3"}
 
 
+async def test_begun_stream_waits_for_an_upstream_that_can_resume_it():
+    """Guards against a stream cut because no upstream was ready at one moment (LOST).
+
+    Its upstream ended when a roll-out was completed, the others had no budget for a
+    second, and the time to wait for an upstream had begun with the request.
+    """
+    async with kit.Deployment() as dep:
+        await dep.add_worker("w1", kit.streams(6, cut_after=4, pause_s=0.3))
+        await dep.configure()
+        node = await dep.add_node()
+        call = dep.call("/chat/", method="POST", body=b"p", **PROMPT)
+        reply = asyncio.create_task(call)
+        await asyncio.sleep(attempts.WAIT_OBJECTIVE_SHARE * kit.CHAT.objective_s + 0.6)
+        assert not reply.done()
+        resuming = await dep.add_worker("w2", kit.streams(6))
+        assert (await reply).body == events(6)
+        assert reply.result().is_complete
+        assert resuming.requests[0].headers["last-event-id"] == "4"
+        assert not node.gateway.active_conns
+
+
+async def test_begun_stream_does_not_wait_longer_than_for_a_stalled_upstream():
+    async with kit.Deployment() as dep:
+        await dep.add_worker("w1", kit.streams(6, cut_after=4))
+        chat = attrs.evolve(kit.CHAT, gap_s=0.2, timeout_s=30.0)
+        await dep.configure(kit.configuration(routes=(chat,)))
+        await dep.add_node()
+        async with asyncio.timeout(2.0):
+            reply = await dep.call("/chat/", method="POST", body=b"p", **PROMPT)
+        assert (reply.body, reply.is_complete) == (events(4), False)
+
+
 async def test_stream_that_cannot_resume_does_not_look_complete():
     async with kit.Deployment() as dep:
         await dep.add_worker("w1", kit.streams(6, cut_after=2))
