--- a/libs/masticpost-daemon/src/masticpost_daemon/instance.py
+++ b/libs/masticpost-daemon/src/masticpost_daemon/instance.py
@@ -15,6 +15,7 @@
     deadlyparts,
     estimatesharing,
     indoubt,
+    intake,
     ratelimits,
     rollouts,
     runtime,
@@ -32,6 +33,7 @@
     views,
 )
 from masticpost_store import client, instances
+from masticpost_telemetry import callerconns
 from masticpost_upstream import engine, plain, rating
 
 from masticpost_daemon import discovery, settings
@@ -75,14 +77,17 @@
         )
         self.in_doubt_resolver = indoubt.InDoubtResolver(rt=self.rt)
         self.estimate_sharing = estimatesharing.EstimateSharing(rt=self.rt)
-        self._runner: web.AppRunner | None = None
+        self._runner: callerconns.CallerRunner | None = None
 
     async def on_start(self) -> None:
         """Start the components in dependency order, then listen for callers."""
         for component in self._components():
             await component.start()
-        self._runner = web.AppRunner(
+        self.add_future(self.rt.meters.account.watch())
+        self._runner = callerconns.CallerRunner(
             app.make_app(self.rt),
+            account=self.rt.meters.account,
+            id_header=intake.ID_HEADER,
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=KEEPALIVE_S,
--- a/libs/masticpost-entry/src/masticpost_entry/intake.py
+++ b/libs/masticpost-entry/src/masticpost_entry/intake.py
@@ -13,6 +13,7 @@
 
 from masticpost_entry import runtime
 
+ID_HEADER = "X-Request-Id"
 ID_PATTERN = re.compile(r"[A-Za-z0-9._:@/+=-]{1,128}")
 BEARER = "Bearer "
 CALL_KEY = "masticpost-call"
@@ -65,7 +66,7 @@
 
 def request_id_of(req: web.Request) -> str:
     """Return the caller's request id, or a new one if it is absent or invalid."""
-    value = req.headers.get("X-Request-Id", "")
+    value = req.headers.get(ID_HEADER, "")
     return value if ID_PATTERN.fullmatch(value) else uuid.uuid4().hex
 
 
--- a/libs/masticpost-entry/src/masticpost_entry/reply.py
+++ b/libs/masticpost-entry/src/masticpost_entry/reply.py
@@ -5,6 +5,7 @@
 import attrs
 from aiohttp import web
 from masticpost_common import codec, errors
+from masticpost_telemetry import callerconns
 
 JSON = "application/json"
 
@@ -48,12 +49,14 @@
     headers = {"X-Request-Id": request_id, "X-Request-Ran": refusal.ran}
     if refusal.retry_after_s is not None:
         headers["Retry-After"] = str(max(1, math.ceil(refusal.retry_after_s)))
-    return web.Response(
+    resp = web.Response(
         status=refusal.status,
         body=codec.to_json(error_body(refusal, request_id)),
         content_type=JSON,
         headers=headers,
     )
+    resp[callerconns.REFUSED_KEY] = True
+    return resp
 
 
 def json_response(value: object, headers: dict[str, str] | None = None) -> web.Response:
--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -9,6 +9,7 @@
 from loguru import logger
 from masticpost_common import clock
 from masticpost_rates import upstreamrates
+from masticpost_telemetry import callerconns
 from masticpost_upstream import limits
 
 from masticpost_gateway import shared
@@ -53,6 +54,13 @@
 # Listen backlog, in connections.
 BACKLOG = 512
 MAX_LINE_BYTES = 32_768
+HTTP_SETTINGS = {
+    "handler_cancellation": True,
+    "access_log": None,
+    "keepalive_timeout": KEEPALIVE_S,
+    "max_line_size": MAX_LINE_BYTES,
+    "max_field_size": MAX_LINE_BYTES,
+}
 # Time for which a draining instance still accepts requests on open connections, even
 # if it has none in flight.
 MIN_DRAIN_S = 3.0
@@ -184,6 +192,7 @@
         )
         self.metrics.registry.register(gauge)
         self._runners: list[web.ServerRunner] = []
+        self._callers: callerconns.CallerServer | None = None
         self.records.listen(self._on_change)
 
     def _make_sharing_services(self, store: source.Source) -> tuple[mode.Service, ...]:
@@ -285,14 +294,25 @@
         for service in self.sharing_services:
             await service.start()
         await self.stages.start()
-        await self._listen(self.cfg.callers, self.gateway.handle)
-        await self._listen(self.cfg.ready, self._ready)
+        self._callers = callerconns.CallerServer(
+            self.gateway.handle,
+            account=self.metrics.account,
+            id_header=self.shared.names.request_id,
+            **HTTP_SETTINGS,
+        )
+        self.add_future(self.metrics.account.watch())
+        await self._listen(self.cfg.callers, self._callers)
+        await self._listen(self.cfg.ready, web.Server(self._ready, **HTTP_SETTINGS))
         if self.cfg.metrics is not None:
-            await self._listen(self.cfg.metrics, self._page)
+            await self._listen(
+                self.cfg.metrics, web.Server(self._page, **HTTP_SETTINGS)
+            )
         logger.bind(event="start", name=self.cfg.name).info("listening")
 
     async def on_stop(self) -> None:
         """Close the listeners, then stop the components."""
+        if self._callers is not None:
+            self._callers.end_account()
         for runner in self._runners:
             await runner.cleanup()
         await self.stages.stop()
@@ -340,15 +360,7 @@
             if conn._waiter is not None and not conn._waiter.done():
                 conn.force_close()
 
-    async def _listen(self, address: Address, handler) -> None:
-        server = web.Server(
-            handler,
-            handler_cancellation=True,
-            access_log=None,
-            keepalive_timeout=KEEPALIVE_S,
-            max_line_size=MAX_LINE_BYTES,
-            max_field_size=MAX_LINE_BYTES,
-        )
+    async def _listen(self, address: Address, server: web.Server) -> None:
         runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await runner.setup()
         site = web.TCPSite(runner, address.host, address.port, backlog=BACKLOG)
--- a/libs/masticpost-gateway/src/masticpost_gateway/reporting/requestmetrics.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/reporting/requestmetrics.py
@@ -2,7 +2,7 @@
 
 import prometheus_client
 from masticpost_common import errors
-from masticpost_telemetry import burn
+from masticpost_telemetry import account, burn
 from prometheus_client import exposition
 
 from masticpost_gateway.serving import call, outcomes
@@ -26,6 +26,7 @@
         self.domain = domain
         self.registry = prometheus_client.CollectorRegistry()
         self.burn = burn.BurnMeter()
+        self.account = account.Account(registry=self.registry)
         self.requests = prometheus_client.Counter(
             "masticpost_gateway_requests",
             "Requests by route, kind, outcome and status.",
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/gateway.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/gateway.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 from loguru import logger
 from masticpost_common import clock, errors
+from masticpost_telemetry import callerconns
 
 from masticpost_gateway import shared
 from masticpost_gateway.serving import answer, headers, outcomes, plain, streaming
@@ -85,6 +86,7 @@
             return refusal_response(refusal)
         except answer.CutError as exc:
             self._record_end(call, outcomes.Outcome.CUT, 200, str(exc))
+            req[callerconns.CUT_KEY] = str(exc)
             req.transport.close()
             # aiohttp.server logs any other exception, besides the line of this request.
             raise asyncio.CancelledError from exc
@@ -256,6 +258,8 @@
     extra = {}
     if refusal.retry_after_s is not None:
         extra["Retry-After"] = f"{refusal.retry_after_s:.2f}"
-    return web.Response(
+    resp = web.Response(
         status=refusal.status, headers=extra, text=f"{refusal.code}: {refusal.message}"
     )
+    resp[callerconns.REFUSED_KEY] = True
+    return resp
--- a/libs/masticpost-telemetry/src/masticpost_telemetry/metrics.py
+++ b/libs/masticpost-telemetry/src/masticpost_telemetry/metrics.py
@@ -3,6 +3,8 @@
 import prometheus_client
 from prometheus_client import exposition
 
+from masticpost_telemetry import account
+
 LATENCY_BUCKETS_S = (
     0.005,
     0.01,
@@ -24,6 +26,7 @@
 
     def __init__(self) -> None:
         self.registry = prometheus_client.CollectorRegistry()
+        self.account = account.Account(registry=self.registry)
         self.requests = prometheus_client.Counter(
             "masticpost_requests",
             "Requests by service and status.",
