--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -69,7 +69,8 @@
 # Part of the grace period that is left for stopping the components.
 KILL_MARGIN_S = 0.7
 DRAIN_POLL_S = 0.05
-# Time for the answers to requests that are given up at the end of the grace period.
+# Time for the answers to requests that are given up at the end of the grace period,
+# and for requests that come as the listener closes.
 END_TIMEOUT_S = 0.2
 # Time for handlers of a listener that closes; aiohttp takes 0 for no limit.
 SHUTDOWN_TIMEOUT_S = 0.05
@@ -311,8 +312,6 @@
 
     async def on_stop(self) -> None:
         """Close the listeners, then stop the components."""
-        if self._callers is not None:
-            self._callers.end_account()
         for runner in self._runners:
             await runner.cleanup()
         await self.stages.stop()
@@ -337,28 +336,17 @@
         deadline = started + self.cfg.grace_s - KILL_MARGIN_S
         while clock.now() < deadline:
             if clock.now() > started + CLOSE_IDLE_AFTER_S:
-                self._close_idle()
-            if (
-                not len(self.gateway.active_conns)
-                and clock.now() > started + MIN_DRAIN_S
-            ):
+                self._callers.close_idle()
+            if not self._callers.is_owing and clock.now() > started + MIN_DRAIN_S:
                 break
             await asyncio.sleep(DRAIN_POLL_S)
         logger.bind(event="stop", active=len(self.gateway.active_conns)).info(
             "stopping"
         )
         self.gateway.end_all()
-        ends_at = clock.now() + END_TIMEOUT_S
-        while self.gateway.active_conns and clock.now() < ends_at:
-            await asyncio.sleep(DRAIN_POLL_S)
-
-    def _close_idle(self) -> None:
-        """Close callers' connections without a request in flight."""
-        for conn in list(self._runners[0].server.connections):
-            # A request reaches the handler some event-loop iterations after it was
-            # read, so only a pending `_waiter` future shows that a connection is idle.
-            if conn._waiter is not None and not conn._waiter.done():
-                conn.force_close()
+        await self._callers.end(
+            self._runners[0].sites, max(deadline, clock.now()) + END_TIMEOUT_S
+        )
 
     async def _listen(self, address: Address, server: web.Server) -> None:
         runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
--- /dev/null
+++ b/libs/masticpost-gateway/testing/test_stop_paths.py
@@ -0,0 +1,152 @@
+"""Paths on which a connection ends around a stop: what was read gets its answer.
+
+The tests run on uvloop as the daemons do; its timers come before its reads.
+"""
+
+import asyncio
+import socket
+import time
+
+import pytest
+import uvloop
+from masticpost_common import clock
+from masticpost_gateway import node
+from support import gatewaykit as kit
+
+GRACE_S = 8.0
+LARGE = b"x" * 100_000
+
+
+def run(test):
+    return asyncio.Runner(loop_factory=uvloop.new_event_loop).run(test)
+
+
+def request(name, path="/lookup/1", *, body=None, size=None):
+    method = "GET" if size is None and body is None else "POST"
+    lines = [
+        f"{method} {path} HTTP/1.1",
+        f"Host: {kit.HOST}",
+        f"Request-Id: {name}",
+        "Request-Deadline-Ms: 20000",
+        f"Api-Key: {kit.KEY}",
+    ]
+    if method == "POST":
+        lines.append(f"Content-Length: {size or len(body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + (body or b"")
+
+
+def connect(instance, rcvbuf=None):
+    sock = socket.socket()
+    if rcvbuf:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, rcvbuf)
+    sock.connect((instance.cfg.callers.host, instance.cfg.callers.port))
+    sock.setblocking(False)
+    return sock
+
+
+async def read(sock, limit_s=6.0):
+    loop = asyncio.get_running_loop()
+    return await asyncio.wait_for(loop.sock_recv(sock, 65_536), limit_s)
+
+
+async def read_all(sock):
+    received = b""
+    while data := await read(sock):
+        received += data
+    return received
+
+
+async def ask(sock, text):
+    await asyncio.get_running_loop().sock_sendall(sock, text)
+    return await read(sock)
+
+
+async def pause(length_s, begin):
+    """Let the process do nothing else for a while, and call `begin` as it starts.
+
+    It begins between the loop's reads, so that timers come before the next ones.
+    """
+    loop, done = asyncio.get_running_loop(), asyncio.Event()
+    ours, other = socket.socketpair()
+
+    def hold():
+        loop.remove_reader(ours)
+        begin()
+        time.sleep(length_s)
+        done.set()
+
+    loop.add_reader(ours, hold)
+    other.send(b"x")
+    await done.wait()
+    ours.close()
+    other.close()
+
+
+async def deploy(dep, script, **settings):
+    worker = await dep.add_worker("w1", script)
+    row = {"timeout_s": 30.0, "objective_s": 10.0, "gap_s": 2.0}
+    routes = tuple(
+        kit.route(name=made.name, path_prefix=made.path_prefix, kind=made.kind, **row)
+        for made in (kit.LOOKUP, kit.BOOK, kit.CHAT)
+    )
+    await dep.configure(kit.configuration(routes=routes))
+    instance = await dep.add_node(grace_s=GRACE_S, **settings)
+    return worker, instance
+
+
+async def stop(dep, instance):
+    await instance.drain()
+    await instance.stop()
+    dep.nodes.clear()
+
+
+# Guards against connections closed with a request unread, when the process did not run
+# for a while around the close of idle connections, or the end of the drain.
+@pytest.mark.parametrize("began_s", [1.4, 2.85])
+def test_request_that_comes_while_the_process_does_not_run_is_answered(began_s):
+    async def body():
+        async with kit.Deployment() as dep:
+            _, instance = await deploy(dep, kit.answers())
+            sock = connect(instance)
+            assert b"200" in await ask(sock, request("a"))
+            stopping = asyncio.create_task(stop(dep, instance))
+            await asyncio.sleep(began_s)
+            if began_s > node.CLOSE_IDLE_AFTER_S:
+                sock = connect(instance)
+            await pause(0.5, lambda: sock.sendall(request("b")))
+            assert (await read(sock))[:12] in (b"HTTP/1.1 200", b"HTTP/1.1 503")
+            await stopping
+
+    run(body())
+
+
+# Guards against an answer whose rest is lost with the process: its caller reads slowly,
+# no handler is at work, and the drain ended without a look at what is unwritten.
+def test_answer_to_a_slow_reader_is_written_whole_within_the_grace():
+    async def body():
+        async with kit.Deployment() as dep:
+            _, instance = await deploy(dep, kit.answers(body=LARGE))
+            sock = connect(instance, rcvbuf=4096)
+            await asyncio.sleep(0.1)
+            (conn,) = instance._runners[0].server.connections
+            transport = conn.transport
+            transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, 4096
+            )
+            await asyncio.get_running_loop().sock_sendall(sock, request("a"))
+            await asyncio.sleep(0.5)
+            assert not instance.gateway.active_conns
+            assert transport.get_write_buffer_size() > 0
+            reading = asyncio.create_task(read_late(sock, node.MIN_DRAIN_S + 0.6))
+            began = clock.now()
+            await stop(dep, instance)
+            assert transport.get_write_buffer_size() == 0
+            assert clock.now() - began < GRACE_S
+            assert (await reading).endswith(LARGE)
+
+    run(body())
+
+
+async def read_late(sock, delay_s):
+    await asyncio.sleep(delay_s)
+    return await read_all(sock)
--- a/libs/masticpost-telemetry/src/masticpost_telemetry/callerconns.py
+++ b/libs/masticpost-telemetry/src/masticpost_telemetry/callerconns.py
@@ -8,15 +8,21 @@
 import asyncio
 import collections.abc
 import fcntl
+import select
 import termios
 
 from aiohttp import web, web_protocol
+from masticpost_common import clock
 
 from masticpost_telemetry import account as accounts
 
 # Keys under which a handler says how its request ended.
 REFUSED_KEY = web.ResponseKey("masticpost-refused", bool)
 CUT_KEY = web.RequestKey("masticpost-cut", str)
+# Time until another look at an idle connection that has bytes to read.
+LOOK_AGAIN_S = 0.5
+POLL_S = 0.02
+ACCEPT_POLL_S = 0.002
 
 
 class CallerConn(web_protocol.RequestHandler):
@@ -148,12 +154,23 @@
             self.account.record_closed_unread(size)
         super().force_close()
 
+    def close_if_idle(self) -> None:
+        """Close the connection if it waits for a request and owes nothing."""
+        if self.is_waiting and not self.is_owing:
+            self.force_close()
+
     def end_unwritten(self) -> None:
         """Record what the process leaves as it ends."""
         self.settle()
         size = self.unwritten()
         self._end_handed(accounts.End.UNWRITTEN, f"{size} bytes were not written")
 
+    def _process_keepalive(self) -> None:
+        # After a pause of the process this timer comes before the read.
+        if self.is_waiting and self.is_owing:
+            self._next_keepalive_close_time = self._loop.time() + LOOK_AGAIN_S
+        super()._process_keepalive()
+
     async def _handle_request(
         self,
         request: web.BaseRequest,
@@ -237,13 +254,37 @@
             **self._kwargs,
         )
 
+    def close_idle(self) -> None:
+        """Close the connections that wait for a request and are owed nothing."""
+        for conn in list(self.connections):
+            conn.close_if_idle()
+
     @property
     def is_owing(self) -> bool:
         """Whether any caller is owed something."""
         return any(conn.is_owing for conn in self.account.conns)
 
-    def end_account(self) -> None:
-        """Record what the process leaves as it ends."""
+    async def end(
+        self, sites: collections.abc.Iterable[web.TCPSite], ends_at: float
+    ) -> None:
+        """Stop listening once no connection waits, then close what is owed nothing.
+
+        Parameters
+        ----------
+        ends_at : float
+            Monotonic time in seconds at which the rest is given up.
+        """
+        for site in list(sites):
+            while _has_backlog(site) and clock.now() < ends_at:
+                await asyncio.sleep(ACCEPT_POLL_S)
+            await site.stop()
+        # A connection is made some event-loop iterations after it was accepted.
+        await asyncio.sleep(POLL_S)
+        while True:
+            self.close_idle()
+            if not self.is_owing or clock.now() > ends_at:
+                break
+            await asyncio.sleep(POLL_S)
         for conn in list(self.account.conns):
             conn.end_unwritten()
         self.account.check()
@@ -287,3 +328,14 @@
 def may_close(req: web.BaseRequest) -> bool:
     """Return whether a connection owes nothing behind this request."""
     return not req.protocol.has_more
+
+
+def _has_backlog(site: web.TCPSite) -> bool:
+    """Return whether a connection waits to be accepted."""
+    server = site._server
+    if server is None:
+        return False
+    poller = select.poll()
+    for sock in server.sockets or ():
+        poller.register(sock.fileno(), select.POLLIN)
+    return bool(poller.poll(0))
--- a/libs/masticpost-telemetry/testing/test_callerconns.py
+++ b/libs/masticpost-telemetry/testing/test_callerconns.py
@@ -4,11 +4,13 @@
 import contextlib
 import socket
 import struct
+import time
 
 import prometheus_client
 import pytest
 import uvloop
 from aiohttp import web
+from masticpost_common import clock
 from masticpost_telemetry import account, callerconns
 
 ID = "Request-Id"
@@ -84,6 +86,27 @@
     return asyncio.Runner(loop_factory=uvloop.new_event_loop).run(test)
 
 
+async def pause(length_s, begin):
+    """Let the process do nothing else for a while, and call `begin` as it starts.
+
+    It begins between the loop's reads, so that timers come before the next ones.
+    """
+    loop, done = asyncio.get_running_loop(), asyncio.Event()
+    ours, other = socket.socketpair()
+
+    def hold():
+        loop.remove_reader(ours)
+        begin()
+        time.sleep(length_s)
+        done.set()
+
+    loop.add_reader(ours, hold)
+    other.send(b"x")
+    await done.wait()
+    ours.close()
+    other.close()
+
+
 def connect(port, **options):
     sock = socket.socket()
     if "rcvbuf" in options:
@@ -180,6 +203,96 @@
     run(body())
 
 
+# Guards against a connection that is closed with a request unread in its socket, when
+# the process did not run for a while: timers come before the read.
+@pytest.mark.parametrize("way", ["idle", "keepalive"])
+def test_request_that_waits_in_the_socket_after_a_pause_is_read(way):
+    async def body():
+        keepalive_s = 0.3 if way == "keepalive" else 75.0
+        async with scene(keepalive_timeout=keepalive_s) as made:
+            sock = connect(made.port)
+            sock.sendall(request("a"))
+            assert b"200" in await answer(sock)
+            loop = asyncio.get_running_loop()
+            if way == "idle":
+                loop.call_later(0.3, made.server.close_idle)
+            await pause(0.5, lambda: sock.sendall(request("b")))
+            assert b"200" in await answer(sock)
+            assert made.handled == ["a", "b"]
+            assert not made.shown("closed_unread")
+
+    run(body())
+
+
+def test_request_that_waits_in_the_socket_as_the_listener_closes_is_read():
+    async def body():
+        async with scene() as made:
+            sock = connect(made.port)
+            sock.sendall(request("a"))
+            assert b"200" in await answer(sock)
+            sock.sendall(request("b"))
+            await made.server.end(made.runner.sites, clock.now() + 2)
+            assert b"200" in await answer(sock)
+            assert made.handled == ["a", "b"]
+
+    run(body())
+
+
+# Guards against a connection that is reset as the listener closes, before it was
+# accepted: its request came while the process did not run.
+def test_connection_that_waits_to_be_accepted_is_served_as_the_listener_closes():
+    async def body():
+        async with scene() as made:
+            socks = [connect(made.port) for _ in range(20)]
+            for number, sock in enumerate(socks):
+                sock.sendall(request(str(number)))
+            await made.server.end(made.runner.sites, clock.now() + 2)
+            for sock in socks:
+                assert b"200" in await answer(sock)
+            with pytest.raises(OSError):
+                connect(made.port)
+
+    run(body())
+
+
+# Guards against an answer whose rest is lost with the process's buffers.
+def test_answer_to_a_slow_reader_is_written_before_the_end():
+    async def body():
+        async with scene() as made:
+            sock = connect(made.port, rcvbuf=4096)
+            sock.sendall(
+                request("a", "/large").replace(
+                    b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"
+                )
+            )
+            await made.until(lambda: made.handled)
+            (conn,) = made.account.conns
+            assert conn.unwritten() > 0
+            reading = asyncio.create_task(read_all(sock))
+            await made.server.end(made.runner.sites, clock.now() + 4)
+            assert conn.unwritten() == 0
+            assert (await reading).endswith(LARGE)
+            assert made.ends() == {account.End.ANSWERED: 1}
+
+    run(body())
+
+
+def test_answer_that_is_not_read_is_given_up_and_counted():
+    async def body():
+        async with scene() as made:
+            sock = connect(made.port, rcvbuf=4096)
+            sock.sendall(request("a", "/large"))
+            await made.until(lambda: made.handled)
+            await asyncio.sleep(0.1)
+            began = clock.now()
+            await made.server.end(made.runner.sites, began + 0.5)
+            assert clock.now() - began < 1.0
+        assert sum(made.ends().values()) == 1
+        assert account.End.ANSWERED not in made.ends()
+
+    run(body())
+
+
 # Guards against aiohttp changing what it does not publish and this module uses.
 def test_private_parts_of_aiohttp_are_as_the_module_expects():
     async def body():
