--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/gateway.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/gateway.py
@@ -55,7 +55,7 @@
             resp = await self._handle(req, started_at)
         finally:
             self.active_conns.pop(conn, None)
-        if self.shared.closing_at is not None:
+        if self.shared.closing_at is not None and callerconns.may_close(req):
             resp.force_close()
         return resp
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/streaming.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/streaming.py
@@ -5,6 +5,7 @@
 import aiohttp
 from aiohttp import web
 from masticpost_common import clock, errors, retry
+from masticpost_telemetry import callerconns
 from masticpost_upstream import bodies, connections, limits
 
 from masticpost_gateway import shared
@@ -366,7 +367,7 @@
         forwarded = headers.end_to_end(opened.resp.headers, frozenset())
         self.resp = web.StreamResponse(status=opened.resp.status, headers=forwarded)
         self.resp.enable_chunked_encoding()
-        if self.shared.closing_at is not None:
+        if self.shared.closing_at is not None and callerconns.may_close(self.req):
             self.resp.force_close()
         await self.resp.prepare(self.req)
 
--- a/libs/masticpost-gateway/testing/test_stop_paths.py
+++ b/libs/masticpost-gateway/testing/test_stop_paths.py
@@ -120,6 +120,34 @@
     run(body())
 
 
+# Guards against the second of two requests in one packet being dropped with the
+# connection, when a stop begins before the first is answered.
+@pytest.mark.parametrize("path", ["/lookup/1", "/chat/1"])
+def test_requests_in_one_packet_are_all_answered_in_a_stop(path):
+    script = kit.streams(3, pause_s=0.3) if path == "/chat/1" else slow_answer
+
+    async def body():
+        async with kit.Deployment() as dep:
+            worker, instance = await deploy(dep, script)
+            sock = connect(instance)
+            text = None if path == "/lookup/1" else b"p"
+            pair = [request(name, path, body=text) for name in "ab"]
+            await asyncio.get_running_loop().sock_sendall(sock, b"".join(pair))
+            await kit.until(lambda: worker.requests)
+            stopping = asyncio.create_task(stop(dep, instance))
+            received = await read_all(sock)
+            assert received.count(b"HTTP/1.1 200") == 2
+            assert len(worker.requests) == 2
+            await stopping
+
+    run(body())
+
+
+async def slow_answer(req, writer):
+    await asyncio.sleep(0.5)
+    writer.write(kit.response(req))
+
+
 # Guards against an answer whose rest is lost with the process: its caller reads slowly,
 # no handler is at work, and the drain ended without a look at what is unwritten.
 def test_answer_to_a_slow_reader_is_written_whole_within_the_grace():
