--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/gateway.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/gateway.py
@@ -76,6 +76,13 @@
         except errors.RefusalError as exc:
             self._log_refused(req, exc.refusal)
             return refusal_response(exc.refusal)
+        except asyncio.CancelledError:
+            if callerconns.has_left(req):
+                raise
+            asyncio.current_task().uncancel()
+            refusal = self._stopping_error().refusal
+            self._log_refused(req, refusal)
+            return refusal_response(refusal)
         self.shared.retries.record_request(call.service.name, started_at)
         try:
             resp = await self._serve(call, req)
@@ -91,23 +98,36 @@
             # aiohttp.server logs any other exception, besides the line of this request.
             raise asyncio.CancelledError from exc
         except asyncio.CancelledError:
-            if self._is_ending and call.first_event_s is None:
+            if callerconns.has_left(req):
+                self._record_end(
+                    call, outcomes.Outcome.CALLER_GONE, CLIENT_CLOSED_REQUEST
+                )
+                raise
+            if call.first_event_s is None:
                 asyncio.current_task().uncancel()
                 return self._end_unanswered(call)
-            self._record_end(call, outcomes.Outcome.CALLER_GONE, CLIENT_CLOSED_REQUEST)
+            reason = "given up by this instance"
+            self._record_end(call, outcomes.Outcome.CUT, 200, reason)
+            req[callerconns.CUT_KEY] = reason
             raise
         self._record_end(call, outcomes.Outcome.ANSWERED, resp.status)
         return resp
 
     def _end_unanswered(self, call: calls.Call) -> web.Response:
-        """Return the answer to a request that is given up as this instance ends."""
-        error = self._stopping_error()
+        """Return the answer to a request that this instance gives up."""
+        reason = "this instance ended before the upstream had answered"
+        if not self._is_ending:
+            reason = "the request was cancelled by a fault of this instance"
+            logger.bind(event="account", id=call.head.request_id).exception(reason)
+        error = errors.refuse(
+            503,
+            outcomes.Outcome.STOPPING if self._is_ending else outcomes.Outcome.NOT_RUN,
+            reason,
+            retry_after_s=STOPPING_RETRY_AFTER_S,
+        )
         if call.records:
             error = errors.refuse(
-                502,
-                outcomes.Outcome.UPSTREAM_FAILED,
-                "this instance ended before the upstream had answered",
-                ran=errors.RAN_MAYBE,
+                502, outcomes.Outcome.UPSTREAM_FAILED, reason, ran=errors.RAN_MAYBE
             )
         refusal = error.refusal
         outcome = outcomes.Outcome(refusal.code)
--- a/libs/masticpost-gateway/testing/test_stop_paths.py
+++ b/libs/masticpost-gateway/testing/test_stop_paths.py
@@ -11,6 +11,7 @@
 import uvloop
 from masticpost_common import clock
 from masticpost_gateway import node
+from masticpost_gateway.serving import plain, streaming
 from support import gatewaykit as kit
 
 GRACE_S = 8.0
@@ -49,9 +50,9 @@
     return await asyncio.wait_for(loop.sock_recv(sock, 65_536), limit_s)
 
 
-async def read_all(sock):
+async def read_all(sock, limit_s=6.0):
     received = b""
-    while data := await read(sock):
+    while data := await read(sock, limit_s):
         received += data
     return received
 
@@ -178,3 +179,68 @@
 async def read_late(sock, delay_s):
     await asyncio.sleep(delay_s)
     return await read_all(sock)
+
+
+# Guards against a cancellation by something else than the caller's leaving: it closed
+# the connection without an answer, and was logged as the caller's leaving.
+@pytest.mark.parametrize(
+    ("path", "module"), [("/lookup/1", plain), ("/chat/1", streaming)]
+)
+def test_cancellation_that_is_not_the_callers_is_answered(monkeypatch, path, module):
+    async def cancelled(*args):
+        raise asyncio.CancelledError
+
+    monkeypatch.setattr(plain, "serve", cancelled)
+    monkeypatch.setattr(streaming.StreamRelay, "serve", cancelled)
+
+    async def body():
+        async with kit.Deployment() as dep:
+            _, instance = await deploy(dep, kit.answers())
+            text = None if module is plain else b"p"
+            received = await ask(connect(instance), request("a", path, body=text))
+            assert received.startswith(b"HTTP/1.1 50")
+            shown = instance.metrics.render().decode()
+            assert 'outcome="caller-gone"' not in shown
+
+    run(body())
+
+
+# Guards against a connection that is closed without an answer when the instance ends
+# while it reads the body.
+def test_request_whose_body_is_read_at_the_end_is_answered():
+    async def body():
+        async with kit.Deployment() as dep:
+            worker, instance = await deploy(dep, kit.answers())
+            sock = connect(instance)
+            text = request("a", "/book/1", body=b"part", size=100)
+            await asyncio.get_running_loop().sock_sendall(sock, text)
+            await kit.until(lambda: instance.gateway.active_conns)
+            stopping = asyncio.create_task(stop(dep, instance))
+            received = await read(sock, limit_s=GRACE_S)
+            assert received.startswith(b"HTTP/1.1 503")
+            await stopping
+            assert not worker.requests
+
+    run(body())
+
+
+# Guards against work at upstreams for callers that left: a caller that closes its side
+# while it waits counts as one that left, since both look the same here.
+@pytest.mark.parametrize("is_half", [False, True])
+def test_caller_that_closes_its_side_is_one_that_left(is_half):
+    async def body():
+        async with kit.Deployment() as dep:
+            worker, instance = await deploy(dep, slow_answer)
+            sock = connect(instance)
+            await asyncio.get_running_loop().sock_sendall(sock, request("a"))
+            await kit.until(lambda: worker.requests)
+            if is_half:
+                sock.shutdown(socket.SHUT_WR)
+            else:
+                sock.close()
+            await kit.until(lambda: not instance.gateway.active_conns)
+            shown = instance.metrics.render().decode()
+            assert 'masticpost_account_ends_total{end="caller-left"} 1.0' in shown
+            assert 'outcome="caller-gone"' in shown
+
+    run(body())
