--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/gateway.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/gateway.py
@@ -103,7 +103,7 @@
                     call, outcomes.Outcome.CALLER_GONE, CLIENT_CLOSED_REQUEST
                 )
                 raise
-            if call.first_event_s is None:
+            if call.first_event_s is None and not req.writer.output_size:
                 asyncio.current_task().uncancel()
                 return self._end_unanswered(call)
             reason = "given up by this instance"
--- a/libs/masticpost-gateway/testing/test_stop_paths.py
+++ b/libs/masticpost-gateway/testing/test_stop_paths.py
@@ -205,6 +205,30 @@
     run(body())
 
 
+# Guards against an error written into the middle of an answer that had begun, when the
+# grace ends before a large answer has come whole.
+def test_large_answer_that_has_begun_is_cut_clean_at_the_end_of_the_grace():
+    async def begins(req, writer):
+        writer.write(kit.response(req, body=b"x" * 4_000_000)[:3_000_000])
+        await writer.drain()
+        await asyncio.sleep(60)
+
+    async def body():
+        async with kit.Deployment() as dep:
+            _, instance = await deploy(dep, begins)
+            sock = connect(instance)
+            await asyncio.get_running_loop().sock_sendall(sock, request("a"))
+            reading = asyncio.create_task(read_all(sock, limit_s=GRACE_S))
+            await asyncio.sleep(0.5)
+            await stop(dep, instance)
+            received = await reading
+            assert received.startswith(b"HTTP/1.1 200")
+            assert received.count(b"HTTP/1.1") == 1
+            assert received.endswith(b"xxx")
+
+    run(body())
+
+
 # Guards against a connection that is closed without an answer when the instance ends
 # while it reads the body.
 def test_request_whose_body_is_read_at_the_end_is_answered():
