--- a/libs/masticpost-daemon/src/masticpost_daemon/instance.py
+++ b/libs/masticpost-daemon/src/masticpost_daemon/instance.py
@@ -160,12 +160,19 @@
 
     async def _wait_idle(self, limit_s: float) -> None:
         deadline = time.monotonic() + limit_s
-        while self.rt.in_flight and time.monotonic() < deadline:
+        while self._is_owing and time.monotonic() < deadline:
             await asyncio.sleep(IDLE_POLL_INTERVAL_S)
 
+    @property
+    def _is_owing(self) -> bool:
+        """Whether a caller is owed an answer, or a part of one."""
+        return bool(self.rt.in_flight) or self._runner.server.is_owing
+
     async def on_stop(self) -> None:
         """Stop listening, then stop the components in reverse order."""
         if self._runner is not None:
+            ends_at = clock.now() + END_TIMEOUT_S
+            await self._runner.server.end(self._runner.sites, ends_at)
             await self._runner.cleanup()
         await self.rt.clients.close()
         for component in reversed(self._components()):
--- a/libs/masticpost-entry/src/masticpost_entry/app.py
+++ b/libs/masticpost-entry/src/masticpost_entry/app.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 from loguru import logger
 from masticpost_common import errors
-from masticpost_telemetry import burn
+from masticpost_telemetry import burn, callerconns
 
 from masticpost_entry import admin, chat, intake, plain, reply, runtime
 
@@ -89,19 +89,29 @@
         except errors.RefusalError as exc:
             resp = _refusal_response(rt, exc, request_id)
         except asyncio.CancelledError:
-            if not rt.is_ending or not task.cancelling():
+            if callerconns.has_left(req) or req.writer.output_size:
                 raise
             task.uncancel()
-            resp = _refusal_response(rt, reply.ending_error(), request_id)
+            resp = _given_up_response(rt, request_id)
         finally:
             rt.in_flight -= 1
             rt.active_tasks.discard(task)
         _record(rt, req, resp, request_id, time.monotonic() - started)
+        if rt.is_stopping and callerconns.may_close(req):
+            resp.force_close()
         return resp
 
     return handle
 
 
+def _given_up_response(rt: runtime.Runtime, request_id: str) -> web.Response:
+    """Return the answer to a request that something else than its caller cancelled."""
+    if rt.is_ending:
+        return _refusal_response(rt, reply.ending_error(), request_id)
+    logger.bind(request_id=request_id).exception("request cancelled by a fault")
+    return _refusal_response(rt, reply.cancelled_error(), request_id)
+
+
 def _refusal_response(
     rt: runtime.Runtime, exc: errors.RefusalError, request_id: str
 ) -> web.Response:
--- a/libs/masticpost-entry/src/masticpost_entry/chat.py
+++ b/libs/masticpost-entry/src/masticpost_entry/chat.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 from masticpost_common import codec, errors
 from masticpost_shards import claims, records
+from masticpost_telemetry import callerconns
 from masticpost_upstream import engine, openai
 
 from masticpost_entry import (
@@ -196,11 +197,15 @@
     except (asyncio.CancelledError, ConnectionError, TimeoutError) as exc:
         streams.bill_usage(stream)
         job.meter.close(records.PARTIAL)
-        if not rt.is_ending or not stream.resp.prepared:
+        is_cancelled = isinstance(exc, asyncio.CancelledError)
+        if callerconns.has_left(req) or not stream.resp.prepared:
             raise
-        if isinstance(exc, asyncio.CancelledError):
+        if not is_cancelled and not rt.is_ending:
+            raise
+        if is_cancelled:
             asyncio.current_task().uncancel()
-        refusal = reply.ending_error().refusal
+        error = reply.ending_error() if rt.is_ending else reply.cancelled_error()
+        refusal = error.refusal
         await streams.end_with_error(stream, refusal, job.call)
         return stream.resp
     streams.bill_usage(stream)
--- a/libs/masticpost-entry/src/masticpost_entry/reply.py
+++ b/libs/masticpost-entry/src/masticpost_entry/reply.py
@@ -72,3 +72,13 @@
         "The instance ended before the upstream had answered.",
         ran=errors.RAN_MAYBE,
     )
+
+
+def cancelled_error() -> errors.RefusalError:
+    """Return the error for a request that a fault of this instance cancelled."""
+    return errors.refuse(
+        502,
+        "cancelled",
+        "The instance gave the request up before the upstream had answered.",
+        ran=errors.RAN_MAYBE,
+    )
