--- a/libs/masticpost-daemon/src/masticpost_daemon/instance.py
+++ b/libs/masticpost-daemon/src/masticpost_daemon/instance.py
@@ -1,6 +1,7 @@
 """One entry instance: builds, starts and gracefully stops its components."""
 
 import asyncio
+import collections.abc
 import ssl
 import time
 
@@ -145,17 +146,17 @@
         logger.info("draining")
         cluster = self.rt.cluster
         self.rt.is_draining = True
-        await cluster.members.leave()
+        await _try("leave the cluster", cluster.members.leave())
         hand_over = asyncio.create_task(cluster.shards.hand_over())
         await asyncio.sleep(self.cfg.drain_grace_s)
         self.rt.is_stopping = True
         await self._wait_idle(self.cfg.drain_limit_s)
         self.rt.end_all()
         await self._wait_idle(END_TIMEOUT_S)
-        await hand_over
-        await cluster.claims.flush(FLUSH_TIMEOUT_S)
-        await cluster.bills.flush(FLUSH_TIMEOUT_S)
-        await cluster.budgets.flush(FLUSH_TIMEOUT_S)
+        await _try("hand over shards", hand_over)
+        await _try("write claims", cluster.claims.flush(FLUSH_TIMEOUT_S))
+        await _try("write bills", cluster.bills.flush(FLUSH_TIMEOUT_S))
+        await _try("write budgets", cluster.budgets.flush(FLUSH_TIMEOUT_S))
         logger.bind(bills_waiting=cluster.bills.pending).info("drained")
 
     async def _wait_idle(self, limit_s: float) -> None:
@@ -180,6 +181,14 @@
         await self.rt.cluster.store.close()
 
 
+async def _try(step: str, work: collections.abc.Awaitable) -> None:
+    """Take a step of the drain; a failure must not skip the steps after it."""
+    try:
+        await work
+    except Exception:
+        logger.exception("cannot {}", step)
+
+
 def _build(cfg: settings.Settings) -> runtime.Runtime:
     store = client.Client(
         url=cfg.store_url, namespace=cfg.namespace, token=cfg.store_token
--- a/libs/masticpost-daemon/src/masticpost_daemon/main.py
+++ b/libs/masticpost-daemon/src/masticpost_daemon/main.py
@@ -48,8 +48,10 @@
             logger.error("a component failed; exiting so that the instance is replaced")
             return EXIT_FAILED
         await _wait(stop, FAILURE_CHECK_INTERVAL_S)
-    await node.drain()
-    await node.stop()
+    try:
+        await node.drain()
+    finally:
+        await node.stop()
     return EXIT_OK
 
 
