--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/comparison.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/comparison.py
@@ -209,6 +209,10 @@
                 return f"{row.sent - row.starts} answers have not begun"
         return ""
 
+    def sums(self, row: tally.Tally, base: tally.Tally) -> Sums:
+        """Return all periods so far, the current one included."""
+        return self._until_now(self._all, row, base)
+
     def _until_now(self, sums: Sums, row: tally.Tally, base: tally.Tally) -> Sums:
         found = sums.copy()
         found.fold(tally.difference(row, self._row), tally.difference(base, self._base))
--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/stages.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/stages.py
@@ -19,6 +19,15 @@
 TICK_S = 0.1
 STANDBY_S = 0.8
 RETRY_S = 0.5
+# Usual time from a request to its evidence at the instances that pool it.
+ANSWER_S = 1.5
+# Factor by which the small share grows where more answers are needed.
+SHARE_STEP = 2.5
+# Factor by which more answers than those missing are aimed at: arrivals vary, and
+# running sessions stay where they are.
+RESERVE = 2.0
+# Missing evidence, in good answers, at which the full share is kept.
+KEPT_MISSING = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -40,6 +49,8 @@
         Factor by which the requests may grow until the deadline.
     tried_share : float
         Share of the new sessions in the second half.
+    most_share : float
+        The same at most where more are needed for enough answers before the deadline.
     drain_s : float
         Time with the full share in which the other versions end what they have begun.
     end_s : float
@@ -51,10 +62,12 @@
         beyond it wait for the deadline.
     """
 
+    early_at: float = 0.2
     half_at: float = 0.52
     wide_at: float = 0.66
-    late_at: float = 0.85
+    given_up_at: float = 2.0
     tried_share: float = 0.2
+    most_share: float = 0.8
     margin: float = 1.2
     drain_s: float = 1.5
     end_s: float = 1.8
@@ -127,22 +140,47 @@
         recent = self._arrivals.setdefault(order.service, arrivals.Arrivals())
         recent.note(row.total(), now)
         elapsed = (now - row.since) / max(order.duration_s, 0.001)
-        share = self.plan.tried_share
-        running = attrs.evolve(order, state=model.RollOutState.RUNNING, share=share)
+        running = attrs.evolve(
+            order, state=model.RollOutState.RUNNING, share=self.plan.tried_share
+        )
         if elapsed < self.plan.half_at:
-            return order
+            is_early = elapsed < self.plan.early_at or row.is_doubtful(now)
+            share = order.share if is_early else self._share_for(row, now)
+            is_more = share > order.share
+            return attrs.evolve(running, share=share) if is_more else order
         is_late = row.left_s(now) < self.plan.last_s
         if row.is_doubtful(now):
             return _ended(order, model.RollOutState.ROLLED_BACK) if is_late else running
+        if elapsed >= self.plan.given_up_at:
+            return _ended(order, model.RollOutState.ROLLED_BACK)
         is_wide = order.share >= trial.WIDE_SHARE
+        missing = row.proof(now).missing
+        if missing and not (is_wide and missing < KEPT_MISSING):
+            share = max(self.plan.tried_share, self._share_for(row, now))
+            return attrs.evolve(running, share=share)
         is_covered = self._covers_rest(row, now)
         is_drained = is_wide and is_covered and self._is_drained(row, now)
-        if (is_late or is_drained) and self.has_majority():
+        if not missing and (is_late or is_drained) and self.has_majority():
             return _ended(order, model.RollOutState.COMPLETED)
-        may_widen = row.is_proven() or elapsed >= self.plan.late_at
-        if is_wide or (is_covered and may_widen and elapsed >= self.plan.wide_at):
+        if is_wide or (is_covered and elapsed >= self.plan.wide_at):
             return attrs.evolve(running, share=1.0)
-        return running
+        return attrs.evolve(running, share=max(self.plan.tried_share, order.share))
+
+    def _share_for(self, row: trialevidence.Trial, now: float) -> float:
+        """Return the share that brings the missing answers before the deadline.
+
+        It grows in steps, since each is a write to the store, and only where the budget
+        covers all requests until then.
+        """
+        share = model.NARROW_SHARE
+        if not (self.has_majority() and self._covers_rest(row, now)):
+            return share
+        left_s = row.left_s(now) - self.plan.last_s - ANSWER_S
+        expected = self._rate(row, now) * max(left_s, ANSWER_S)
+        missing = RESERVE * row.proof(now).missing if expected else 0.0
+        while share < self.plan.most_share and share * expected < missing:
+            share = min(SHARE_STEP * share, self.plan.most_share)
+        return max(share, min(row.order.share, self.plan.most_share))
 
     def _is_drained(self, row: trialevidence.Trial, now: float) -> bool:
         """Return whether the other versions have ended what they had begun."""
@@ -154,16 +192,21 @@
         left_s = row.left_s(now)
         if left_s <= 0.0:
             return True
-        rate = self._arrivals[row.order.service].rate(now)
-        if rate is None:
-            rate = row.total() / max(now - row.since, 0.001)
-        expected = rate * left_s * (1.0 - row.budget.bounds.share)
+        share = 1.0 - row.budget.bounds.share
+        expected = self._rate(row, now) * left_s * share
         return row.budget_left(self.is_running) >= self.plan.margin * expected
 
+    def _rate(self, row: trialevidence.Trial, now: float) -> float:
+        """Return the service's requests per second."""
+        recent = self._arrivals[row.order.service].rate(now)
+        overall = row.total() / max(now - row.since, 0.001)
+        return overall if recent is None else recent
+
     async def _advance(self, row: trialevidence.Trial) -> None:
         now = clock.now()
         service = row.order.service
         desired = self.next_order(row, now)
+        self._note_lack(row, now)
         if desired == row.order:
             self._pending.pop(service, None)
             return
@@ -194,7 +237,7 @@
         if entry is None:
             return
         outcome = await self.store.update_roll_out(entry, desired)
-        on_trial, base = evidence.pooled()
+        fields = self._evidence_fields(evidence, clock.now())
         log_line = logger.bind(
             event="roll-out",
             service=service,
@@ -202,11 +245,7 @@
             state=desired.state.value,
             share=desired.share,
             rev=entry.revision,
-            on_trial=str(on_trial),
-            base=str(base),
-            doubt=evidence.doubt(clock.now()),
-            total=evidence.total(),
-            budget_left=round(evidence.budget_left(self.is_running), 1),
+            **fields,
         )
         if outcome.is_ok():
             self._next_write_at[service] = clock.now() + TICK_S
@@ -218,6 +257,41 @@
             "cannot write roll-out decision: {}", outcome.unwrap_err().message
         )
 
+    def _evidence_fields(
+        self, row: trialevidence.Trial, now: float
+    ) -> dict[str, object]:
+        """Return what a decision is made from, for the log."""
+        on_trial, base = row.pooled()
+        found = row.proof(now)
+        newest_s = min(now - row.newest_at, now - row.since)
+        return {
+            "on_trial": str(on_trial),
+            "base": str(base),
+            "doubt": row.doubt(now),
+            "proof": str(found),
+            "answers": on_trial.calls,
+            "missing": round(found.missing, 1),
+            "newest_s": round(newest_s, 2),
+            "left_s": round(row.left_s(now), 2),
+            "instances": len(row.told) + 1,
+            "total": row.total(),
+            "budget_left": round(row.budget_left(self.is_running), 1),
+        }
+
+    def _note_lack(self, row: trialevidence.Trial, now: float) -> None:
+        """Log once that a deadline passed without a decision, and why."""
+        if row.is_lack_noted or row.verdict or row.left_s(now) > 0.0:
+            return
+        row.is_lack_noted = True
+        found = row.proof(now)
+        reason = "most instances are out of touch" if found.is_complete else str(found)
+        logger.bind(
+            event="roll-out",
+            service=row.order.service,
+            version=row.order.target,
+            **self._evidence_fields(row, now),
+        ).warning("roll-out undecided at its deadline: {}", reason)
+
 
 def _ended(order: model.RollOut, state: model.RollOutState) -> model.RollOut:
     share = 1.0 if state is model.RollOutState.COMPLETED else 0.0
--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/tally.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/tally.py
@@ -12,7 +12,7 @@
 PRIOR_CALLS = 10
 # Answers with a measured gap that a comparison of gaps takes.
 MIN_GAPS = 6
-# Answers after which a version without a fault counts as good as the others.
+# Requests, and answers with a measured gap, that a comparison of the recent ones takes.
 PROVEN_CALLS = 20
 PROVEN_GAPS = 10
 VERY_SLOW_LOG_RATIO = math.log(4.0)
@@ -184,12 +184,6 @@
     return math.exp((number + 1e-6) / BINS_PER_LOG)
 
 
-def has_enough(row: Tally, base: Tally) -> bool:
-    """Return whether there are enough answers to compare a version with the others."""
-    has_gaps = row.gaps >= PROVEN_GAPS or base.gaps < MIN_GAPS
-    return row.calls >= PROVEN_CALLS and has_gaps
-
-
 def is_stuck(
     row: Tally, base: Tally, sent: float = math.inf, base_sent: float = math.inf
 ) -> bool:
--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/trial.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/trial.py
@@ -123,7 +123,7 @@
             return VersionPlan(avoided=order.target)
         if order.share >= WIDE_SHARE:
             return VersionPlan(preferred=order.target)
-        if last is not None and order.share <= model.NARROW_SHARE:
+        if last is not None and trial.keeps_sessions(clock.now()):
             return VersionPlan(avoided=order.target)
         if _session_position(order, session or request_id) < order.share:
             return VersionPlan(preferred=order.target)
--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/trialevidence.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/trialevidence.py
@@ -5,9 +5,11 @@
 
 import attrs
 
-from masticpost_gateway.learning import comparison, exposure, tally
+from masticpost_gateway.learning import comparison, exposure, proof, tally
 from masticpost_gateway.state import model
 
+# Fraction of a roll-out's duration in which running sessions keep their version.
+KEPT_UNTIL = 0.51
 Sender = tuple[str, int]
 """Name and incarnation of an instance."""
 
@@ -59,6 +61,10 @@
         Monotonic time until which a watcher's report of doubt is valid.
     wide_since : float
         Monotonic time from which on the target gets all requests, infinite before.
+    newest_at : float
+        Monotonic time at which a proof first had the newest evidence on the target.
+    is_lack_noted : bool
+        Whether the log says that the deadline passed without a decision.
     """
 
     order: model.RollOut
@@ -73,6 +79,10 @@
     decided: model.RollOutState | None = None
     doubted_until: float = -math.inf
     wide_since: float = math.inf
+    newest_at: float = -math.inf
+    is_lack_noted: bool = False
+    # Steps of answers of the target that the last proof was made from.
+    _answers: int = 0
     # Sums over the evidence in `told`.
     _told_trial: tally.Tally = attrs.field(factory=tally.Tally)
     _told_base: tally.Tally = attrs.field(factory=tally.Tally)
@@ -154,9 +164,20 @@
         """Return whether the version looks worse here or to a watcher."""
         return now < self.doubted_until or bool(self.doubt(now))
 
-    def is_proven(self) -> bool:
-        """Return whether there are enough answers for a judgement."""
-        return tally.has_enough(*self.pooled())
+    def proof(self, now: float) -> proof.Proof:
+        """Return the evidence that the version is as good as the others."""
+        row, base = self.pooled()
+        self._comparison.advance(row, base, now)
+        answers = row.sent + row.starts + row.calls + row.gaps
+        if answers != self._answers:
+            self._answers, self.newest_at = answers, now
+        sums = self._comparison.sums(row, base)
+        return proof.prove(sums, row, base, self.total())
+
+    def keeps_sessions(self, now: float) -> bool:
+        """Return whether the sessions of the other versions stay there."""
+        is_first_half = now - self.since < KEPT_UNTIL * self.order.duration_s
+        return is_first_half or self.order.share <= model.NARROW_SHARE
 
     def left_s(self, now: float) -> float:
         """Return the seconds until the deadline of the roll-out."""
--- a/libs/masticpost-gateway/testing/learning/test_trial.py
+++ b/libs/masticpost-gateway/testing/learning/test_trial.py
@@ -10,6 +10,7 @@
 from masticpost_gateway.learning import (
     comparison,
     progress,
+    proof,
     sessions,
     stages,
     tally,
@@ -215,10 +216,19 @@
     assert driver.next_order(row, row.since + 7).share == 1.0
 
 
-def test_roll_out_with_hardly_any_evidence_is_completed_in_time():
-    _, _, trials = make_trials(ORDER)
+def with_clean_answers(count):
+    """Return trials whose version had so many answers, all of them good."""
+    trials = trials_with_answers(fast=count)
     row = trials.open["s"]
     row.since = 64.0
+    row.trial.gap_logs = row.trial.gaps * math.log(0.06)
+    return trials
+
+
+def test_roll_out_with_few_clean_answers_is_completed_in_time():
+    """Guards against a good version of a service with few requests kept waiting."""
+    trials = with_clean_answers(int(proof.FEWEST))
+    row = trials.open["s"]
     driver = make_driver(trials)
     for tenth in (5, 7, 9):
         row.order = driver.next_order(row, row.since + tenth)
@@ -227,6 +237,37 @@
     )
 
 
+@pytest.mark.parametrize("answers", [0, 1, int(proof.FEWEST) - 1])
+def test_roll_out_without_enough_evidence_is_not_completed_but_ends(answers):
+    """Guards against a version completed for lack of evidence (EXPOSURE).
+
+    With 195 instances a version that failed half of its requests had got none, and was
+    completed 1 s before its deadline.
+    """
+    trials = with_clean_answers(answers)
+    row = trials.open["s"]
+    driver = make_driver(trials)
+    for tenth in range(200):
+        row.order = driver.next_order(row, row.since + tenth / 10)
+        assert row.order.state.is_open
+        assert row.order.share < trial.WIDE_SHARE
+    desired = driver.next_order(row, row.since + 20.1)
+    assert desired.state is model.RollOutState.ROLLED_BACK
+
+
+def test_version_proven_after_its_deadline_is_completed_then():
+    """Guards against a good version rolled back only since its answers came late."""
+    trials = with_clean_answers(2)
+    row = trials.open["s"]
+    driver = make_driver(trials)
+    for tenth in range(120):
+        row.order = driver.next_order(row, row.since + tenth / 10)
+    assert row.order.state.is_open
+    row.trial = with_clean_answers(int(proof.FEWEST)).open["s"].trial
+    desired = driver.next_order(row, row.since + 12)
+    assert desired.state is model.RollOutState.COMPLETED
+
+
 def begin_answer(trials, version, now, events=0):
     answer = progress.AnswerProgress(service="s", version=version, sent_at=now)
     trials.begin_answer(answer)
@@ -388,9 +429,8 @@
     One of eight instances, with the evidence of seven answers, completed a roll-out
     that the watchers kept at a small share.
     """
-    trials = trials_with_answers(fast=5)
+    trials = with_clean_answers(7)
     row = trials.open["s"]
-    row.since = 64.0
     driver = stages.Stages(
         me="other", store=None, records=None, trials=trials, members=lambda: ["a", "b"]
     )
