--- a/libs/masticpost-cli/src/masticpost_cli/gateways.py
+++ b/libs/masticpost-cli/src/masticpost_cli/gateways.py
@@ -188,9 +188,25 @@
             current = chosen.get(trial.service)
             if current is None or trial.calls > current.calls:
                 chosen[trial.service] = trial
-    return [
+    lines = [
         f"version {row.version} of {row.service} is being rolled out: {row.share:.0%},"
         f" {row.failures} of {row.calls} calls failed"
         + (f", rolled back: {row.verdict}" if row.verdict else "")
         for row in chosen.values()
     ]
+    return lines + _completed_lines(overview)
+
+
+def _completed_lines(overview: Overview) -> list[str]:
+    """Return a line per completed version that an instance finds bad since."""
+    found: dict[tuple[str, str], list[status.CompletedStatus]] = {}
+    for row in overview.instances:
+        for done in row.completed:
+            found.setdefault((done.service, done.version), []).append(done)
+    return [
+        f"version {version} of {service} is bad after its completion:"
+        f" {sum(row.failures for row in rows)} of {sum(row.calls for row in rows)}"
+        f" calls failed, {sum(row.late for row in rows)} began late"
+        for (service, version), rows in sorted(found.items())
+        if any(row.fault for row in rows)
+    ]
--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/trial.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/trial.py
@@ -13,6 +13,7 @@
 from masticpost_common import clock, rendezvous
 
 from masticpost_gateway.learning import (
+    completions,
     exposure,
     paces,
     progress,
@@ -99,6 +100,7 @@
         # deadline.
         self._limited: dict[str, trialevidence.Trial] = {}
         self._closed: dict[str, ClosedTrial] = {}
+        self.completions = completions.Completions()
         self._is_first_state = True
         self._paces = paces.Paces()
         self._in_progress: set[progress.AnswerProgress] = set()
@@ -186,6 +188,7 @@
         """Count an answer as good or failed."""
         trial = self.open.get(service)
         if trial is None:
+            self.completions.record_answer(service, version, is_good=is_good)
             return
         row = trial.tally_of(version)
         row.calls += 1
@@ -223,6 +226,11 @@
         trial = self._limited_trial(answer.service)
         if trial is not None and answer in self._in_progress:
             trial.budget.total += 1
+        if answer.service not in self.open:
+            is_late = now - answer.sent_at > answer.objective_s
+            self.completions.record_start(
+                answer.service, answer.version, is_late=is_late
+            )
         self._count_start(answer, now)
 
     def end_answer(self, answer: progress.AnswerProgress, now: float) -> None:
@@ -373,6 +381,7 @@
         if trial is None or trial.order.target != order.target:
             trial = self._reopen(service, order) or self._begin(order)
             self.open[service] = self._limited[service] = trial
+            self.completions.rows.pop(service, None)
             return
         self._set_order(trial, order)
 
@@ -413,6 +422,9 @@
         is_decided = order is not None and order.target == trial.order.target
         if not is_decided or order.state is not model.RollOutState.COMPLETED:
             del self._limited[service]
+        else:
+            _, usual = trial.pooled()
+            self.completions.begin(service, order.target, usual)
         self._closed[service] = ClosedTrial(
             trial=trial,
             state=order.state if is_decided else None,
--- a/libs/masticpost-gateway/src/masticpost_gateway/reporting/gauges.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/reporting/gauges.py
@@ -65,6 +65,7 @@
         yield _upstream_counts(current)
         yield _rates(current)
         yield _rate_permits(current)
+        yield _completed_versions(current)
         yield from _peer_traffic(self.traffic)
 
 
@@ -115,6 +116,20 @@
     return family
 
 
+def _completed_versions(current: status.Status) -> core.Metric:
+    family = core.GaugeMetricFamily(
+        "masticpost_gateway_completed_version_answers",
+        "Answers of a version since its roll-out was completed, by result.",
+        labels=["service", "version", "result"],
+    )
+    for row in current.completed:
+        labels = [row.service, row.version]
+        family.add_metric([*labels, "good"], row.calls - row.failures)
+        family.add_metric([*labels, "failed"], row.failures)
+        family.add_metric([*labels, "late"], row.late)
+    return family
+
+
 def _peer_traffic(traffic: hub.Traffic) -> collections.abc.Iterator[core.Metric]:
     sent = core.CounterMetricFamily(
         "masticpost_gateway_peer_messages",
--- a/libs/masticpost-gateway/src/masticpost_gateway/reporting/status.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/reporting/status.py
@@ -9,7 +9,7 @@
 from masticpost_rates import upstreamrates
 
 from masticpost_gateway import shared
-from masticpost_gateway.learning import trialevidence
+from masticpost_gateway.learning import completions, trialevidence
 from masticpost_gateway.routing import choice
 from masticpost_gateway.serving import gateway
 from masticpost_gateway.sharing import mesh, relay
@@ -90,6 +90,24 @@
     verdict: str
 
 
+@attrs.frozen(kw_only=True)
+class CompletedStatus:
+    """A version whose roll-out was completed, by this instance's answers since.
+
+    Attributes
+    ----------
+    fault : str
+        How it is worse than the others were, empty if it does not seem to be.
+    """
+
+    service: str
+    version: str
+    calls: int
+    failures: int
+    late: int
+    fault: str
+
+
 @attrs.frozen(kw_only=True)
 class Status:
     """Status of one instance.
@@ -108,6 +126,8 @@
         Fingerprints of requests that are refused because they crash upstreams.
     rates : list of upstreamrates.RateStatus
         Rates that upstreams name.
+    completed : list of CompletedStatus
+        Versions whose roll-out was completed not long ago.
     """
 
     instance: str
@@ -124,6 +144,7 @@
     trials: list[TrialStatus]
     quarantined: list[str] = attrs.field(factory=list)
     rates: list[upstreamrates.RateStatus] = attrs.field(factory=list)
+    completed: list[CompletedStatus] = attrs.field(factory=list)
 
 
 class Parts(typing.Protocol):
@@ -164,6 +185,9 @@
         trials=[_trial(row) for row in parts.shared.trials.open.values()],
         quarantined=sorted(parts.shared.crashes.quarantined(now)),
         rates=parts.shared.rates.statuses(),
+        completed=[
+            _completed(row) for row in parts.shared.trials.completions.rows.values()
+        ],
     )
 
 
@@ -217,3 +241,14 @@
         failures=tally.failures,
         verdict=row.verdict,
     )
+
+
+def _completed(found: completions.Completion) -> CompletedStatus:
+    return CompletedStatus(
+        service=found.service,
+        version=found.version,
+        calls=found.row.calls,
+        failures=found.row.failures,
+        late=found.row.late,
+        fault=found.fault,
+    )
--- a/libs/masticpost-gateway/testing/reporting/test_pages.py
+++ b/libs/masticpost-gateway/testing/reporting/test_pages.py
@@ -1,6 +1,8 @@
 """The pages that an instance serves to operators: metrics, status, burn counts."""
 
 import aiohttp
+import attrs
+import loguru
 import pytest
 from masticpost_bench import procs
 from masticpost_common import clock, codec
@@ -137,3 +139,35 @@
         code, text = await read(instance, path)
         assert code == 404
         assert "/metrics" in text
+
+
+async def test_version_that_fails_after_its_completion_is_told():
+    """Guards against a completed version whose bad answers nobody is told of.
+
+    A version failed half of its requests to the day's end, and nothing judged it.
+    """
+    lines = []
+    handler = loguru.logger.add(lambda line: lines.append(str(line)), level="WARNING")
+    order = model.RollOut(service="desk", target="v2", duration_s=60.0)
+    done = attrs.evolve(order, state=model.RollOutState.COMPLETED, share=1.0)
+    async with kit.Deployment() as dep:
+        await dep.configure()
+        instance = await add_node(dep)
+        trials = instance.shared.trials
+        await dep.store.put(source.Kind.ROLL_OUTS, "desk", order)
+        await kit.until(lambda: "desk" in trials.open)
+        await dep.store.put(source.Kind.ROLL_OUTS, "desk", done)
+        await kit.until(lambda: "desk" not in trials.open)
+        for number in range(40):
+            trials.record_answer("desk", "v2", is_good=number % 2 == 0)
+        _, text = await read(instance, "/status")
+        (row,) = codec.from_json(text, status.Status).completed
+        values = await samples(instance)
+    loguru.logger.remove(handler)
+    assert (row.calls, row.failures) == (40, 20)
+    assert "calls failed" in row.fault
+    name = "masticpost_gateway_completed_version_answers"
+    labels = ("service", "desk"), ("version", "v2")
+    assert values[name, ("result", "failed"), *labels] == 20
+    told = [line for line in lines if "bad after its completion" in line]
+    assert len(told) == 1
