--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/tally.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/tally.py
@@ -107,7 +107,7 @@
         log = math.log(gap)
         self.gaps += 1
         self.gap_logs += log
-        number = math.floor(log * BINS_PER_LOG)
+        number = bin_of(gap)
         self.gap_bins[number] = self.gap_bins.get(number, 0) + 1
 
     def count_from_bin(self, lowest: int) -> int:
@@ -178,6 +178,11 @@
     return math.ceil((base_log + VERY_SLOW_LOG_RATIO) * BINS_PER_LOG)
 
 
+def bin_of(gap: float) -> int:
+    """Return the bin of a gap."""
+    return math.floor(math.log(gap) * BINS_PER_LOG)
+
+
 def gap_of_bin(number: int) -> float:
     """Return the gap at the lower end of a bin."""
     # The small excess keeps rounding from putting the gap into the next lower bin.
--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/trial.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/trial.py
@@ -101,6 +101,9 @@
         self._limited: dict[str, trialevidence.Trial] = {}
         self._closed: dict[str, ClosedTrial] = {}
         self.completions = completions.Completions()
+        self._verdict_listeners: list[
+            collections.abc.Callable[[trialevidence.Trial], None]
+        ] = []
         self._is_first_state = True
         self._paces = paces.Paces()
         self._in_progress: set[progress.AnswerProgress] = set()
@@ -321,15 +324,26 @@
             self.mark_bad(evidence.service, evidence.target, evidence.verdict)
         self._judge(trial)
 
-    def failure_count(self) -> int:
-        """Return the number of failures of versions on trial at this instance."""
-        return sum(row.trial.failures for row in self.open.values())
+    def bad_answer_count(self) -> int:
+        """Return the bad answers of versions on trial at this instance."""
+        return sum(row.bad_answers() for row in self.open.values())
 
     def mark_bad(self, service: str, target: str, reason: str) -> None:
         """Take over the verdict of another instance."""
         trial = self.open.get(service)
         if trial is not None and trial.order.target == target and not trial.verdict:
             trial.verdict = reason
+            self._tell_verdict(trial)
+
+    def on_verdict(
+        self, listener: collections.abc.Callable[[trialevidence.Trial], None]
+    ) -> None:
+        """Call `listener` with each trial that has just got a verdict."""
+        self._verdict_listeners.append(listener)
+
+    def _tell_verdict(self, trial: trialevidence.Trial) -> None:
+        for listener in self._verdict_listeners:
+            listener(trial)
 
     def mark_doubtful(self, service: str, target: str) -> None:
         """Take over a report of doubt for `DOUBT_RETENTION_S`."""
@@ -452,6 +466,7 @@
                 failures=row.failures,
                 instances=len(trial.told) + 1,
             ).warning("version on trial is faulty: {}", trial.verdict)
+            self._tell_verdict(trial)
 
 
 def focus_count(share: float, upstreams: int) -> int:
--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/trialevidence.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/trialevidence.py
@@ -140,6 +140,13 @@
         )
         return self.budget.left() + sum(told)
 
+    def bad_answers(self) -> int:
+        """Return the failed, late and very slow answers of the target here."""
+        slow, gap = 0, self.very_slow()
+        if math.isfinite(gap):
+            slow = self.trial.count_from_bin(tally.bin_of(gap))
+        return self.trial.failures + self.trial.late + slow
+
     def very_slow(self) -> float:
         """Return the gap from which on an answer is very slow."""
         return self._comparison.very_slow(self.pooled()[1])
--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -45,6 +45,7 @@
     quarantines,
     relay,
     sessionupdates,
+    verdicts,
 )
 from masticpost_gateway.state import isolation, recordcache, source, watching
 from masticpost_gateway.upstreams import conns, exits
@@ -193,6 +194,7 @@
             evidencereports.EvidenceSharing(
                 peers=self.mesh, relay=self.relay, trials=trials
             ),
+            verdicts.VerdictSharing(peers=self.mesh, relay=self.relay, trials=trials),
             budgetsharing.BudgetSharing(peers=self.mesh, trials=trials),
             sessionupdates.SessionSharing(
                 peers=self.mesh,
--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/evidencereports.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/evidencereports.py
@@ -11,7 +11,7 @@
 from masticpost_gateway.sharing import mesh, relay, replication
 
 PERIOD_S = 0.25
-# Minimum time between reports without new failures, in a large deployment.
+# Minimum time between reports without new bad answers, in a large deployment.
 GOOD_PERIOD_S = 1.0
 
 
@@ -36,7 +36,7 @@
         self.relay = relay
         self.trials = trials
         self._reported: list[trialevidence.Evidence] = []
-        self._reported_failures = 0
+        self._reported_bad = 0
         self._reported_at = -math.inf
         peers.hub.handle(replication.EvidenceReport, self._on_evidence)
 
@@ -50,7 +50,7 @@
             rows = self.trials.evidence()
             if rows == self._reported or not self._is_due(now):
                 continue
-            self._reported_failures = self.trials.failure_count()
+            self._reported_bad = self.trials.bad_answer_count()
             self._reported_at = now
             self._reported = codec.from_wire(
                 codec.to_wire(rows), list[trialevidence.Evidence]
@@ -64,13 +64,13 @@
     def _is_due(self, now: float) -> bool:
         """Tell whether changed evidence is to be reported now.
 
-        In a large deployment only new failures are reported at once, since the watchers
+        In a large deployment only bad answers are reported at once, since the watchers
         get the reports of hundreds of instances.
         """
         if len(self.peers.members.alive()) <= relay.LARGE_DEPLOYMENT:
             return True
-        has_failures = self.trials.failure_count() != self._reported_failures
-        return has_failures or now - self._reported_at >= GOOD_PERIOD_S
+        has_bad = self.trials.bad_answer_count() != self._reported_bad
+        return has_bad or now - self._reported_at >= GOOD_PERIOD_S
 
     async def _on_evidence(
         self, envelope: messages.Envelope, body: replication.EvidenceReport
--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/replication.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/replication.py
@@ -149,6 +149,14 @@
     trials: list[TrialAge] = attrs.field(factory=list)
 
 
+@messages.message("gateway-verdict")
+@attrs.frozen(kw_only=True)
+class VerdictNotice:
+    """Versions on trial that have just been found bad."""
+
+    bad: list[BadVersion]
+
+
 @messages.message("gateway-evidence")
 @attrs.frozen(kw_only=True)
 class EvidenceReport:
