--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/stages.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/stages.py
@@ -150,8 +150,11 @@
             return attrs.evolve(running, share=share) if is_more else order
         is_late = row.left_s(now) < self.plan.last_s
         if row.is_doubtful(now):
-            return _ended(order, model.RollOutState.ROLLED_BACK) if is_late else running
-        if elapsed >= self.plan.given_up_at:
+            # Only who has the evidence for a doubt ends a roll-out for it.
+            is_ended = is_late and row.doubt(now)
+            rolled_back = _ended(order, model.RollOutState.ROLLED_BACK)
+            return rolled_back if is_ended or self._is_given_up(elapsed) else running
+        if self._is_given_up(elapsed):
             return _ended(order, model.RollOutState.ROLLED_BACK)
         is_wide = order.share >= trial.WIDE_SHARE
         missing = row.proof(now).missing
@@ -166,6 +169,10 @@
             return attrs.evolve(running, share=1.0)
         return attrs.evolve(running, share=max(self.plan.tried_share, order.share))
 
+    def _is_given_up(self, elapsed: float) -> bool:
+        """Return whether a roll-out has been undecided for too long."""
+        return elapsed >= self.plan.given_up_at
+
     def _share_for(self, row: trialevidence.Trial, now: float) -> float:
         """Return the share that brings the missing answers before the deadline.
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/trial.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/trial.py
@@ -345,11 +345,23 @@
         for listener in self._verdict_listeners:
             listener(trial)
 
-    def mark_doubtful(self, service: str, target: str) -> None:
-        """Take over a report of doubt for `DOUBT_RETENTION_S`."""
+    def mark_doubtful(self, service: str, target: str, sender: str = "") -> None:
+        """Take over a watcher's report of doubt for `DOUBT_RETENTION_S`."""
         trial = self.open.get(service)
         if trial is not None and trial.order.target == target:
+            if clock.now() >= trial.doubted_until:
+                trial.doubted_by.clear()
             trial.doubted_until = clock.now() + DOUBT_RETENTION_S
+            trial.doubted_by.add(sender)
+
+    def withdraw_doubt(self, service: str, target: str, sender: str) -> None:
+        """Take over that a watcher that judges a version has no doubt."""
+        trial = self.open.get(service)
+        if trial is None or trial.order.target != target:
+            return
+        if trial.doubted_by == {sender}:
+            trial.doubted_until = -math.inf
+        trial.doubted_by.discard(sender)
 
     def evidence(self) -> list[trialevidence.Evidence]:
         """Return this instance's own evidence of the open trials."""
--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/trialevidence.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/trialevidence.py
@@ -59,6 +59,8 @@
         The decision that the store has lost again, None without one.
     doubted_until : float
         Monotonic time until which a watcher's report of doubt is valid.
+    doubted_by : set of str
+        Names of the watchers that reported a doubt and have not withdrawn it.
     wide_since : float
         Monotonic time from which on the target gets all requests, infinite before.
     newest_at : float
@@ -78,6 +80,7 @@
     verdict: str = ""
     decided: model.RollOutState | None = None
     doubted_until: float = -math.inf
+    doubted_by: set[str] = attrs.field(factory=set)
     wide_since: float = math.inf
     newest_at: float = -math.inf
     is_lack_noted: bool = False
--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/relay.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/relay.py
@@ -331,10 +331,13 @@
             self.records.confirm(row.kind, now - row.age_s)
         for row in body.bad:
             self.trials.mark_bad(row.service, row.target, row.reason)
-        for row in body.doubted:
-            self.trials.mark_doubtful(row.service, row.target)
+        doubted = {(row.service, row.target) for row in body.doubted}
+        for key in doubted:
+            self.trials.mark_doubtful(*key, envelope.sender)
         for row in body.trials:
             self.trials.note_age(row.service, row.target, row.age_s)
+            if (row.service, row.target) not in doubted:
+                self.trials.withdraw_doubt(row.service, row.target, envelope.sender)
 
     async def _fetch(self, sender: str, kind: source.Kind) -> None:
         member = self.peers.members.get(sender)
--- a/libs/masticpost-gateway/testing/learning/test_trial.py
+++ b/libs/masticpost-gateway/testing/learning/test_trial.py
@@ -442,6 +442,39 @@
     assert driver.next_order(row, clock.now()).share == 1.0
 
 
+def test_doubt_that_was_only_reported_does_not_end_a_roll_out():
+    """Guards against a good version rolled back for a doubt that has ended.
+
+    A watcher had withdrawn its doubt 1 s before the deadline, and another one with all
+    evidence wrote the roll-back for the report, which held for 2.5 s.
+    """
+    trials = with_clean_answers(12)
+    row = trials.open["s"]
+    row.since = clock.now() - 9.5
+    driver = make_driver(trials)
+    trials.mark_doubtful("s", "v2", "other")
+    row.order = driver.next_order(row, clock.now())
+    assert row.order.state is model.RollOutState.RUNNING
+    assert row.order.share < trial.WIDE_SHARE
+    trials.withdraw_doubt("s", "v2", "another")
+    assert row.is_doubtful(clock.now())
+    trials.withdraw_doubt("s", "v2", "other")
+    desired = driver.next_order(row, clock.now())
+    assert desired.state is model.RollOutState.COMPLETED
+
+
+def test_doubt_is_withdrawn_only_when_no_watcher_has_it():
+    """Guards against a version completed while one of two watchers doubts it."""
+    trials = with_clean_answers(12)
+    row = trials.open["s"]
+    trials.mark_doubtful("s", "v2", "one")
+    trials.mark_doubtful("s", "v2", "two")
+    trials.withdraw_doubt("s", "v2", "one")
+    assert row.is_doubtful(clock.now())
+    trials.withdraw_doubt("s", "v2", "two")
+    assert not row.is_doubtful(clock.now())
+
+
 async def test_watchers_report_their_doubt():
     order = model.RollOut(service="desk", target="v2", duration_s=100.0)
     async with kit.Deployment() as dep:
@@ -457,6 +490,8 @@
         rows[0].trial = tally_of_gaps([0.115] * 15)
         rows[0].base = tally_of_gaps([0.06] * 50)
         await kit.until(lambda: all(row.is_doubtful(clock.now()) for row in rows))
+        rows[0].trial = tally_of_gaps([0.06] * 15)
+        await kit.until(lambda: not any(row.is_doubtful(clock.now()) for row in rows))
 
 
 def test_answers_that_are_no_streams_are_judged_by_their_duration():
