--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/tally.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/tally.py
@@ -12,7 +12,7 @@
 PRIOR_CALLS = 10
 # Answers with a measured gap that a comparison of gaps takes.
 MIN_GAPS = 6
-# Answers after which a version without a fault counts as good as the others.
+# Requests, and answers with a measured gap, that a comparison of the recent ones takes.
 PROVEN_CALLS = 20
 PROVEN_GAPS = 10
 VERY_SLOW_LOG_RATIO = math.log(4.0)
@@ -107,7 +107,7 @@
         log = math.log(gap)
         self.gaps += 1
         self.gap_logs += log
-        number = math.floor(log * BINS_PER_LOG)
+        number = bin_of(gap)
         self.gap_bins[number] = self.gap_bins.get(number, 0) + 1
 
     def count_from_bin(self, lowest: int) -> int:
@@ -178,18 +178,17 @@
     return math.ceil((base_log + VERY_SLOW_LOG_RATIO) * BINS_PER_LOG)
 
 
+def bin_of(gap: float) -> int:
+    """Return the bin of a gap."""
+    return math.floor(math.log(gap) * BINS_PER_LOG)
+
+
 def gap_of_bin(number: int) -> float:
     """Return the gap at the lower end of a bin."""
     # The small excess keeps rounding from putting the gap into the next lower bin.
     return math.exp((number + 1e-6) / BINS_PER_LOG)
 
 
-def has_enough(row: Tally, base: Tally) -> bool:
-    """Return whether there are enough answers to compare a version with the others."""
-    has_gaps = row.gaps >= PROVEN_GAPS or base.gaps < MIN_GAPS
-    return row.calls >= PROVEN_CALLS and has_gaps
-
-
 def is_stuck(
     row: Tally, base: Tally, sent: float = math.inf, base_sent: float = math.inf
 ) -> bool:
--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/trial.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/trial.py
@@ -13,6 +13,7 @@
 from masticpost_common import clock, rendezvous
 
 from masticpost_gateway.learning import (
+    completions,
     exposure,
     paces,
     progress,
@@ -99,6 +100,10 @@
         # deadline.
         self._limited: dict[str, trialevidence.Trial] = {}
         self._closed: dict[str, ClosedTrial] = {}
+        self.completions = completions.Completions()
+        self._verdict_listeners: list[
+            collections.abc.Callable[[trialevidence.Trial], None]
+        ] = []
         self._is_first_state = True
         self._paces = paces.Paces()
         self._in_progress: set[progress.AnswerProgress] = set()
@@ -123,7 +128,7 @@
             return VersionPlan(avoided=order.target)
         if order.share >= WIDE_SHARE:
             return VersionPlan(preferred=order.target)
-        if last is not None and order.share <= model.NARROW_SHARE:
+        if last is not None and trial.keeps_sessions(clock.now()):
             return VersionPlan(avoided=order.target)
         if _session_position(order, session or request_id) < order.share:
             return VersionPlan(preferred=order.target)
@@ -186,6 +191,7 @@
         """Count an answer as good or failed."""
         trial = self.open.get(service)
         if trial is None:
+            self.completions.record_answer(service, version, is_good=is_good)
             return
         row = trial.tally_of(version)
         row.calls += 1
@@ -223,6 +229,11 @@
         trial = self._limited_trial(answer.service)
         if trial is not None and answer in self._in_progress:
             trial.budget.total += 1
+        if answer.service not in self.open:
+            is_late = now - answer.sent_at > answer.objective_s
+            self.completions.record_start(
+                answer.service, answer.version, is_late=is_late
+            )
         self._count_start(answer, now)
 
     def end_answer(self, answer: progress.AnswerProgress, now: float) -> None:
@@ -313,21 +324,44 @@
             self.mark_bad(evidence.service, evidence.target, evidence.verdict)
         self._judge(trial)
 
-    def failure_count(self) -> int:
-        """Return the number of failures of versions on trial at this instance."""
-        return sum(row.trial.failures for row in self.open.values())
+    def bad_answer_count(self) -> int:
+        """Return the bad answers of versions on trial at this instance."""
+        return sum(row.bad_answers() for row in self.open.values())
 
     def mark_bad(self, service: str, target: str, reason: str) -> None:
         """Take over the verdict of another instance."""
         trial = self.open.get(service)
         if trial is not None and trial.order.target == target and not trial.verdict:
             trial.verdict = reason
+            self._tell_verdict(trial)
+
+    def on_verdict(
+        self, listener: collections.abc.Callable[[trialevidence.Trial], None]
+    ) -> None:
+        """Call `listener` with each trial that has just got a verdict."""
+        self._verdict_listeners.append(listener)
+
+    def _tell_verdict(self, trial: trialevidence.Trial) -> None:
+        for listener in self._verdict_listeners:
+            listener(trial)
 
-    def mark_doubtful(self, service: str, target: str) -> None:
-        """Take over a report of doubt for `DOUBT_RETENTION_S`."""
+    def mark_doubtful(self, service: str, target: str, sender: str = "") -> None:
+        """Take over a watcher's report of doubt for `DOUBT_RETENTION_S`."""
         trial = self.open.get(service)
         if trial is not None and trial.order.target == target:
+            if clock.now() >= trial.doubted_until:
+                trial.doubted_by.clear()
             trial.doubted_until = clock.now() + DOUBT_RETENTION_S
+            trial.doubted_by.add(sender)
+
+    def withdraw_doubt(self, service: str, target: str, sender: str) -> None:
+        """Take over that a watcher that judges a version has no doubt."""
+        trial = self.open.get(service)
+        if trial is None or trial.order.target != target:
+            return
+        if trial.doubted_by == {sender}:
+            trial.doubted_until = -math.inf
+        trial.doubted_by.discard(sender)
 
     def evidence(self) -> list[trialevidence.Evidence]:
         """Return this instance's own evidence of the open trials."""
@@ -373,6 +407,7 @@
         if trial is None or trial.order.target != order.target:
             trial = self._reopen(service, order) or self._begin(order)
             self.open[service] = self._limited[service] = trial
+            self.completions.rows.pop(service, None)
             return
         self._set_order(trial, order)
 
@@ -413,6 +448,9 @@
         is_decided = order is not None and order.target == trial.order.target
         if not is_decided or order.state is not model.RollOutState.COMPLETED:
             del self._limited[service]
+        else:
+            _, usual = trial.pooled()
+            self.completions.begin(service, order.target, usual)
         self._closed[service] = ClosedTrial(
             trial=trial,
             state=order.state if is_decided else None,
@@ -440,6 +478,7 @@
                 failures=row.failures,
                 instances=len(trial.told) + 1,
             ).warning("version on trial is faulty: {}", trial.verdict)
+            self._tell_verdict(trial)
 
 
 def focus_count(share: float, upstreams: int) -> int:
