--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/exposure.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/exposure.py
@@ -8,11 +8,10 @@
 that a lost message only makes the sum smaller.
 """
 
-import attrs
+import collections
+import math
 
-# Budget that an instance keeps for the sessions that the version runs already, in
-# requests.
-KEPT_FOR_SESSIONS = 2.0
+import attrs
 
 
 @attrs.frozen(kw_only=True)
@@ -47,6 +46,18 @@
         Requests of the service that upstreams of any version have begun to answer.
     received, given : float
         Budget from and to other instances.
+    lacked : int
+        Requests that would have gone to the version with more budget.
+    lacked_at : float
+        Monotonic time of the latest of these.
+    session_s : float
+        Time after which a session without a request is over.
+    is_holder : bool
+        Whether this instance holds budget of others.
+    borrowed_at : float
+        Monotonic time of the latest loan from a holder.
+    lent_at : collections.deque
+        Monotonic times at which a session began with budget of this instance.
     """
 
     bounds: Bounds
@@ -55,6 +66,12 @@
     total: int = 0
     received: float = 0.0
     given: float = 0.0
+    lacked: int = 0
+    lacked_at: float = -math.inf
+    session_s: float = 5.0
+    is_holder: bool = False
+    borrowed_at: float = -math.inf
+    lent_at: collections.deque[float] = attrs.field(factory=collections.deque)
 
     def left(self) -> float:
         """Return the number of requests that may still be sent to the version."""
@@ -63,15 +80,20 @@
 
     @property
     def allows_session(self) -> bool:
-        """Whether a session that the version runs may have another request there."""
+        """Whether a request may be sent to the version."""
         return self.left() >= 1.0
 
-    @property
-    def allows_new_session(self) -> bool:
-        """Whether a session may begin on the version."""
-        return self.left() >= 1.0 + KEPT_FOR_SESSIONS
+    def note_lack(self, now: float) -> None:
+        """Count a request that goes elsewhere, or waits, for lack of budget."""
+        self.lacked += 1
+        self.lacked_at = now
+
+    def borrow(self, granted: float, now: float) -> None:
+        """Add a loan of another instance."""
+        self.received += granted
+        self.borrowed_at = now
 
-    def give(self, wanted: float, kept: float = KEPT_FOR_SESSIONS) -> float:
+    def give(self, wanted: float, kept: float) -> float:
         """Take up to `wanted` off for another instance and return how much."""
         granted = max(0.0, min(wanted, self.left() - kept))
         self.given += granted
--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/trial.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/trial.py
@@ -13,6 +13,7 @@
 from masticpost_common import clock, rendezvous
 
 from masticpost_gateway.learning import (
+    budgetneeds,
     exposure,
     paces,
     progress,
@@ -67,6 +68,15 @@
     era: int
 
 
+@attrs.frozen(kw_only=True)
+class Lack:
+    """Budget that is missing here for a request to run on the version on trial."""
+
+    trial: trialevidence.Trial
+    purpose: budgetneeds.Purpose
+    wanted: float
+
+
 class Trials:
     """The open roll-outs and the evidence on their versions.
 
@@ -94,6 +104,10 @@
         self.sessions = sessions
         self.bounds = bounds
         self.instance_count = instance_count
+        # Borrows budget from other instances, where there are any.
+        self.borrow: collections.abc.Callable[
+            [Lack], collections.abc.Awaitable[None]
+        ] = _borrow_nothing
         self.open: dict[str, trialevidence.Trial] = {}
         # Trials whose budget binds: the open ones, and completed ones before their
         # deadline.
@@ -116,18 +130,55 @@
             return VersionPlan(excluded=order.target)
         if trial.decided is model.RollOutState.COMPLETED:
             return VersionPlan(preferred=order.target)
-        last = self.sessions.last_version(service, session, clock.now())
-        if last == order.target:
-            return VersionPlan(preferred=order.target)
-        if not trial.budget.allows_new_session:
+        now = clock.now()
+        purpose = self._purpose(trial, session, request_id, now)
+        if purpose is None:
             return VersionPlan(avoided=order.target)
+        if budgetneeds.missing(trial, purpose, now):
+            trial.budget.note_lack(now)
+            if purpose is budgetneeds.Purpose.BEGIN:
+                return VersionPlan(avoided=order.target)
+        return VersionPlan(preferred=order.target)
+
+    def _purpose(
+        self, trial: trialevidence.Trial, session: str, request_id: str, now: float
+    ) -> budgetneeds.Purpose | None:
+        """Return why a request should run on the version on trial, None if not.
+
+        Sessions that run on another version stay there in the first half of a roll-out.
+        """
+        order = trial.order
+        last = self.sessions.last_version(order.service, session, now)
+        if last == order.target:
+            return budgetneeds.Purpose.GO_ON
         if order.share >= WIDE_SHARE:
-            return VersionPlan(preferred=order.target)
+            return budgetneeds.Purpose.BEGIN
         if last is not None and order.share <= model.NARROW_SHARE:
-            return VersionPlan(avoided=order.target)
-        if _session_position(order, session or request_id) < order.share:
-            return VersionPlan(preferred=order.target)
-        return VersionPlan(avoided=order.target)
+            return None
+        is_chosen = _session_position(order, session or request_id) < order.share
+        return budgetneeds.Purpose.BEGIN if is_chosen else None
+
+    async def fund(self, service: str, session: str, request_id: str) -> None:
+        """Borrow what a request lacks to run on a version on trial, if anything."""
+        lack = self.lack(service, session, request_id)
+        if lack is not None:
+            await self.borrow(lack)
+
+    def lack(self, service: str, session: str, request_id: str) -> Lack | None:
+        """Return the budget that a request lacks to run on a version on trial."""
+        trial = self._limited_trial(service)
+        if trial is None or trial.verdict:
+            return None
+        if trial.decided is model.RollOutState.COMPLETED:
+            return None
+        now = clock.now()
+        purpose = budgetneeds.Purpose.GO_ON
+        if service in self.open:
+            purpose = self._purpose(trial, session, request_id, now)
+        if purpose is None:
+            return None
+        missing = budgetneeds.missing(trial, purpose, now)
+        return Lack(trial=trial, purpose=purpose, wanted=missing) if missing else None
 
     def allows(self, service: str, version: str) -> bool:
         """Return whether a request may be sent to a version now.
@@ -384,7 +435,9 @@
         """
         slack = self.bounds.slack / max(1, self.instance_count())
         budget = exposure.Budget(
-            bounds=self.bounds, slack=0.0 if self._is_first_state else slack
+            bounds=self.bounds,
+            slack=0.0 if self._is_first_state else slack,
+            session_s=self.sessions.idle_timeout_s,
         )
         trial = trialevidence.Trial(order=order, since=clock.now(), budget=budget)
         self._set_order(trial, order)
@@ -442,6 +495,10 @@
             ).warning("version on trial is faulty: {}", trial.verdict)
 
 
+async def _borrow_nothing(lack: Lack) -> None:
+    """Borrow nothing, for an instance without others."""
+
+
 def focus_count(share: float, upstreams: int) -> int:
     """Return the number of a version's upstreams that get a small share."""
     return max(1, round(share * upstreams / FOCUS_LOAD))
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
@@ -56,9 +56,13 @@
     def __init__(self, *, parts: shared.Shared, call: calls.Call) -> None:
         self.shared = parts
         self.call = call
-        self.plan = parts.trials.plan(
-            call.service.name, call.head.session, call.head.request_id
+        self._subject = (
+            call.service.name,
+            call.head.session,
+            call.head.request_id,
         )
+        self.plan = trial.VersionPlan()
+        self._is_planned = False
         self.feedback = feedback.Feedback(parts=parts, call=call)
         self.dispatches = dispatches.Dispatches(
             parts=parts, call=call, observer=self.feedback
@@ -117,6 +121,7 @@
         )
         await self.suspects.settle()
         await self.shared.isolation.hold_while_isolated(self.call.left_s())
+        await self._choose_version()
         picker = picking.Picker(parts=self.shared, call=self.call)
         until = min(give_up_at, self.call.answer_due_at)
         while True:
@@ -140,6 +145,14 @@
                 )
             await asyncio.sleep(picker.pause_s(POLL_S))
 
+    async def _choose_version(self) -> None:
+        """Choose the version for all attempts, with borrowed budget if needed."""
+        if self._is_planned:
+            return
+        await self.shared.trials.fund(*self._subject)
+        self.plan = self.shared.trials.plan(*self._subject)
+        self._is_planned = True
+
     async def open(
         self,
         upstream: model.Upstream,
--- a/libs/masticpost-gateway/testing/learning/test_exposure.py
+++ b/libs/masticpost-gateway/testing/learning/test_exposure.py
@@ -209,8 +209,10 @@
     """Guards against budget that two instances spend."""
     bounds = exposure.Bounds(share=0.1, slack=0.0)
     giver = exposure.Budget(bounds=bounds, total=100, exposed=4)
-    granted = giver.give(3.0) + giver.give(30.0)
-    assert granted == pytest.approx(6.0 - exposure.KEPT_FOR_SESSIONS)
-    assert giver.give(1.0) == 0.0
-    assert not giver.allows_new_session
+    granted = giver.give(3.0, kept=2.0) + giver.give(30.0, kept=2.0)
+    assert granted == pytest.approx(6.0 - 2.0)
+    assert giver.left() == pytest.approx(2.0)
+    assert giver.give(1.0, kept=2.0) == 0.0
     assert giver.allows_session
+    assert giver.give(1.5, kept=0.0) == pytest.approx(1.5)
+    assert not giver.allows_session
--- a/testing/support/trialfleet.py
+++ b/testing/support/trialfleet.py
@@ -1,8 +1,8 @@
 """Instances that judge a version on trial together, in simulated time, without network.
 
 Callers' requests arrive at random; each instance plans them by its own trial, tells its
-evidence to the watchers and asks others for budget. The fleet counts by itself what
-each version got.
+evidence to the watchers, passes budget on to the holders and borrows from them. The
+fleet counts by itself what each version got.
 """
 
 import collections
@@ -12,7 +12,15 @@
 import random
 
 import attrs
-from masticpost_gateway.learning import exposure, progress, sessions, stages, trial
+from masticpost_common import rendezvous
+from masticpost_gateway.learning import (
+    budgetneeds,
+    exposure,
+    progress,
+    sessions,
+    stages,
+    trial,
+)
 from masticpost_gateway.sharing import budgetsharing, evidencereports
 from masticpost_gateway.state import model, recordcache, source
 
@@ -41,6 +49,8 @@
     driver: stages.Stages
     side: int = 0
     is_frozen: bool = False
+    next_gift_at: float = 0.0
+    next_ask_at: float = 0.0
 
 
 class Fleet:
@@ -66,6 +76,8 @@
         self.is_ordered = False
         self.era = 0
         self.exposed = self.total = self.bad = 0
+        self.messages = self.waiting = 0
+        self.lost_share = 0.0
         self.recent = collections.deque()
         self.worst = float("-inf")
         self.states = []
@@ -178,8 +190,10 @@
         if instance.is_frozen:
             return
         session = f"session-{int(self.now / 2)}-{self.draw.randrange(200)}"
+        self._ask(instance, session)
         version = self._pick(instance.trials, session)
         if version is None:
+            self.waiting += 1
             return
         answer = progress.AnswerProgress(
             service=SERVICE,
@@ -265,23 +279,61 @@
         return self.exposed - BOUNDS.share * self.total - BOUNDS.slack
 
     def _tick(self):
-        for instance in self.instances:
-            for row in instance.trials.limited():
-                if not instance.is_frozen and not row.budget.allows_new_session:
-                    self._ask(instance, row)
+        self._pass_on()
         for instance in self._watchers():
             for row in list(instance.trials.open.values()):
                 desired = instance.driver.next_order(row, self.now)
                 if desired != row.order and row.order == self.order:
                     self.write_order(desired)
 
-    def _ask(self, instance, row):
-        others = self._reached_by(instance)
-        if not others:
+    def _pass_on(self):
+        """Let those with budget to spare pass it on to a holder."""
+        for instance in self.instances:
+            if instance.is_frozen:
+                continue
+            for row in instance.trials.limited():
+                holders = self._holders(instance)
+                row.budget.is_holder = instance in holders
+                if row.budget.is_holder or self.now < instance.next_gift_at:
+                    continue
+                granted = budgetsharing.deposit(row, self.now)
+                if not granted:
+                    continue
+                instance.next_gift_at = self.now + budgetsharing.GIFT_PERIOD_S
+                row.budget.give(granted, kept=0.0)
+                self._deliver_gift(instance, holders[0], granted)
+
+    def _deliver_gift(self, giver, holder, granted):
+        self.messages += 1
+        if self.draw.random() < self.lost_share:
             return
-        for other in self.draw.choice(others).trials.limited():
-            wanted = min(budgetsharing.WANTED, other.budget.left() / 2.0)
-            row.budget.received += other.budget.give(wanted)
+        for row in holder.trials.limited():
+            row.budget.received += granted
+            return
+        for row in giver.trials.limited():
+            row.budget.received += granted
+
+    def _holders(self, one):
+        """Return the holders in the view of an instance, its own one first."""
+        by_name = {row.name: row for row in (one, *self._reached_by(one))}
+        names = rendezvous.ranked(by_name, f"budget\0{SERVICE}\0{NEW}")
+        names = rendezvous.ranked(names[: budgetneeds.HOLDERS], one.name)
+        return [by_name[name] for name in names]
+
+    def _ask(self, instance, session):
+        lack = instance.trials.lack(SERVICE, session, "r")
+        if lack is None or self.now < instance.next_ask_at:
+            return
+        for holder in self._holders(instance)[: budgetsharing.MAX_ASKED]:
+            if holder is instance:
+                continue
+            self.messages += 1
+            for row in holder.trials.limited():
+                granted = budgetneeds.lend(row, lack.wanted, lack.purpose, self.now)
+                if granted and self.draw.random() >= self.lost_share:
+                    lack.trial.budget.borrow(granted, self.now)
+                    return
+        instance.next_ask_at = self.now + budgetsharing.REFUSED_S
 
     def _watchers(self):
         sides = {row.side for row in self.instances}
