--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/budgetneeds.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/budgetneeds.py
@@ -7,10 +7,13 @@
 
 import enum
 
-from masticpost_gateway.learning import trialevidence
+from masticpost_gateway.learning import exposure, trialevidence
 
-# Instances that hold the budget of the others.
-HOLDERS = 5
+# Instances that hold the budget of the others. One that ends takes its part with it.
+MAX_HOLDERS = 5
+MIN_HOLDERS = 2
+# Requests of the slack for each holder at least, so that each has some to lend.
+SLACK_PER_HOLDER = 5.0
 # Part of the budget earned by arrivals that is kept until all requests go to the
 # version.
 KEPT_SHARE = 0.75
@@ -20,6 +23,8 @@
 MAX_RESERVE = 3
 # Time for which a loan is left to the request that it was made for.
 LOAN_S = 1.0
+# Added to a loan, so that the rounded sum does not fall short of one request.
+ROUNDING = 1e-6
 # Time over which the arrivals are averaged at least.
 MIN_AGE_S = 1.0
 
@@ -35,6 +40,11 @@
     GO_ON = "go-on"
 
 
+def holder_count(bounds: exposure.Bounds) -> int:
+    """Return the number of instances that hold the budget of the others."""
+    return max(MIN_HOLDERS, min(MAX_HOLDERS, int(bounds.slack / SLACK_PER_HOLDER)))
+
+
 def kept(row: trialevidence.Trial, now: float) -> float:
     """Return what a holder keeps for the last requests before the deadline.
 
@@ -45,7 +55,7 @@
     if not budget.is_holder or not budget.bounds.share:
         return 0.0
     share = budget.bounds.share
-    slack = budget.bounds.slack / HOLDERS
+    slack = budget.bounds.slack / holder_count(budget.bounds)
     earned = share * budget.total + max(0.0, budget.received - slack)
     rate = earned / share / max(MIN_AGE_S, now - row.since)
     left_s = min(max(0.0, row.left_s(now)), LAST_S)
@@ -62,7 +72,8 @@
 
 def missing(row: trialevidence.Trial, purpose: Purpose, now: float) -> float:
     """Return what an instance lacks for one request, 0 if nothing."""
-    return max(0.0, 1.0 - available(row, purpose, now))
+    lacked = 1.0 - available(row, purpose, now)
+    return lacked + ROUNDING if lacked > 0.0 else 0.0
 
 
 def lend(
--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/trial.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/trial.py
@@ -134,10 +134,9 @@
         purpose = self._purpose(trial, session, request_id, now)
         if purpose is None:
             return VersionPlan(avoided=order.target)
-        if budgetneeds.missing(trial, purpose, now):
-            trial.budget.note_lack(now)
-            if purpose is budgetneeds.Purpose.BEGIN:
-                return VersionPlan(avoided=order.target)
+        is_new = purpose is budgetneeds.Purpose.BEGIN
+        if is_new and budgetneeds.missing(trial, purpose, now):
+            return VersionPlan(avoided=order.target)
         return VersionPlan(preferred=order.target)
 
     def _purpose(
@@ -161,8 +160,11 @@
     async def fund(self, service: str, session: str, request_id: str) -> None:
         """Borrow what a request lacks to run on a version on trial, if anything."""
         lack = self.lack(service, session, request_id)
-        if lack is not None:
-            await self.borrow(lack)
+        if lack is None:
+            return
+        await self.borrow(lack)
+        if self.lack(service, session, request_id) is not None:
+            lack.trial.budget.note_lack(clock.now())
 
     def lack(self, service: str, session: str, request_id: str) -> Lack | None:
         """Return the budget that a request lacks to run on a version on trial."""
--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/budgetsharing.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/budgetsharing.py
@@ -27,12 +27,12 @@
 MIN_GIFT = 0.1
 # Time that a request waits for one holder's answer.
 ASK_TIMEOUT_S = 0.1
-# Holders that are asked for one request.
-MAX_ASKED = budgetneeds.HOLDERS
 # Time after a refusal in which the holders are not asked again.
 REFUSED_S = 0.25
 # Time after which a request that lacked budget no longer waits for it.
-WAITING_S = 1.0
+WAITING_S = 2.0
+# Time in which a holder that did not answer is not asked again.
+SILENT_S = 1.0
 LOG_PERIOD_S = 1.0
 
 
@@ -108,8 +108,10 @@
         super().__init__()
         self.peers = peers
         self.trials = trials
-        self._next_gift_at = 0.0
-        self._next_ask_at = 0.0
+        # Times by service of the next deposit and of the next request to the holders.
+        self._next_gift_at: dict[str, float] = {}
+        self._next_ask_at: dict[str, float] = {}
+        self._silent_until: dict[str, float] = {}
         self._next_log_at = 0.0
         self._logged_lacks = 0
         trials.borrow = self.borrow
@@ -142,24 +144,27 @@
 
     async def borrow(self, lack: trial.Lack) -> None:
         """Borrow what a request lacks from a holder, if one has it."""
-        if clock.now() < self._next_ask_at:
-            return
         order = lack.trial.order
+        if clock.now() < self._next_ask_at.get(order.service, 0.0):
+            return
         body = BudgetRequest(
             service=order.service,
             target=order.target,
             wanted=lack.wanted,
             purpose=lack.purpose,
         )
-        for holder in self._other_holders(lack.trial)[:MAX_ASKED]:
+        for holder in self._other_holders(lack.trial):
+            if clock.now() < self._silent_until.get(holder.name, 0.0):
+                continue
             try:
                 grant = await self.peers.hub.call(holder.address, body, ASK_TIMEOUT_S)
             except hub.PeerUnreachableError:
+                self._silent_until[holder.name] = clock.now() + SILENT_S
                 continue
             if grant.granted:
                 lack.trial.budget.borrow(grant.granted, clock.now())
                 return
-        self._next_ask_at = clock.now() + REFUSED_S
+        self._next_ask_at[order.service] = clock.now() + REFUSED_S
 
     async def _retry_waiting(self, row: trialevidence.Trial) -> None:
         """Borrow for requests that wait since no other version is left."""
@@ -177,14 +182,16 @@
         holders = self._holders(row)
         me = self.peers.me.name
         row.budget.is_holder = any(member.name == me for member in holders)
-        if row.budget.is_holder or row.verdict or now < self._next_gift_at:
+        service = row.order.service
+        is_early = now < self._next_gift_at.get(service, 0.0)
+        if row.budget.is_holder or row.verdict or is_early:
             return
         amount = deposit(row, now)
         if not amount:
             return
-        self._next_gift_at = now + GIFT_PERIOD_S * random.uniform(1.0, 1.5)
+        self._next_gift_at[service] = now + GIFT_PERIOD_S * random.uniform(1.0, 1.5)
         body = BudgetDeposit(
-            service=row.order.service,
+            service=service,
             target=row.order.target,
             granted=row.budget.give(amount, kept=0.0),
         )
@@ -200,7 +207,8 @@
     def _holders(self, row: trialevidence.Trial) -> list[probes.Member]:
         """Return the holders of a trial's budget, this instance's own one first."""
         purpose = f"budget\0{row.order.service}\0{row.order.target}"
-        chosen = self.peers.chosen(purpose, budgetneeds.HOLDERS)
+        count = budgetneeds.holder_count(row.budget.bounds)
+        chosen = self.peers.chosen(purpose, count)
         by_name = {member.name: member for member in chosen}
         return [by_name[n] for n in rendezvous.ranked(by_name, self.peers.me.name)]
 
--- a/testing/support/trialfleet.py
+++ b/testing/support/trialfleet.py
@@ -9,6 +9,7 @@
 import copy
 import heapq
 import itertools
+import math
 import random
 
 import attrs
@@ -135,6 +136,21 @@
         new.side = old.side
         self.instances[number] = new
 
+    def join(self):
+        """Start one more instance, which gets as many callers as an average one."""
+        self.weights.append(sum(self.weights) / len(self.weights))
+        self.instances.append(self._start(f"node-{len(self.weights):03d}-new", 1))
+
+    def leave(self, number):
+        """Stop an instance, which leaves its budget to a holder."""
+        instance = self.instances.pop(number)
+        del self.weights[number]
+        others = self._reached_by(instance)
+        for row in instance.trials.limited() if others else ():
+            holder = self._holders(others[0])[0]
+            granted = row.budget.give(math.inf, kept=0.0)
+            self._deliver_gift(instance, holder, granted)
+
     def _start(self, name, incarnation):
         records = recordcache.RecordCache()
         trials = trial.Trials(
@@ -317,14 +333,14 @@
         """Return the holders in the view of an instance, its own one first."""
         by_name = {row.name: row for row in (one, *self._reached_by(one))}
         names = rendezvous.ranked(by_name, f"budget\0{SERVICE}\0{NEW}")
-        names = rendezvous.ranked(names[: budgetneeds.HOLDERS], one.name)
+        names = rendezvous.ranked(names[: budgetneeds.holder_count(BOUNDS)], one.name)
         return [by_name[name] for name in names]
 
     def _ask(self, instance, session):
         lack = instance.trials.lack(SERVICE, session, "r")
         if lack is None or self.now < instance.next_ask_at:
             return
-        for holder in self._holders(instance)[: budgetsharing.MAX_ASKED]:
+        for holder in self._holders(instance):
             if holder is instance:
                 continue
             self.messages += 1
