--- a/libs/masticpost-daemon/src/masticpost_daemon/instance.py
+++ b/libs/masticpost-daemon/src/masticpost_daemon/instance.py
@@ -1,6 +1,7 @@
 """One entry instance: builds, starts and gracefully stops its components."""
 
 import asyncio
+import collections.abc
 import ssl
 import time
 
@@ -15,6 +16,7 @@
     deadlyparts,
     estimatesharing,
     indoubt,
+    intake,
     ratelimits,
     rollouts,
     runtime,
@@ -32,6 +34,7 @@
     views,
 )
 from masticpost_store import client, instances
+from masticpost_telemetry import callerconns
 from masticpost_upstream import engine, plain, rating
 
 from masticpost_daemon import discovery, settings
@@ -75,14 +78,17 @@
         )
         self.in_doubt_resolver = indoubt.InDoubtResolver(rt=self.rt)
         self.estimate_sharing = estimatesharing.EstimateSharing(rt=self.rt)
-        self._runner: web.AppRunner | None = None
+        self._runner: callerconns.CallerRunner | None = None
 
     async def on_start(self) -> None:
         """Start the components in dependency order, then listen for callers."""
         for component in self._components():
             await component.start()
-        self._runner = web.AppRunner(
+        self.add_future(self.rt.meters.account.watch())
+        self._runner = callerconns.CallerRunner(
             app.make_app(self.rt),
+            account=self.rt.meters.account,
+            id_header=intake.ID_HEADER,
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=KEEPALIVE_S,
@@ -140,27 +146,34 @@
         logger.info("draining")
         cluster = self.rt.cluster
         self.rt.is_draining = True
-        await cluster.members.leave()
+        await _try("leave the cluster", cluster.members.leave())
         hand_over = asyncio.create_task(cluster.shards.hand_over())
         await asyncio.sleep(self.cfg.drain_grace_s)
         self.rt.is_stopping = True
         await self._wait_idle(self.cfg.drain_limit_s)
         self.rt.end_all()
         await self._wait_idle(END_TIMEOUT_S)
-        await hand_over
-        await cluster.claims.flush(FLUSH_TIMEOUT_S)
-        await cluster.bills.flush(FLUSH_TIMEOUT_S)
-        await cluster.budgets.flush(FLUSH_TIMEOUT_S)
+        await _try("hand over shards", hand_over)
+        await _try("write claims", cluster.claims.flush(FLUSH_TIMEOUT_S))
+        await _try("write bills", cluster.bills.flush(FLUSH_TIMEOUT_S))
+        await _try("write budgets", cluster.budgets.flush(FLUSH_TIMEOUT_S))
         logger.bind(bills_waiting=cluster.bills.pending).info("drained")
 
     async def _wait_idle(self, limit_s: float) -> None:
         deadline = time.monotonic() + limit_s
-        while self.rt.in_flight and time.monotonic() < deadline:
+        while self._is_owing and time.monotonic() < deadline:
             await asyncio.sleep(IDLE_POLL_INTERVAL_S)
 
+    @property
+    def _is_owing(self) -> bool:
+        """Whether a caller is owed an answer, or a part of one."""
+        return bool(self.rt.in_flight) or self._runner.server.is_owing
+
     async def on_stop(self) -> None:
         """Stop listening, then stop the components in reverse order."""
         if self._runner is not None:
+            ends_at = clock.now() + END_TIMEOUT_S
+            await self._runner.server.end(self._runner.sites, ends_at)
             await self._runner.cleanup()
         await self.rt.clients.close()
         for component in reversed(self._components()):
@@ -168,6 +181,14 @@
         await self.rt.cluster.store.close()
 
 
+async def _try(step: str, work: collections.abc.Awaitable) -> None:
+    """Take a step of the drain; a failure must not skip the steps after it."""
+    try:
+        await work
+    except Exception:
+        logger.exception("cannot {}", step)
+
+
 def _build(cfg: settings.Settings) -> runtime.Runtime:
     store = client.Client(
         url=cfg.store_url, namespace=cfg.namespace, token=cfg.store_token
--- a/libs/masticpost-entry/src/masticpost_entry/reply.py
+++ b/libs/masticpost-entry/src/masticpost_entry/reply.py
@@ -5,6 +5,7 @@
 import attrs
 from aiohttp import web
 from masticpost_common import codec, errors
+from masticpost_telemetry import callerconns
 
 JSON = "application/json"
 
@@ -48,12 +49,14 @@
     headers = {"X-Request-Id": request_id, "X-Request-Ran": refusal.ran}
     if refusal.retry_after_s is not None:
         headers["Retry-After"] = str(max(1, math.ceil(refusal.retry_after_s)))
-    return web.Response(
+    resp = web.Response(
         status=refusal.status,
         body=codec.to_json(error_body(refusal, request_id)),
         content_type=JSON,
         headers=headers,
     )
+    resp[callerconns.REFUSED_KEY] = True
+    return resp
 
 
 def json_response(value: object, headers: dict[str, str] | None = None) -> web.Response:
@@ -69,3 +72,13 @@
         "The instance ended before the upstream had answered.",
         ran=errors.RAN_MAYBE,
     )
+
+
+def cancelled_error() -> errors.RefusalError:
+    """Return the error for a request that a fault of this instance cancelled."""
+    return errors.refuse(
+        502,
+        "cancelled",
+        "The instance gave the request up before the upstream had answered.",
+        ran=errors.RAN_MAYBE,
+    )
--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -9,6 +9,7 @@
 from loguru import logger
 from masticpost_common import clock
 from masticpost_rates import upstreamrates
+from masticpost_telemetry import callerconns
 from masticpost_upstream import limits
 
 from masticpost_gateway import shared
@@ -54,6 +55,13 @@
 # Listen backlog, in connections.
 BACKLOG = 512
 MAX_LINE_BYTES = 32_768
+HTTP_SETTINGS = {
+    "handler_cancellation": True,
+    "access_log": None,
+    "keepalive_timeout": KEEPALIVE_S,
+    "max_line_size": MAX_LINE_BYTES,
+    "max_field_size": MAX_LINE_BYTES,
+}
 # Time for which a draining instance still accepts requests on open connections, even
 # if it has none in flight.
 MIN_DRAIN_S = 3.0
@@ -62,7 +70,8 @@
 # Part of the grace period that is left for stopping the components.
 KILL_MARGIN_S = 0.7
 DRAIN_POLL_S = 0.05
-# Time for the answers to requests that are given up at the end of the grace period.
+# Time for the answers to requests that are given up at the end of the grace period,
+# and for requests that come as the listener closes.
 END_TIMEOUT_S = 0.2
 # Time for handlers of a listener that closes; aiohttp takes 0 for no limit.
 SHUTDOWN_TIMEOUT_S = 0.05
@@ -185,6 +194,7 @@
         )
         self.metrics.registry.register(gauge)
         self._runners: list[web.ServerRunner] = []
+        self._callers: callerconns.CallerServer | None = None
         self.records.listen(self._on_change)
 
     def _make_sharing_services(self, store: source.Source) -> tuple[mode.Service, ...]:
@@ -287,10 +297,19 @@
         for service in self.sharing_services:
             await service.start()
         await self.stages.start()
-        await self._listen(self.cfg.callers, self.gateway.handle)
-        await self._listen(self.cfg.ready, self._ready)
+        self._callers = callerconns.CallerServer(
+            self.gateway.handle,
+            account=self.metrics.account,
+            id_header=self.shared.names.request_id,
+            **HTTP_SETTINGS,
+        )
+        self.add_future(self.metrics.account.watch())
+        await self._listen(self.cfg.callers, self._callers)
+        await self._listen(self.cfg.ready, web.Server(self._ready, **HTTP_SETTINGS))
         if self.cfg.metrics is not None:
-            await self._listen(self.cfg.metrics, self._page)
+            await self._listen(
+                self.cfg.metrics, web.Server(self._page, **HTTP_SETTINGS)
+            )
         logger.bind(event="start", name=self.cfg.name).info("listening")
 
     async def on_stop(self) -> None:
@@ -319,38 +338,19 @@
         deadline = started + self.cfg.grace_s - KILL_MARGIN_S
         while clock.now() < deadline:
             if clock.now() > started + CLOSE_IDLE_AFTER_S:
-                self._close_idle()
-            if (
-                not len(self.gateway.active_conns)
-                and clock.now() > started + MIN_DRAIN_S
-            ):
+                self._callers.close_idle()
+            if not self._callers.is_owing and clock.now() > started + MIN_DRAIN_S:
                 break
             await asyncio.sleep(DRAIN_POLL_S)
         logger.bind(event="stop", active=len(self.gateway.active_conns)).info(
             "stopping"
         )
         self.gateway.end_all()
-        ends_at = clock.now() + END_TIMEOUT_S
-        while self.gateway.active_conns and clock.now() < ends_at:
-            await asyncio.sleep(DRAIN_POLL_S)
-
-    def _close_idle(self) -> None:
-        """Close callers' connections without a request in flight."""
-        for conn in list(self._runners[0].server.connections):
-            # A request reaches the handler some event-loop iterations after it was
-            # read, so only a pending `_waiter` future shows that a connection is idle.
-            if conn._waiter is not None and not conn._waiter.done():
-                conn.force_close()
-
-    async def _listen(self, address: Address, handler) -> None:
-        server = web.Server(
-            handler,
-            handler_cancellation=True,
-            access_log=None,
-            keepalive_timeout=KEEPALIVE_S,
-            max_line_size=MAX_LINE_BYTES,
-            max_field_size=MAX_LINE_BYTES,
+        await self._callers.end(
+            self._runners[0].sites, max(deadline, clock.now()) + END_TIMEOUT_S
         )
+
+    async def _listen(self, address: Address, server: web.Server) -> None:
         runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await runner.setup()
         site = web.TCPSite(runner, address.host, address.port, backlog=BACKLOG)
