--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/stages.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/stages.py
@@ -62,12 +62,12 @@
         beyond it wait for the deadline.
     """
 
-    early_at: float = 0.2
+    early_at: float = 0.1
     half_at: float = 0.52
     wide_at: float = 0.66
     given_up_at: float = 2.0
     tried_share: float = 0.2
-    most_share: float = 0.8
+    most_share: float = 0.85
     margin: float = 1.2
     drain_s: float = 1.5
     end_s: float = 1.8
