--- a/testing/support/trialfleet.py
+++ b/testing/support/trialfleet.py
@@ -78,7 +78,8 @@
         self.era = 0
         self.exposed = self.total = self.bad = 0
         self.messages = self.waiting = 0
-        self.lost_share = 0.0
+        # What becomes of messages does not change when requests arrive.
+        self.fate, self.lost_share = random.Random(seed), 0.0
         self.recent = collections.deque()
         self.worst = float("-inf")
         self.states = []
@@ -321,7 +322,7 @@
 
     def _deliver_gift(self, giver, holder, granted):
         self.messages += 1
-        if self.draw.random() < self.lost_share:
+        if self.fate.random() < self.lost_share:
             return
         for row in holder.trials.limited():
             row.budget.received += granted
@@ -346,7 +347,7 @@
             self.messages += 1
             for row in holder.trials.limited():
                 granted = budgetneeds.lend(row, lack.wanted, lack.purpose, self.now)
-                if granted and self.draw.random() >= self.lost_share:
+                if granted and self.fate.random() >= self.lost_share:
                     lack.trial.budget.borrow(granted, self.now)
                     return
         instance.next_ask_at = self.now + budgetsharing.REFUSED_S
