--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/budgetsharing.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/budgetsharing.py
@@ -108,9 +108,11 @@
         super().__init__()
         self.peers = peers
         self.trials = trials
-        # Times by service of the next deposit and of the next request to the holders.
+        # Time of a service's next deposit.
         self._next_gift_at: dict[str, float] = {}
-        self._next_ask_at: dict[str, float] = {}
+        # Time of a service's next request to the holders: a refusal of budget for new
+        # sessions does not delay those that the version runs.
+        self._next_ask_at: dict[tuple[str, budgetneeds.Purpose], float] = {}
         self._silent_until: dict[str, float] = {}
         self._next_log_at = 0.0
         self._logged_lacks = 0
@@ -145,7 +147,8 @@
     async def borrow(self, lack: trial.Lack) -> None:
         """Borrow what a request lacks from a holder, if one has it."""
         order = lack.trial.order
-        if clock.now() < self._next_ask_at.get(order.service, 0.0):
+        key = (order.service, lack.purpose)
+        if clock.now() < self._next_ask_at.get(key, 0.0):
             return
         body = BudgetRequest(
             service=order.service,
@@ -164,7 +167,7 @@
             if grant.granted:
                 lack.trial.budget.borrow(grant.granted, clock.now())
                 return
-        self._next_ask_at[order.service] = clock.now() + REFUSED_S
+        self._next_ask_at[key] = clock.now() + REFUSED_S
 
     async def _retry_waiting(self, row: trialevidence.Trial) -> None:
         """Borrow for requests that wait since no other version is left."""
