--- a/libs/masticpost-peers/src/masticpost_peers/membership.py
+++ b/libs/masticpost-peers/src/masticpost_peers/membership.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import collections.abc
-import math
 import random
 import time
 
@@ -17,7 +16,7 @@
 import mode
 from loguru import logger
 
-from masticpost_peers import hub, messages, probes
+from masticpost_peers import gossip, hub, messages, probes
 
 PROBE_PERIOD_S = 0.4
 PROBE_TIMEOUT_S = 0.25
@@ -28,21 +27,10 @@
 SUSPECT_TIMEOUT_S = 0.6
 # Time after which a dead or leaving member is removed.
 DEAD_RETENTION_S = 60.0
-UPDATES_PER_MESSAGE = 8
-# An update is sent this many times the logarithm of the number of members.
-UPDATE_REPEAT_FACTOR = 3
 # Time between probe rounds from which on this process counts as having been paused.
 PAUSE_THRESHOLD_S = 2.0
 
 
-@attrs.define(kw_only=True)
-class Update:
-    """A member's new state, and how many messages have carried it."""
-
-    member: probes.Member
-    sent_count: int = 0
-
-
 Listener = collections.abc.Callable[[probes.Member], None]
 
 
@@ -89,7 +77,7 @@
         )
         self._members: dict[str, probes.Member] = {self.me.name: self.me}
         self._alive: list[probes.Member] | None = None
-        self._updates: dict[str, Update] = {}
+        self._updates = gossip.UpdateQueue()
         self._changed_at: dict[str, float] = {}
         self._reached_at: dict[str, float] = {}
         self._probe_order: list[str] = []
@@ -329,7 +317,7 @@
         if claim.state == self.me.state:
             return
         if claim.incarnation < self.me.incarnation:
-            self._updates[self.me.name] = Update(member=self.me)
+            self._updates.add(self.me)
             return
         incarnation = max(claim.incarnation, self.me.incarnation) + 1
         self._update_me(attrs.evolve(self.me, incarnation=incarnation))
@@ -337,7 +325,7 @@
     def _update_me(self, me: probes.Member) -> None:
         self.me = me
         self._store(me)
-        self._updates[me.name] = Update(member=me)
+        self._updates.add(me)
         self._notify_listeners(me)
 
     def _apply_update(self, member: probes.Member) -> None:
@@ -347,7 +335,7 @@
             return
         self._store(member)
         self._changed_at[member.name] = time.monotonic()
-        self._updates[member.name] = Update(member=member)
+        self._updates.add(member)
         if current is None or current.state != member.state:
             self._log_change(member, is_new=current is None)
         self._notify_listeners(member)
@@ -390,19 +378,8 @@
     def _remove(self, member: probes.Member) -> None:
         del self._members[member.name]
         self._alive = None
-        self._updates.pop(member.name, None)
+        self._updates.discard(member.name)
         self.add_future(self.peers.disconnect(member.address))
 
     def _next_updates(self) -> list[probes.Member]:
-        """Return the updates sent least often so far, at most `UPDATES_PER_MESSAGE`.
-
-        Each update is sent O(log n) times for n members and then dropped.
-        """
-        limit = UPDATE_REPEAT_FACTOR * math.ceil(math.log2(len(self._members) + 1))
-        chosen = sorted(self._updates.values(), key=lambda update: update.sent_count)
-        chosen = chosen[:UPDATES_PER_MESSAGE]
-        for update in chosen:
-            update.sent_count += 1
-            if update.sent_count >= limit:
-                del self._updates[update.member.name]
-        return [update.member for update in chosen]
+        return self._updates.take(len(self._members))
--- a/libs/masticpost-peers/testing/test_hub.py
+++ b/libs/masticpost-peers/testing/test_hub.py
@@ -7,7 +7,7 @@
 import pytest
 from hypothesis import strategies
 from masticpost_bench import procs
-from masticpost_peers import hub, keys, membership, messages, probes
+from masticpost_peers import gossip, hub, keys, membership, messages, probes
 
 KEY = "a-shared-key-of-the-tests"
 
@@ -206,7 +206,7 @@
     await wait_until(lambda: len(one.alive()) == 2)
     one._apply_update(attrs.evolve(one.get("b"), state=probes.DEAD))
     two._update_me(attrs.evolve(two.me, incarnation=two.me.incarnation + 1))
-    two._updates.clear()
+    two._updates = gossip.UpdateQueue()
     await wait_until(lambda: one.get("b").state == probes.ALIVE)
     for part in (one, two, hub_a, hub_b):
         await part.stop()
