--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/stages.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/stages.py
@@ -282,6 +282,7 @@
             "left_s": round(row.left_s(now), 2),
             "instances": len(row.told) + 1,
             "total": row.total(),
+            "lacked": row.lacked(),
             "budget_left": round(row.budget_left(self.is_running), 1),
         }
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/trial.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/trial.py
@@ -426,6 +426,7 @@
                 base=row.base,
                 total=row.budget.total,
                 budget_left=row.budget.left(),
+                lacked=row.budget.lacked,
                 verdict=row.verdict,
             )
             for service, row in self.open.items()
--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/trialevidence.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/trialevidence.py
@@ -24,6 +24,8 @@
         Requests of the service that upstreams of any version have begun to answer.
     budget_left : float
         Requests that the instance may still send to the target.
+    lacked : int
+        Requests that would have gone to the target with more budget.
     verdict : str
         The fault that the instance has found, empty for none.
     """
@@ -34,6 +36,7 @@
     base: tally.Tally
     total: int = 0
     budget_left: float = 0.0
+    lacked: int = 0
     verdict: str = ""
 
 
@@ -129,6 +132,10 @@
         """Return the requests of the service that all instances know of."""
         return self.budget.total + self._told_total
 
+    def lacked(self) -> int:
+        """Return the requests that lacked budget for the target, at all instances."""
+        return self.budget.lacked + sum(row.lacked for row in self.told.values())
+
     def budget_left(
         self, is_running: collections.abc.Callable[[str, int], bool]
     ) -> float:
