--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/feedback.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/feedback.py
@@ -31,7 +31,7 @@
         """Record a complete answer for the upstream and its version."""
         opened.health.record_success(clock.now())
         self.record_version(opened.upstream.version)
-        self.shared.trials.record_answer(
+        self.shared.trials.answers.record_answer(
             self.call.service.name, opened.upstream.version, is_good=True
         )
 
@@ -43,7 +43,7 @@
         """
         opened.health.record_failure(clock.now(), reason)
         if opened.is_failure:
-            self.shared.trials.record_answer(
+            self.shared.trials.answers.record_answer(
                 self.call.service.name, opened.upstream.version, is_good=False
             )
 
@@ -60,17 +60,17 @@
             max_gap_s=self.call.route.gap_s or math.inf,
             is_single_event=not self.call.route.kind.is_stream,
         )
-        self.shared.trials.begin_answer(answer_progress)
+        self.shared.trials.answers.begin_answer(answer_progress)
         return answer_progress
 
     def end_answer(self, answer_progress: progress.AnswerProgress) -> None:
         """Record that an answer has ended, complete or not."""
-        self.shared.trials.end_answer(answer_progress, clock.now())
+        self.shared.trials.answers.end_answer(answer_progress, clock.now())
 
     def record_complete_answer(self, answer_progress: progress.AnswerProgress) -> None:
         """Record the duration of a complete answer that is not a stream."""
         answer_progress.add_events(1, clock.now())
-        self.shared.trials.record_progress(answer_progress)
+        self.shared.trials.answers.record_progress(answer_progress)
 
     def record_events(
         self, opened: answer.OpenAnswer, events: int, waited_s: float
@@ -89,11 +89,11 @@
             self._record_decode(opened, events, waited_s)
         answer_progress.add_events(events, clock.now())
         if answer_progress.is_measured:
-            self.shared.trials.record_progress(answer_progress)
+            self.shared.trials.answers.record_progress(answer_progress)
 
     def record_stream_end(self, answer_progress: progress.AnswerProgress) -> None:
         """Record the mean gap of a complete stream, however short."""
-        self.shared.trials.record_progress(answer_progress)
+        self.shared.trials.answers.record_progress(answer_progress)
 
     def _record_decode(
         self, opened: answer.OpenAnswer, events: int, waited_s: float
--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/trial.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/trial.py
@@ -13,11 +13,10 @@
 from masticpost_common import clock, rendezvous
 
 from masticpost_gateway.learning import (
+    answercounts,
     budgetneeds,
     completions,
     exposure,
-    paces,
-    progress,
     sessions,
     trialevidence,
 )
@@ -27,8 +26,6 @@
 WIDE_SHARE = 0.9
 # Longer than a watcher takes to repeat a report of doubt that was lost.
 DOUBT_RETENTION_S = 2.5
-# Share of the objective after which an answer that has not begun counts as sent.
-STUCK_OBJECTIVE_SHARE = 0.5
 # Load of the few upstreams that get a small share, as a share of the usual load: a
 # little less, so that they do not look slower than the others for their load alone.
 FOCUS_LOAD = 0.65
@@ -91,6 +88,15 @@
         What a version on trial may get over all instances.
     instance_count : callable
         Returns the number of instances that may send requests.
+
+    Attributes
+    ----------
+    open : dict of str to trialevidence.Trial
+        The open trials by service.
+    answers : answercounts.AnswerCounts
+        Counts the answers of this instance as evidence.
+    completions : completions.Completions
+        Answers of versions whose roll-outs were completed.
     """
 
     def __init__(
@@ -119,8 +125,12 @@
             collections.abc.Callable[[trialevidence.Trial], None]
         ] = []
         self._is_first_state = True
-        self._paces = paces.Paces()
-        self._in_progress: set[progress.AnswerProgress] = set()
+        self.answers = answercounts.AnswerCounts(
+            open_trials=self.open,
+            find_limited=self._limited_trial,
+            completions=self.completions,
+            judge=self._judge,
+        )
         records.listen(self._on_change)
 
     def plan(self, service: str, session: str, request_id: str) -> VersionPlan:
@@ -240,131 +250,6 @@
             and _session_position(trial.order, session) < model.NARROW_SHARE
         )
 
-    def record_answer(self, service: str, version: str, *, is_good: bool) -> None:
-        """Count an answer as good or failed."""
-        trial = self.open.get(service)
-        if trial is None:
-            self.completions.record_answer(service, version, is_good=is_good)
-            return
-        row = trial.tally_of(version)
-        row.calls += 1
-        row.failures += not is_good
-        self._judge(trial)
-
-    def begin_answer(self, answer: progress.AnswerProgress) -> None:
-        """Record that a request is sent to a version."""
-        trial = self._limited_trial(answer.service)
-        if trial is None:
-            return
-        self._in_progress.add(answer)
-        if answer.version == trial.order.target:
-            trial.budget.exposed += 1
-
-    def discard_unsent(self, answer: progress.AnswerProgress) -> None:
-        """Discard an answer whose request certainly did not reach the upstream."""
-        trial = self._limited_trial(answer.service)
-        is_known = trial is not None and answer in self._in_progress
-        if is_known and answer.version == trial.order.target:
-            trial.budget.exposed -= 1
-        self.discard_answer(answer)
-
-    def discard_answer(self, answer: progress.AnswerProgress) -> None:
-        """Discard an answer that is no evidence on its version."""
-        trial = self.open.get(answer.service)
-        is_known = trial is not None and answer in self._in_progress
-        if is_known and answer.is_sent_counted:
-            trial.tally_of(answer.version).sent -= 1
-        self._in_progress.discard(answer)
-
-    def record_start(self, answer: progress.AnswerProgress, now: float) -> None:
-        """Record that an answer has begun."""
-        answer.began_at = now
-        trial = self._limited_trial(answer.service)
-        if trial is not None and answer in self._in_progress:
-            trial.budget.total += 1
-        if answer.service not in self.open:
-            is_late = now - answer.sent_at > answer.objective_s
-            self.completions.record_start(
-                answer.service, answer.version, is_late=is_late
-            )
-        self._count_start(answer, now)
-
-    def end_answer(self, answer: progress.AnswerProgress, now: float) -> None:
-        """Stop tracking an ended answer; a slow one counts however it ended."""
-        if answer not in self._in_progress:
-            return
-        self._count_if_slow(answer, now)
-        if answer.is_start_counted:
-            self._in_progress.discard(answer)
-        else:
-            self.discard_answer(answer)
-
-    def count_slow_answers(self, now: float) -> None:
-        """Count the answers in progress that are certain to be slow.
-
-        The fast answers of a slow version end first, so that counting only ended ones
-        would hide that it is slow.
-        """
-        for answer in list(self._in_progress):
-            self._count_if_slow(answer, now)
-
-    def _count_start(self, answer: progress.AnswerProgress, now: float) -> None:
-        trial = self.open.get(answer.service)
-        if trial is None or answer.is_start_counted or answer not in self._in_progress:
-            return
-        self._count_sent(trial, answer)
-        answer.is_start_counted = True
-        is_late = now - answer.sent_at > answer.objective_s
-        trial.tally_of(answer.version).add_start(is_late=is_late)
-        self._judge(trial)
-
-    def _count_sent(
-        self, trial: trialevidence.Trial, answer: progress.AnswerProgress
-    ) -> None:
-        if not answer.is_sent_counted:
-            answer.is_sent_counted = True
-            trial.tally_of(answer.version).sent += 1
-
-    def _count_if_slow(self, answer: progress.AnswerProgress, now: float) -> None:
-        trial = self.open.get(answer.service)
-        if trial is None:
-            return
-        waited_s = now - answer.sent_at
-        if waited_s > STUCK_OBJECTIVE_SHARE * answer.objective_s:
-            self._count_sent(trial, answer)
-        if waited_s > answer.objective_s:
-            self._count_start(answer, now)
-        if answer.is_counted:
-            return
-        gap_s = answer.min_gap_s(now)
-        relative = self._paces.relative(answer.service, answer.level, gap_s)
-        if relative is None:
-            return
-        # One of many instances has too few answers to derive the usual gap, so that the
-        # route's own limit applies as well.
-        if relative < trial.very_slow() and gap_s < answer.max_gap_s:
-            return
-        answer.is_counted = True
-        self._record_gap(trial, answer.version, relative)
-
-    def record_progress(self, answer: progress.AnswerProgress) -> None:
-        """Count the mean gap of an answer with enough events."""
-        gap_s = answer.gap_s()
-        if answer.is_counted or gap_s <= 0:
-            return
-        answer.is_counted = True
-        trial = self.open.get(answer.service)
-        if trial is None or answer.version != trial.order.target:
-            self._paces.note(answer.service, answer.level, gap_s)
-        relative = self._paces.relative(answer.service, answer.level, gap_s)
-        if trial is not None and relative is not None:
-            self._record_gap(trial, answer.version, relative)
-
-    def _record_gap(self, trial: trialevidence.Trial, version: str, gap: float) -> None:
-        if gap > 0:
-            trial.tally_of(version).add_gap(gap)
-            self._judge(trial)
-
     def update_evidence(
         self, sender: trialevidence.Sender, evidence: trialevidence.Evidence
     ) -> None:
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
@@ -202,7 +202,7 @@
             self._note_failure(dispatch, exc)
             self.dispatches.end(dispatch.health, dispatch.work, dispatch.progress)
             raise
-        self.shared.trials.record_start(dispatch.progress, opened.head_at)
+        self.shared.trials.answers.record_start(dispatch.progress, opened.head_at)
         opened.work = dispatch.work
         opened.uncached_tokens = dispatch.uncached_tokens
         if dispatch.prefill is not None:
@@ -276,11 +276,11 @@
         self._record(dispatch.upstream, dispatch.level, exc.reason, dispatch.sent_at)
         if exc.reason == sending.NOT_CONNECTED:
             self.dispatches.discard(now)
-            self.shared.trials.discard_unsent(dispatch.progress)
+            self.shared.trials.answers.discard_unsent(dispatch.progress)
         if exc.reason == sending.FULL:
             self.shared.loads.note_rejection(dispatch.upstream.name)
         if exc.verdict is retry.Verdict.NOT_PROCESSED:
-            self.shared.trials.discard_answer(dispatch.progress)
+            self.shared.trials.answers.discard_answer(dispatch.progress)
             if exc.reason in (sending.NOT_CONNECTED, sending.MOVED):
                 dispatch.health.record_unreachable(now, exc.reason)
             return
--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/evidencereports.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/evidencereports.py
@@ -46,7 +46,7 @@
         while not self.should_stop:
             await asyncio.sleep(PERIOD_S)
             now = clock.now()
-            self.trials.count_slow_answers(now)
+            self.trials.answers.count_slow_answers(now)
             rows = self.trials.evidence()
             if rows == self._reported or not self._is_due(now):
                 continue
--- a/libs/masticpost-gateway/testing/learning/test_trial.py
+++ b/libs/masticpost-gateway/testing/learning/test_trial.py
@@ -157,7 +157,7 @@
 def test_faulty_version_gets_no_requests_before_the_store_is_updated():
     _, _, trials = make_trials(ORDER)
     for _ in range(5):
-        trials.record_answer("s", "v2", is_good=False)
+        trials.answers.record_answer("s", "v2", is_good=False)
     assert trials.plan("s", "x", "r").excluded == "v2"
 
 
@@ -292,9 +292,9 @@
 
 def begin_answer(trials, version, now, events=0):
     answer = progress.AnswerProgress(service="s", version=version, sent_at=now)
-    trials.begin_answer(answer)
+    trials.answers.begin_answer(answer)
     if events:
-        trials.record_start(answer, now)
+        trials.answers.record_start(answer, now)
         answer.add_events(events, now)
     return answer
 
@@ -321,9 +321,9 @@
     now = 100.0
     for _ in range(10):
         begin_answer(trials, "v2", now, events=1)
-    trials.count_slow_answers(now + 0.1)
+    trials.answers.count_slow_answers(now + 0.1)
     assert not trials.open["s"].verdict
-    trials.count_slow_answers(now + 0.7)
+    trials.answers.count_slow_answers(now + 0.7)
     assert "very slowly" in trials.open["s"].verdict
 
 
@@ -338,10 +338,10 @@
         answer = progress.AnswerProgress(
             service="s", version="v2", sent_at=100.0, objective_s=2.0
         )
-        trials.begin_answer(answer)
-    trials.count_slow_answers(101.9)
+        trials.answers.begin_answer(answer)
+    trials.answers.count_slow_answers(101.9)
     assert not row.verdict
-    trials.count_slow_answers(102.1)
+    trials.answers.count_slow_answers(102.1)
     assert "began late" in row.verdict
 
 
@@ -351,8 +351,8 @@
     answer = progress.AnswerProgress(
         service="s", version="v2", sent_at=100.0, objective_s=2.0
     )
-    trials.begin_answer(answer)
-    trials.end_answer(answer, 101.0)
+    trials.answers.begin_answer(answer)
+    trials.answers.end_answer(answer, 101.0)
     assert (row.trial.sent, row.trial.starts) == (20, 20)
 
 
@@ -361,7 +361,7 @@
     row = trials.open["s"]
     row.base.starts, row.base.late = 100, 40
     row.trial.starts, row.trial.late = 20, 9
-    trials.record_answer("s", "v2", is_good=True)
+    trials.answers.record_answer("s", "v2", is_good=True)
     assert not row.verdict
 
 
@@ -369,14 +369,14 @@
     trials = trials_with_answers(fast=12)
     row = trials.open["s"]
     answer = begin_answer(trials, "v2", 100.0, events=1)
-    trials.end_answer(answer, 100.7)
+    trials.answers.end_answer(answer, 100.7)
     assert row.trial.gaps == 13
     answer = begin_answer(trials, "v2", 100.0, events=1)
-    trials.count_slow_answers(100.7)
-    trials.count_slow_answers(101.5)
+    trials.answers.count_slow_answers(100.7)
+    trials.answers.count_slow_answers(101.5)
     answer.add_events(5, 102.0)
-    trials.record_progress(answer)
-    trials.end_answer(answer, 103.0)
+    trials.answers.record_progress(answer)
+    trials.answers.end_answer(answer, 103.0)
     assert row.trial.gaps == 14
 
 
@@ -390,9 +390,9 @@
     row = trials.open["s"]
     answer = begin_answer(trials, "v2", 100.0, events=1)
     answer.max_gap_s = 0.5
-    trials.count_slow_answers(100.9)
+    trials.answers.count_slow_answers(100.9)
     assert not row.trial.gaps
-    trials.count_slow_answers(101.1)
+    trials.answers.count_slow_answers(101.1)
     assert row.trial.gaps == 1
 
 
@@ -400,8 +400,8 @@
     trials = trials_with_answers(fast=12)
     for _ in range(30):
         answer = begin_answer(trials, "v2", 100.0, events=1)
-        trials.count_slow_answers(100.05)
-        trials.end_answer(answer, 100.06)
+        trials.answers.count_slow_answers(100.05)
+        trials.answers.end_answer(answer, 100.06)
     assert trials.open["s"].trial.gaps == 12
 
 
@@ -522,8 +522,8 @@
         answer = progress.AnswerProgress(
             service="s", version="v2", sent_at=100.0, is_single_event=True
         )
-        trials.begin_answer(answer)
-    trials.count_slow_answers(101.0)
+        trials.answers.begin_answer(answer)
+    trials.answers.count_slow_answers(101.0)
     assert trials.open["s"].verdict
 
 
@@ -605,8 +605,8 @@
         await kit.until(lambda: reported)
         calls = lambda: [row.trial.calls for row in reported.values()]  # noqa: E731
         for _ in range(5):
-            one.shared.trials.record_answer("desk", "v2", is_good=True)
+            one.shared.trials.answers.record_answer("desk", "v2", is_good=True)
         await asyncio.sleep(3 * evidencereports.PERIOD_S)
         assert calls() == [0]
-        one.shared.trials.record_answer("desk", "v2", is_good=False)
+        one.shared.trials.answers.record_answer("desk", "v2", is_good=False)
         await kit.until(lambda: calls() == [6])
--- a/libs/masticpost-gateway/testing/reporting/test_pages.py
+++ b/libs/masticpost-gateway/testing/reporting/test_pages.py
@@ -159,7 +159,7 @@
         await dep.store.put(source.Kind.ROLL_OUTS, "desk", done)
         await kit.until(lambda: "desk" not in trials.open)
         for number in range(40):
-            trials.record_answer("desk", "v2", is_good=number % 2 == 0)
+            trials.answers.record_answer("desk", "v2", is_good=number % 2 == 0)
         _, text = await read(instance, "/status")
         (row,) = codec.from_json(text, status.Status).completed
         values = await samples(instance)
--- a/libs/masticpost-gateway/testing/sharing/test_relay.py
+++ b/libs/masticpost-gateway/testing/sharing/test_relay.py
@@ -126,9 +126,9 @@
         await dep.store.put(source.Kind.ROLL_OUTS, "desk", order)
         await kit.until(lambda: all("desk" in n.shared.trials.open for n in dep.nodes))
         for node in dep.nodes:
-            node.shared.trials.record_answer("desk", "v2", is_good=False)
+            node.shared.trials.answers.record_answer("desk", "v2", is_good=False)
             for _ in range(10):
-                node.shared.trials.record_answer("desk", "v1", is_good=True)
+                node.shared.trials.answers.record_answer("desk", "v1", is_good=True)
         await kit.until(lambda: dep.store.decisions)
         assert dep.store.decisions[0].state is model.RollOutState.ROLLED_BACK
         await kit.until(
--- a/testing/support/trialfleet.py
+++ b/testing/support/trialfleet.py
@@ -226,7 +226,7 @@
             objective_s=OBJECTIVE_S,
             max_gap_s=1.0,
         )
-        instance.trials.begin_answer(answer)
+        instance.trials.answers.begin_answer(answer)
         instance.trials.sessions.record_run(SERVICE, session, version, self.now)
         counts = self.is_ordered and self.age_s <= self.order.duration_s
         self.exposed += counts and version == NEW
@@ -273,13 +273,13 @@
 
     def _fail(self, trials, answer, counts):
         self._count_begun(counts)
-        trials.record_start(answer, self.now)
-        trials.record_answer(SERVICE, answer.version, is_good=False)
-        trials.end_answer(answer, self.now)
+        trials.answers.record_start(answer, self.now)
+        trials.answers.record_answer(SERVICE, answer.version, is_good=False)
+        trials.answers.end_answer(answer, self.now)
 
     def _begin(self, trials, answer, pace, counts):
         self._count_begun(counts)
-        trials.record_start(answer, self.now)
+        trials.answers.record_start(answer, self.now)
         for number in range(EVENTS):
             self.at(
                 self.now + number * GAP_S * pace,
@@ -289,10 +289,10 @@
     def _progress(self, trials, answer, number):
         answer.add_events(1, self.now)
         if answer.is_measured:
-            trials.record_progress(answer)
+            trials.answers.record_progress(answer)
         if number == EVENTS - 1:
-            trials.record_answer(SERVICE, answer.version, is_good=True)
-            trials.end_answer(answer, self.now)
+            trials.answers.record_answer(SERVICE, answer.version, is_good=True)
+            trials.answers.end_answer(answer, self.now)
 
     def _count_begun(self, counts):
         self.total += counts
@@ -376,7 +376,7 @@
         for instance in self.instances:
             if instance.is_frozen:
                 continue
-            instance.trials.count_slow_answers(self.now)
+            instance.trials.answers.count_slow_answers(self.now)
             sender = (instance.name, instance.incarnation)
             rows = copy.deepcopy(instance.trials.evidence())
             ages_s = instance.trials.ages_s(self.now)
--- a/testing/support/virtualfleet.py
+++ b/testing/support/virtualfleet.py
@@ -237,14 +237,14 @@
             sent_at=loop.time(),
             objective_s=OBJECTIVE_S,
         )
-        instance.trials.begin_answer(answer)
+        instance.trials.answers.begin_answer(answer)
         head_s = LATE_S if is_bad and self.how == "late" else HEAD_S
         loop.call_later(head_s, self._end, loop, instance, answer, is_bad)
 
     def _end(self, loop, instance, answer, is_bad):
         if is_bad:
             self.bad_at.append(loop.time())
-        instance.trials.record_start(answer, loop.time())
+        instance.trials.answers.record_start(answer, loop.time())
         is_good = not (is_bad and self.how == "errors")
-        instance.trials.record_answer(SERVICE, answer.version, is_good=is_good)
-        instance.trials.end_answer(answer, loop.time())
+        instance.trials.answers.record_answer(SERVICE, answer.version, is_good=is_good)
+        instance.trials.answers.end_answer(answer, loop.time())
