--- a/libs/masticpost-gateway/src/masticpost_gateway/routing/choice.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/routing/choice.py
@@ -39,8 +39,8 @@
         Versions to prefer, to avoid and to exclude.
     prefill : placement.Prefill or None
         The prompt to prefill; None for a plain service.
-    tried : frozenset of str
-        Names of the upstreams that must not be used again.
+    tried : frozenset of model.Incarnation
+        Runs of upstreams that must not be used again.
     priority : int
         Rank of the request, 0 for the most urgent.
     """
@@ -48,7 +48,7 @@
     service: model.Service
     plan: trial.VersionPlan
     prefill: placement.Prefill | None = None
-    tried: frozenset[str] = frozenset()
+    tried: frozenset[model.Incarnation] = frozenset()
     priority: int = model.DEFAULT_PRIORITY
 
 
@@ -175,7 +175,7 @@
         return [
             upstream
             for upstream in self.usable(required.service.name, now)
-            if upstream.name not in required.tried
+            if upstream.incarnation not in required.tried
             and upstream.version != required.plan.excluded
             and self.trials.allows(upstream.service, upstream.version)
         ]
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
@@ -45,8 +45,8 @@
 
     Attributes
     ----------
-    tried : set of str
-        Names of the upstreams that were tried with the current model.
+    tried : set of model.Incarnation
+        Runs of the upstreams that were tried with the current model.
     executions : int
         Attempts in which an upstream ran the request or may have run it.
     may_have_run : bool
@@ -73,7 +73,7 @@
             turns=parts.trial_turns,
             call=call,
         )
-        self.tried: set[str] = set()
+        self.tried: set[model.Incarnation] = set()
         self.executions = 0
         self.may_have_run = False
 
@@ -194,7 +194,7 @@
             is_counted=False,
             silent_after_s=silent_after_s,
         )
-        self.tried.add(upstream.name)
+        self.tried.add(upstream.incarnation)
         dispatch = self.dispatches.begin(upstream, level, self.prefill(level))
         try:
             opened = await self._exchange(out, dispatch, rules)
--- a/libs/masticpost-gateway/src/masticpost_gateway/state/model.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/state/model.py
@@ -8,6 +8,8 @@
 import attrs
 from masticpost_rates import statements
 
+Incarnation = tuple[str, int, str]
+"""Name, start in milliseconds and address of one run of an upstream."""
 DEFAULT_PRIORITY = 2
 # Fraction of the sessions that the new version gets first in a trial.
 NARROW_SHARE = 0.08
@@ -164,7 +166,7 @@
     born_ms: int = 0
 
     @property
-    def incarnation(self) -> tuple[str, int, str]:
+    def incarnation(self) -> Incarnation:
         """Identity of one run: one process lifetime of the upstream."""
         return (self.name, self.born_ms, self.address)
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/upstreams/conns.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/upstreams/conns.py
@@ -116,6 +116,11 @@
         limits.renew(resp, MAX_HELD_BYTES)
         return resp
 
+    @property
+    def is_used(self) -> bool:
+        """Whether a connection carries a request."""
+        return self._http.connector.is_used
+
     async def close(self) -> None:
         """Close every connection."""
         await self._http.close()
@@ -193,7 +198,7 @@
         return pool
 
     def keep_only(self, upstreams: list[model.Upstream]) -> None:
-        """Close the pools of all other upstreams after `KEEPALIVE_S`."""
+        """Close the pools of all other upstreams once they are unused."""
         kept = {upstream.incarnation for upstream in upstreams}
         for key in [key for key in self._pools if key not in kept]:
             task = asyncio.ensure_future(
@@ -205,6 +210,8 @@
     async def _close_after_keepalive(self, pool: Pool) -> None:
         # An upstream that is no longer listed may still respond to requests in flight.
         await asyncio.sleep(KEEPALIVE_S)
+        while pool.is_used:
+            await asyncio.sleep(KEEPALIVE_S)
         await pool.close()
         logger.bind(event="pool", upstream=pool.upstream.name).debug(
             "connection pool closed"
--- a/libs/masticpost-gateway/testing/serving/test_streaming.py
+++ b/libs/masticpost-gateway/testing/serving/test_streaming.py
@@ -3,13 +3,14 @@
 import asyncio
 import contextlib
 import math
+import time
 
 import attrs
 import pytest
 from masticpost_common import clock
 from masticpost_gateway.routing import placement
 from masticpost_gateway.serving import attempts, headers
-from masticpost_gateway.state import model
+from masticpost_gateway.state import model, source
 from support import gatewaykit as kit
 
 PROMPT = {"Token_Counts": "100,50", "Prompt_Prefix": "a1:60,b2:40"}
@@ -65,6 +66,22 @@
         assert not node.gateway.active_conns
 
 
+async def test_begun_stream_resumes_at_its_upstream_that_has_restarted():
+    """Guards against a stream cut since a run of the only upstream was tried before."""
+    async with kit.Deployment() as dep:
+        worker = await dep.add_worker("w1", kit.streams(6, cut_after=4))
+        await dep.configure()
+        await dep.add_node()
+        call = dep.call("/chat/", method="POST", body=b"p", **PROMPT)
+        reply = asyncio.create_task(call)
+        await kit.until(lambda: worker.requests)
+        await asyncio.sleep(0.3)
+        worker.script = kit.streams(6)
+        entry = worker.record(born_ms=int(time.time() * 1000))
+        await dep.store.put(source.Kind.UPSTREAMS, "w1", entry)
+        assert ((await reply).body, reply.result().is_complete) == (events(6), True)
+
+
 async def test_begun_stream_does_not_wait_longer_than_for_a_stalled_upstream():
     async with kit.Deployment() as dep:
         await dep.add_worker("w1", kit.streams(6, cut_after=4))
--- a/libs/masticpost-gateway/testing/upstreams/test_protocol.py
+++ b/libs/masticpost-gateway/testing/upstreams/test_protocol.py
@@ -3,7 +3,10 @@
 import asyncio
 
 import aiohttp
+import attrs
 import pytest
+from masticpost_gateway.state import source
+from masticpost_gateway.upstreams import conns
 from support import gatewaykit as kit
 
 # More than the buffers of a loopback connection can hold.
@@ -51,6 +54,44 @@
     assert len(received) < len(LARGE_BODY)
 
 
+@pytest.mark.parametrize("path", ["/chat/", "/book/"])
+async def test_upstream_that_is_no_longer_listed_ends_what_it_has_begun(
+    monkeypatch, path
+):
+    """Guards against answers cut as the pool of an upstream that leaves closes (LOST).
+
+    A leaving upstream serves for many seconds after its entry is removed.
+    """
+    monkeypatch.setattr(conns, "KEEPALIVE_S", 0.2)
+    may_end = asyncio.Event()
+
+    async def serve(req, writer):
+        if path == "/chat/":
+            content_type = "text/event-stream"
+            head = kit.response_head(req, Confidence=90, Content_Type=content_type)
+            writer.write(f"{head}Transfer-Encoding: chunked\r\n\r\n".encode())
+            writer.write(kit.chunk(kit.event(1)))
+        await may_end.wait()
+        writer.write(kit.response(req) if path == "/book/" else b"0\r\n\r\n")
+
+    timeouts = {"timeout_s": 20.0, "gap_s": 20.0, "objective_s": 20.0}
+    routes = [attrs.evolve(row, **timeouts) for row in (kit.BOOK, kit.CHAT)]
+    async with kit.Deployment() as dep:
+        worker = await dep.add_worker("w1", serve)
+        await dep.configure(kit.configuration(routes=tuple(routes)))
+        instance = await dep.add_node()
+        call = dep.call(path, method="POST", body=b"p", Request_Deadline_Ms="20000")
+        reply = asyncio.create_task(call)
+        await kit.until(lambda: worker.requests)
+        await dep.store.put(source.Kind.UPSTREAMS, "w1", None)
+        await kit.until(lambda: instance.shared.pools._closing)
+        await asyncio.sleep(4 * conns.KEEPALIVE_S)
+        may_end.set()
+        assert ((await reply).status, reply.result().is_complete) == (200, True)
+        assert len(worker.requests) == 1
+        await kit.until(lambda: not instance.shared.pools._closing)
+
+
 @pytest.mark.parametrize(
     "unexpected", [b"x", b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n"]
 )
--- a/libs/masticpost-upstream/src/masticpost_upstream/connections.py
+++ b/libs/masticpost-upstream/src/masticpost_upstream/connections.py
@@ -110,6 +110,11 @@
         super().__init__(**options)
         self._factory = functools.partial(make_protocol, asyncio.get_running_loop())
 
+    @property
+    def is_used(self) -> bool:
+        """Whether a connection carries a request."""
+        return bool(self._acquired)
+
     def _release(self, key, protocol, *, should_close: bool = False) -> None:
         if should_close:
             reset(protocol.transport)
