Prefer upstreams of the own failure domain in large deployments

Cause: sampled candidates were ranked over all domains, so that most prompts crossed domains, and their bytes and latency were paid without need.

Change: in deployments that sample, three candidates by rank and one at random are of the instance's own domain. One of the first by rank and one at random of the other domains are sampled too, at an added cost of 0.15 s. The upstreams reserved for the smallest model are spread over the domains. Small deployments choose as before, and so does an instance whose domain has no upstream.

--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -227,7 +227,9 @@
     def _make_shared(self, names: headers.HeaderNames) -> shared.Shared:
         """Return the components shared by all requests."""
         cfg = self.cfg
-        places = placement.Placement(loads=self.loads, speeds=speeds.Speeds())
+        places = placement.Placement(
+            loads=self.loads, speeds=speeds.Speeds(), domain=cfg.domain
+        )
         recent_sessions = sessions.Sessions(idle_timeout_s=cfg.session_s)
         cold_start = coldstart.ColdStartLimiter(me=cfg.name, members=self.members)
         expected_count = self.mesh.members.expected_count
--- a/libs/masticpost-gateway/src/masticpost_gateway/routing/placement.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/routing/placement.py
@@ -6,6 +6,7 @@
 prompt take no time.
 """
 
+import collections
 import math
 import random
 
@@ -28,6 +29,12 @@
 # Number of upstreams sampled by rank, and at random from the rest.
 NEAR_SAMPLE = 3
 FAR_SAMPLE = 2
+# Number of upstreams of other domains sampled at random from the first ones by rank,
+# which have probably cached the prompt for their own domain, and from all others.
+REMOTE_NEAR_SAMPLE = 1
+REMOTE_FAR_SAMPLE = 1
+# Cost of a request that crosses failure domains, beyond its delay.
+CROSS_DOMAIN_COST_S = 0.15
 
 
 @attrs.frozen(kw_only=True)
@@ -91,6 +98,9 @@
         Load of each upstream and the prompts that it has cached.
     speeds : speeds.Speeds
         Estimated speed of each model.
+    domain : str, optional
+        Failure domain of this instance. In a large deployment its upstreams are
+        preferred; empty for no preference.
     rng : random.Random, optional
         Source of randomness for sampling upstreams.
     """
@@ -100,10 +110,12 @@
         *,
         loads: loads.Loads,
         speeds: speeds.Speeds,
+        domain: str = "",
         rng: random.Random | None = None,
     ) -> None:
         self.loads = loads
         self.speeds = speeds
+        self.domain = domain
         self.rng = rng or random.Random()
 
     def uncached_tokens(self, upstream: str, prefill: Prefill) -> int:
@@ -124,29 +136,70 @@
     def best(self, ready: list[model.Upstream], prefill: Prefill) -> model.Upstream:
         """Return the upstream with the lowest score, preferably one with free slots."""
         upstreams = {upstream.name: upstream for upstream in ready}
+        remote = self._remote(ready)
         best: Scored | None = None
-        for group in _groups(list(upstreams), prefill):
+        for group in _groups(self._ranked(ready, prefill), prefill):
             if best is not None and best.is_at_least_as_good_as(group):
                 break
-            found = self._best_of_group(group, upstreams, prefill)
+            found = self._best_of_group(group, upstreams, remote, prefill)
             best = found if best is None else min(best, found, key=Scored.sort_key)
         return best.upstream
 
+    def _remote(self, ready: list[model.Upstream]) -> frozenset[str]:
+        """Return the names of the upstreams outside the preferred failure domain.
+
+        There is none in a small deployment, which uses all upstreams alike, nor if
+        this instance's domain has no upstream.
+        """
+        if self.loads.is_direct:
+            return frozenset()
+        remote = frozenset(u.name for u in ready if u.domain != self.domain)
+        return remote if len(remote) < len(ready) else frozenset()
+
+    def _ranked(self, ready: list[model.Upstream], prefill: Prefill) -> list[str]:
+        """Return the names of upstreams by rank, so that instances reserve the same.
+
+        In a large deployment the domains take turns, so that each domain has a share
+        of the reserved upstreams.
+        """
+        domains = {upstream.name: upstream.domain for upstream in ready}
+        if not prefill.has_levels:
+            return list(domains)
+        ranked = rendezvous.ranked(domains, prefill.service)
+        if self.loads.is_direct:
+            return ranked
+        counts: collections.Counter[str] = collections.Counter()
+        turns = []
+        for place, name in enumerate(ranked):
+            counts[domains[name]] += 1
+            turns.append((counts[domains[name]], place, name))
+        return [name for _, _, name in sorted(turns)]
+
     def _best_of_group(
-        self, group: Group, upstreams: dict[str, model.Upstream], prefill: Prefill
+        self,
+        group: Group,
+        upstreams: dict[str, model.Upstream],
+        remote: frozenset[str],
+        prefill: Prefill,
     ) -> Scored:
         """Return the best sampled upstream of a group."""
-        rows = [
-            Scored(
-                upstream=upstreams[name],
-                has_room=self.loads.has_room(upstreams[name]),
-                score=self._score(name, prefill) + RANK_COST_S * rank + group.extra_s,
+        rows = []
+        for rank, name in enumerate(self._sample(group.names, remote, prefill)):
+            extra_s = group.extra_s + RANK_COST_S * rank
+            if name in remote:
+                extra_s += CROSS_DOMAIN_COST_S
+            rows.append(
+                Scored(
+                    upstream=upstreams[name],
+                    has_room=self.loads.has_room(upstreams[name]),
+                    score=self._score(name, prefill) + extra_s,
+                )
             )
-            for rank, name in enumerate(self._sample(group.names, prefill))
-        ]
         return min(rows, key=Scored.sort_key)
 
-    def _sample(self, names: list[str], prefill: Prefill) -> list[str]:
+    def _sample(
+        self, names: list[str], remote: frozenset[str], prefill: Prefill
+    ) -> list[str]:
         """Return a sample of the upstreams: the first by rank for a prompt, and others.
 
         In a large deployment the load reports are old: an upstream that looks idle
@@ -163,8 +216,18 @@
         ranked = rendezvous.ranked(names, key)
         if self.loads.is_direct:
             return ranked
-        near, far = ranked[:NEAR_SAMPLE], ranked[NEAR_SAMPLE:]
-        return near + self.rng.sample(far, min(FAR_SAMPLE, len(far)))
+        local = [name for name in ranked if name not in remote]
+        near, far = local[:NEAR_SAMPLE], local[NEAR_SAMPLE:]
+        others = [name for name in ranked if name in remote]
+        if not others:
+            return near + self._draw(far, FAR_SAMPLE)
+        cached = self._draw(others[:NEAR_SAMPLE], REMOTE_NEAR_SAMPLE)
+        rest = [name for name in others if name not in cached]
+        uncached = self._draw(rest, REMOTE_FAR_SAMPLE)
+        return near + self._draw(far, FAR_SAMPLE - 1) + cached + uncached
+
+    def _draw(self, names: list[str], count: int) -> list[str]:
+        return self.rng.sample(names, min(count, len(names)))
 
     def first_token_s(self, ready: list[model.Upstream], prefill: Prefill) -> float:
         """Return the seconds until the best upstream would have prefilled a prompt."""
@@ -185,16 +248,15 @@
         return load.reading_s + prefill_s + stall_s + STREAM_COST_S * load.streams
 
 
-def _groups(names: list[str], prefill: Prefill) -> list[Group]:
-    """Return the upstreams in groups, the preferred one first, the rest for overflow.
+def _groups(ranked: list[str], prefill: Prefill) -> list[Group]:
+    """Return ranked upstreams in groups, preferred ones first, others for overflow.
 
     Some upstreams are reserved for the smallest model, since a larger one prefills a
     prompt many times slower and delays the requests that run beside it: larger models
     use them only if no other upstream has free slots.
     """
-    if not prefill.has_levels or len(names) < 2:
-        return [Group(names=names)]
-    ranked = rendezvous.ranked(names, prefill.service)
+    if not prefill.has_levels or len(ranked) < 2:
+        return [Group(names=ranked)]
     count = max(1, round(SMALL_LEVEL_SHARE * len(ranked)))
     if not prefill.is_smallest:
         reserved = Group(names=ranked[:count], extra_s=math.inf)
--- a/libs/masticpost-gateway/testing/test_herding.py
+++ b/libs/masticpost-gateway/testing/test_herding.py
@@ -16,7 +16,12 @@
 
 UPSTREAMS = [
     model.Upstream(
-        name=f"engine-{i}", service="s", address="x:1", domain="a", version="v", slots=9
+        name=f"engine-{i}",
+        service="s",
+        address="x:1",
+        domain="abc"[i % 3],
+        version="v",
+        slots=9,
     )
     for i in range(36)
 ]
@@ -94,14 +99,23 @@
     return headers.Prompt(parts=parts, tokens_in=kind.shared + kind.own, tokens_out=9)
 
 
-def late_share(is_direct):
-    """Return the share of requests whose prefill ends after their target time."""
+def played(is_direct, domain_weights=None):
+    """Return the shares of requests that are late, and that leave their domain.
+
+    Without `domain_weights` the instances prefer no domain.
+    """
     rng = random.Random(1)
     engines = Engines(is_direct=is_direct)
     estimates = speeds.Speeds()
     estimates.of("s", "large").prefill_token_s = PREFILL_TOKEN_S
-    placer = placement.Placement(loads=engines, speeds=estimates, rng=random.Random(3))
-    late, number, now = 0, 0, 0.0
+    weights = domain_weights or {"": 1}
+    placers = {
+        domain: placement.Placement(
+            loads=engines, speeds=estimates, domain=domain, rng=random.Random(3)
+        )
+        for domain in weights
+    }
+    late, remote, number, now = 0, 0, 0, 0.0
     while now < RUN_S:
         now += rng.expovariate(ARRIVALS_PER_S)
         number += 1
@@ -110,11 +124,18 @@
         customer = rng.choices(range(len(CUSTOMER_WEIGHTS)), CUSTOMER_WEIGHTS)[0]
         prompt = prompt_of(kind, customer, number)
         prefill = placement.Prefill(service="s", model="large", prompt=prompt)
-        name = placer.best(UPSTREAMS, prefill).name
-        took_s = engines.add_prompt(name, placer.uncached_tokens(name, prefill))
-        engines.cached.update((name, key) for key in prefill.prefix_keys())
+        placer = placers[rng.choices(list(weights), weights.values())[0]]
+        upstream = placer.best(UPSTREAMS, prefill)
+        tokens = placer.uncached_tokens(upstream.name, prefill)
+        took_s = engines.add_prompt(upstream.name, tokens)
+        engines.cached.update((upstream.name, key) for key in prefill.prefix_keys())
         late += took_s > kind.target_s
-    return late / number
+        remote += upstream.domain != placer.domain
+    return late / number, remote / number
+
+
+def late_share(is_direct):
+    return played(is_direct)[0]
 
 
 def test_requests_are_spread_although_all_instances_see_the_same_old_view():
@@ -123,6 +144,19 @@
     assert spread < 0.01
 
 
+def test_requests_stay_in_their_domain_while_it_has_capacity():
+    late, remote = played(False, {"a": 1, "b": 1, "c": 1})
+    assert late < 0.01
+    assert remote < 0.1
+
+
+def test_requests_leave_a_domain_that_gets_most_of_the_demand():
+    """Guards against a queue in one domain while the upstreams of others are idle."""
+    late, remote = played(False, {"a": 1})
+    assert late < 0.05
+    assert remote > 0.01
+
+
 def test_only_small_deployments_exchange_loads_directly():
     """With direct exchange, each instance chooses the best of all upstreams."""
     assert loads.Loads(peers=mesh_of(3)).is_direct
