Lend retries between instances for requests that have not run

An instance with few requests used up its share of a service's retry budget and rejected requests that no upstream had run, while others had budget left. It now asks one other instance, then a second one, for a few retries. The lender counts them as its own for the window and the second in which they may be used, from when the borrower asked, so lost, late and repeated messages lose budget and never double it. The budget of such a request is checked once more as it is sent, since it may have waited meanwhile. A retry that did not connect uncounts itself instead of the latest one of the service.

--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -45,6 +45,7 @@
     mesh,
     quarantines,
     relay,
+    retrylending,
     sessionupdates,
     verdicts,
 )
@@ -206,6 +207,9 @@
             ),
             verdicts.VerdictSharing(peers=self.mesh, relay=self.relay, trials=trials),
             budgetsharing.BudgetSharing(peers=self.mesh, trials=trials),
+            retrylending.RetryLending(
+                peers=self.mesh, budget=self.shared.retries, metrics=self.metrics
+            ),
             sessionupdates.SessionSharing(
                 peers=self.mesh,
                 relay=self.relay,
@@ -249,7 +253,11 @@
             rates=self.rates,
             trials=trials,
         )
-        retries = retrybudget.RetryBudget(bounds=cfg.retries, members=expected_count)
+        retries = retrybudget.RetryBudget(
+            bounds=cfg.retries,
+            members=expected_count,
+            lends_from=clock.now() + cfg.retries.window_s,
+        )
         return shared.Shared(
             names=names,
             records=self.records,
--- a/libs/masticpost-gateway/src/masticpost_gateway/reporting/requestmetrics.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/reporting/requestmetrics.py
@@ -51,6 +51,12 @@
             ["limit"],
             registry=self.registry,
         )
+        self.retry_loans = prometheus_client.Counter(
+            "masticpost_gateway_retry_loans",
+            "Retries borrowed from other instances, lent to them, or refused by them.",
+            ["service", "result"],
+            registry=self.registry,
+        )
         self.first_event = prometheus_client.Histogram(
             "masticpost_gateway_first_event_seconds",
             "Time to the first event of a stream.",
@@ -88,6 +94,10 @@
         """Count a connection that was reset since it passed a limit."""
         self.resets.labels(limit).inc()
 
+    def record_loan(self, service: str, result: str, count: int) -> None:
+        """Count retries that were borrowed, lent or refused."""
+        self.retry_loans.labels(service, result).inc(count)
+
     def _record_burn(
         self, item: call.Call, outcome: outcomes.Outcome, status_code: int
     ) -> None:
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
@@ -97,7 +97,29 @@
             return True
         now = clock.now()
         service = self.call.service.name
-        return self.shared.retries.may_retry(service, now, is_planned=is_planned)
+        return self.shared.retries.may_retry(
+            service, now, is_planned=is_planned, may_borrow=not self.may_have_run
+        )
+
+    async def fund(self) -> None:
+        """Borrow a retry for a request that has not run, if it lacks budget for one."""
+        left_s = self.call.left_s()
+        is_first = not self.dispatches.count
+        if is_first or self.may_have_run or left_s <= 0:
+            return
+        await self.shared.retries.fund(self.call.service.name, clock.now(), left_s)
+
+    async def _require_budget(self) -> None:
+        """Raise if a request that has not run has no retry left as it is to be sent.
+
+        While it waited for an upstream, others may have used the budget, or what was
+        borrowed for it may have become void.
+        """
+        if self.may_have_run or not self.dispatches.count:
+            return
+        await self.fund()
+        if not self.may_retry():
+            raise self.refusal("the retry budget is used up")
 
     def usable(self) -> list[model.Upstream]:
         """Return the usable upstreams that are not ejected, all usable ones if none."""
@@ -142,6 +164,7 @@
                 reason = "the upstreams are at the rates that they name"
                 raise self.refusal(reason, exc.return_in_s) from exc
             if upstream is not None:
+                await self._require_budget()
                 return upstream
             now = clock.now()
             if now >= until:
@@ -195,7 +218,9 @@
             silent_after_s=silent_after_s,
         )
         self.tried.add(upstream.incarnation)
-        dispatch = self.dispatches.begin(upstream, level, self.prefill(level))
+        dispatch = self.dispatches.begin(
+            upstream, level, self.prefill(level), may_borrow=not self.may_have_run
+        )
         try:
             opened = await self._exchange(out, dispatch, rules)
         except BaseException as exc:
@@ -275,7 +300,7 @@
         now = clock.now()
         self._record(dispatch.upstream, dispatch.level, exc.reason, dispatch.sent_at)
         if exc.reason == sending.NOT_CONNECTED:
-            self.dispatches.discard(now)
+            self.dispatches.discard(dispatch, now)
             self.shared.trials.answers.discard_unsent(dispatch.progress)
         if exc.reason == sending.FULL:
             self.shared.loads.note_rejection(dispatch.upstream.name)
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/dispatches.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/dispatches.py
@@ -5,7 +5,7 @@
 
 from masticpost_gateway import shared
 from masticpost_gateway.learning import feedback, progress
-from masticpost_gateway.routing import placement
+from masticpost_gateway.routing import placement, retrybudget
 from masticpost_gateway.serving import call as calls
 from masticpost_gateway.sharing import loads
 from masticpost_gateway.state import model
@@ -28,6 +28,8 @@
         The load that is reported for this dispatch, None without a prompt.
     uncached_tokens : int
         Tokens of the prompt that the upstream has probably not cached.
+    charge : retrybudget.Charge or None
+        The retry that was counted, None for a first attempt.
     """
 
     upstream: model.Upstream
@@ -38,6 +40,7 @@
     prefill: placement.Prefill | None
     work: loads.ActiveRequest | None = None
     uncached_tokens: int = 0
+    charge: retrybudget.Charge | None = None
 
 
 class Dispatches:
@@ -67,12 +70,26 @@
         self.count = 0
 
     def begin(
-        self, upstream: model.Upstream, level: str, prefill: placement.Prefill | None
+        self,
+        upstream: model.Upstream,
+        level: str,
+        prefill: placement.Prefill | None,
+        *,
+        may_borrow: bool = False,
     ) -> Dispatch:
-        """Account for a dispatch that is about to be sent."""
+        """Account for a dispatch that is about to be sent.
+
+        Parameters
+        ----------
+        may_borrow : bool
+            Whether it may be counted as a borrowed retry: the request has not run.
+        """
         now = clock.now()
+        charge = None
         if self.count:
-            self.shared.retries.record_retry(self.call.service.name, now)
+            charge = self.shared.retries.record_retry(
+                self.call.service.name, now, may_borrow=may_borrow
+            )
         self.count += 1
         upstream_health = self.shared.chooser.health_of(upstream)
         upstream_health.outstanding += 1
@@ -83,6 +100,7 @@
             progress=self.observer.begin_answer(upstream, level),
             sent_at=now,
             prefill=prefill,
+            charge=charge,
         )
         if prefill is not None:
             placer = self.shared.placement
@@ -104,8 +122,8 @@
             self.shared.loads.end(work)
         self.observer.end_answer(progress)
 
-    def discard(self, now: float) -> None:
+    def discard(self, dispatch: Dispatch, now: float) -> None:
         """Discount a dispatch that reached no upstream, and refund the retry budget."""
         self.count -= 1
-        if self.count:
-            self.shared.retries.undo_retry(self.call.service.name, now)
+        if dispatch.charge is not None:
+            self.shared.retries.undo_retry(self.call.service.name, dispatch.charge, now)
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/plain.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/plain.py
@@ -76,6 +76,7 @@
             reply = await _attempt(req_attempts, upstream)
         except sending.TryError as exc:
             reason = exc.reason
+            await req_attempts.fund()
             if not _may_repeat(req_attempts, exc.verdict):
                 if failed is not None:
                     return _response(failed)
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/streaming.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/streaming.py
@@ -141,6 +141,7 @@
                     last_id=self.last_id,
                 )
             except sending.TryError as exc:
+                await self.attempts.fund()
                 self._require_retry(exc.reason, exc.verdict)
 
     def _require_retry(
