Count the retry of a request that may have run as it is decided

Requests that waited for an upstream at the same time each saw the same last retry and exceeded the budget together: 8 requests sent 8 retries with a budget of 3. The retry is now claimed with the decision, used by the next dispatch, and uncounted when the request is given up.

test_requests_that_wait_at_once_do_not_exceed_the_retry_budget failed before (16 dispatches, 11 allowed).

--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
@@ -85,6 +85,9 @@
     def may_retry(self, *, is_planned: bool = False) -> bool:
         """Return whether another attempt is allowed.
 
+        A request that may have run claims its retry at once. One that has not run does
+        so as it is sent, see `_require_budget`.
+
         Parameters
         ----------
         is_planned : bool
@@ -97,9 +100,12 @@
             return True
         now = clock.now()
         service = self.call.service.name
-        return self.shared.retries.may_retry(
+        is_allowed = self.shared.retries.may_retry(
             service, now, is_planned=is_planned, may_borrow=not self.may_have_run
         )
+        if is_allowed and self.may_have_run:
+            self.dispatches.claim()
+        return is_allowed
 
     async def fund(self) -> None:
         """Borrow a retry for a request that has not run, if it lacks budget for one."""
@@ -284,6 +290,7 @@
         outcome : outcomes.Outcome
             Outcome if no upstream has run the request.
         """
+        self.dispatches.release()
         if self.may_have_run:
             return errors.refuse(
                 502, outcomes.Outcome.UPSTREAM_FAILED, reason, ran=errors.RAN_MAYBE
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/dispatches.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/dispatches.py
@@ -68,6 +68,22 @@
         self.call = call
         self.observer = observer
         self.count = 0
+        self._claim: retrybudget.Charge | None = None
+
+    def claim(self) -> None:
+        """Count the next dispatch as a retry from now on, before it is sent."""
+        if self._claim is None:
+            self._claim = self.shared.retries.record_retry(
+                self.call.service.name, clock.now()
+            )
+
+    def release(self) -> None:
+        """Uncount a claimed retry, since the request is given up."""
+        if self._claim is not None:
+            self.shared.retries.undo_retry(
+                self.call.service.name, self._claim, clock.now()
+            )
+            self._claim = None
 
     def begin(
         self,
@@ -85,8 +101,8 @@
             Whether it may be counted as a borrowed retry: the request has not run.
         """
         now = clock.now()
-        charge = None
-        if self.count:
+        charge, self._claim = self._claim, None
+        if self.count and charge is None:
             charge = self.shared.retries.record_retry(
                 self.call.service.name, now, may_borrow=may_borrow
             )
--- a/libs/masticpost-gateway/testing/serving/test_plain.py
+++ b/libs/masticpost-gateway/testing/serving/test_plain.py
@@ -344,3 +344,28 @@
     gc.collect()
     await asyncio.sleep(0)
     assert reported == []
+
+
+async def test_requests_that_wait_at_once_do_not_exceed_the_retry_budget():
+    """Guards against one retry left that each waiting request takes for its own."""
+    bounds = retrybudget.Bounds(ratio=0.0, slack=3.0)
+    async with kit.Deployment() as dep:
+        failing = [
+            await dep.add_worker(f"w{number}", kit.answers(500, b"failed"))
+            for number in range(3)
+        ]
+        await dep.configure()
+        node = await dep.add_node(retries=bounds)
+        hold = node.shared.isolation.hold_while_isolated
+
+        async def hold_retries(left_s):
+            if sum(len(worker.requests) for worker in failing) >= 8:
+                await asyncio.sleep(0.05)
+            await hold(left_s)
+
+        node.shared.isolation.hold_while_isolated = hold_retries
+        await asyncio.gather(*(dep.call("/lookup/") for _ in range(8)))
+        sent = sum(len(worker.requests) for worker in failing)
+        assert 8 < sent <= 8 + bounds.slack
+        counts = node.shared.retries._counts_of("desk", clock.now())
+        assert len(counts.retries) == sent - 8
