--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/feedback.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/feedback.py
@@ -101,6 +101,17 @@
         speed = self.shared.placement.speeds.of(self.call.service.name, opened.level)
         speed.record_decode(events * self.call.service.tokens_per_event, waited_s)
 
+    def record_pace(self, opened: answer.OpenAnswer) -> None:
+        """Record the pace of a stream that is complete or was cut at its deadline."""
+        if not opened.progress.is_measured:
+            return
+        tokens = max(1, self.call.service.tokens_per_event)
+        now = clock.now()
+        gap_s = opened.progress.gap_s()
+        if self.call.left_s() <= 0:
+            gap_s = max(gap_s, opened.progress.min_gap_s(now))
+        self.shared.forecasts.paces.of(self.call.service.name).record(gap_s / tokens)
+
     def record_version(self, version: str) -> None:
         """Record the version that runs the request's session."""
         self.shared.sessions.record_run(
--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -33,6 +33,8 @@
     cascade,
     choice,
     coldstart,
+    contention,
+    forecasts,
     placement,
     retrybudget,
 )
@@ -107,6 +109,9 @@
         Name of the policy that chooses models.
     memory_bytes : float
         Memory that the process may use.
+    is_contended : bool
+        Whether requests of different priorities compete for the upstreams, so that
+        delays and rejections are weighed by priority.
     """
 
     name: str
@@ -121,6 +126,7 @@
     trial_bounds: exposure.Bounds = attrs.field(factory=exposure.Bounds)
     policy: str = "expected-worth"
     memory_bytes: float = limits.DEFAULT_MEMORY_BYTES
+    is_contended: bool = False
 
 
 class Node(mode.Service):
@@ -262,6 +268,10 @@
             policy=cascade.POLICIES.get(cfg.policy),
             loads=self.loads,
             placement=places,
+            forecasts=forecasts.Forecasts(placement=places),
+            contention=contention.Contention(
+                records=self.records, is_enabled=cfg.is_contended
+            ),
             isolation=self.isolation,
             crashes=crashes.CrashTracker(),
             rates=self.rates,
--- a/libs/masticpost-gateway/src/masticpost_gateway/routing/cascade.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/routing/cascade.py
@@ -41,7 +41,8 @@
     level : int
         Index of the model, 0 for the smallest.
     first_s, total_s : float
-        Expected time to the first event and to the last one, in seconds.
+        Expected time to the first event and to the last one at the upstream that would
+        run it, in seconds. The latter is a bound that most answers keep.
     prefill_s : float
         Time to prefill the prompt, in seconds.
     cost : float
@@ -72,6 +73,8 @@
         seconds.
     backlog_s : float
         Mean queued prefill time of an upstream, in seconds.
+    delay_factor : float
+        Factor on the cost of the delay that an escalation causes to other requests.
     options : tuple of Option
         The larger models.
     """
@@ -82,6 +85,7 @@
     objective_left_s: float
     deadline_left_s: float
     backlog_s: float = 0.0
+    delay_factor: float = 1.0
     options: tuple[Option, ...] = ()
 
 
@@ -121,12 +125,19 @@
     good = success_probability(state.confidence)
     best, best_worth = None, _worth(good)
     for option in state.options:
+        if not can_finish(option, state):
+            continue
         worth = _option_worth(option, good, state)
         if worth > best_worth:
             best, best_worth = option.level, worth
     return best
 
 
+def can_finish(option: Option, state: CascadeState) -> bool:
+    """Return whether a larger model would complete its answer before the deadline."""
+    return option.total_s <= FINISH_SHARE * state.deadline_left_s
+
+
 def success_probability(confidence: float) -> float:
     """Return the probability that an answer with this confidence is good enough."""
     span = CERTAIN_CONFIDENCE - DOUBT_CONFIDENCE
@@ -153,8 +164,7 @@
     good_then = 1.0 if is_largest else good + (1.0 - good) * MIDDLE_GAIN
     worth = _worth(good_then)
     worth *= _lateness_factor(option.first_s, state.objective_left_s)
-    if option.total_s > FINISH_SHARE * state.deadline_left_s:
-        worth = 0.0
     backlog_s = min(max(0.0, state.backlog_s - CALM_BACKLOG_S), MAX_BACKLOG_S)
     price = LARGEST_COST_SHARE * option.cost
-    return worth - price - BACKLOG_WEIGHT * backlog_s * option.prefill_s
+    delay = BACKLOG_WEIGHT * backlog_s * option.prefill_s * state.delay_factor
+    return worth - price - delay
--- /dev/null
+++ b/libs/masticpost-gateway/src/masticpost_gateway/routing/contention.py
@@ -0,0 +1,42 @@
+"""Priority classes of each service, where a deployment's settings ask for them."""
+
+import collections
+
+from masticpost_overload import classes
+
+from masticpost_gateway.state import recordcache, table
+
+
+class Contention:
+    """Tells which services have requests of different priorities.
+
+    Parameters
+    ----------
+    records : recordcache.RecordCache
+        Holds the configuration in force.
+    is_enabled : bool
+        Whether the settings ask for decisions by priority, `NodeSettings.is_contended`.
+    """
+
+    def __init__(self, *, records: recordcache.RecordCache, is_enabled: bool) -> None:
+        self.records = records
+        self.is_enabled = is_enabled
+        self._table: table.Table | None = None
+        self._classes: dict[str, classes.Classes | None] = {}
+
+    def classes_of(self, service: str) -> classes.Classes | None:
+        """Return the classes of a service, None if it is served without them."""
+        if not self.is_enabled:
+            return None
+        if self._table is not self.records.table:
+            self._table = self.records.table
+            self._classes = _classes_by_service(self._table)
+        return self._classes.get(service)
+
+
+def _classes_by_service(found: table.Table) -> dict[str, classes.Classes | None]:
+    rows = collections.defaultdict(list)
+    for route in found.cfg.routes:
+        for target in route.targets:
+            rows[target.service].append((route.priority, route.objective_s))
+    return {service: classes.Classes.of(pairs) for service, pairs in rows.items()}
--- /dev/null
+++ b/libs/masticpost-gateway/src/masticpost_gateway/routing/forecasts.py
@@ -0,0 +1,90 @@
+"""Expected time of a request at the upstream that would run it."""
+
+import attrs
+
+from masticpost_gateway.learning import streampaces
+from masticpost_gateway.routing import placement
+from masticpost_gateway.state import model
+
+
+@attrs.frozen(kw_only=True)
+class Forecast:
+    """Expected times of a request at one upstream, in seconds.
+
+    Attributes
+    ----------
+    first_s, total_s : float
+        Time to the first event, and to the last one.
+    prefill_s : float
+        Part of `first_s` for the prefill of the request's own prompt.
+    queued_s : float
+        Prefill time that is queued before it.
+    """
+
+    first_s: float
+    total_s: float
+    prefill_s: float = 0.0
+    queued_s: float = 0.0
+
+
+class Forecasts:
+    """Forecasts from the load of the upstreams and the speeds of the models.
+
+    Parameters
+    ----------
+    placement : placement.Placement
+        Load of each upstream, and the estimated speeds.
+
+    Attributes
+    ----------
+    paces : streampaces.Paces
+        Decode times of whole streams.
+    """
+
+    def __init__(self, *, placement: placement.Placement) -> None:
+        self.placement = placement
+        self.paces = streampaces.Paces()
+
+    def of(
+        self,
+        upstream: model.Upstream,
+        prefill: placement.Prefill | None,
+        decode_s: float,
+    ) -> Forecast:
+        """Return the forecast for a prompt whose answer decodes for `decode_s`."""
+        if prefill is None:
+            return Forecast(first_s=0.0, total_s=decode_s)
+        first_s = self._first_s(upstream, prefill)
+        prefill_s = self.placement.prefill_s(upstream.name, prefill)
+        return Forecast(
+            first_s=first_s,
+            total_s=first_s + decode_s,
+            prefill_s=prefill_s,
+            queued_s=max(0.0, first_s - prefill_s),
+        )
+
+    def decode_s(self, service: str, models: tuple[str, ...], tokens: int) -> float:
+        """Return the mean time to decode an answer, in seconds.
+
+        Parameters
+        ----------
+        models : tuple of str
+            The model and the smaller ones of its cascade: it is taken to be no faster
+            than they are, which matters until it has been measured.
+        """
+        speeds = [self.placement.speeds.of(service, name) for name in models]
+        return tokens * max(speed.decode_token_s for speed in speeds)
+
+    def safe_decode_s(
+        self, service: str, models: tuple[str, ...], tokens: int
+    ) -> float:
+        """Return the time in which most answers would be decoded, in seconds.
+
+        Streams were cut at their deadline since the mean of the last few events, often
+        of one fast upstream, was taken for the time at any upstream.
+        """
+        bound_s = tokens * self.paces.of(service).bound_s
+        return max(self.decode_s(service, models, tokens), bound_s)
+
+    def _first_s(self, upstream: model.Upstream, prefill: placement.Prefill) -> float:
+        return self.placement.first_token_s([upstream], prefill)
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
@@ -4,6 +4,7 @@
 import math
 
 import aiohttp
+import attrs
 from masticpost_common import clock, errors, retry
 from masticpost_rates import waiting
 
@@ -76,6 +77,7 @@
         self.tried: set[model.Incarnation] = set()
         self.executions = 0
         self.may_have_run = False
+        self._preferred: model.Upstream | None = None
 
     @property
     def has_executions_left(self) -> bool:
@@ -137,7 +139,10 @@
         while True:
             self._refuse_quarantined()
             try:
-                upstream = await picker.pick(self.requirements(level), until)
+                preferred, self._preferred = self._preferred, None
+                upstream = await picker.pick(
+                    self.requirements(level), until, preferred=preferred
+                )
             except waiting.NoPermitInTimeError as exc:
                 reason = "the upstreams are at the rates that they name"
                 raise self.refusal(reason, exc.return_in_s) from exc
@@ -156,6 +161,19 @@
                 )
             await asyncio.sleep(picker.pause_s(POLL_S))
 
+    def peek(self, level: str) -> model.Upstream | None:
+        """Return the upstream that would now run another model, None if none is ready.
+
+        Those tried with the current model count as untried.
+        """
+        required = attrs.evolve(self.requirements(level), tried=frozenset())
+        return self.shared.chooser.pick(required)
+
+    def restart_at(self, upstream: model.Upstream) -> None:
+        """Forget which upstreams were tried; the next attempt prefers `upstream`."""
+        self.tried.clear()
+        self._preferred = upstream
+
     async def _choose_version(self) -> None:
         """Choose the version for all attempts, with borrowed budget if needed."""
         if self._is_planned:
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/picking.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/picking.py
@@ -25,7 +25,11 @@
         call.held_by = self.wait.held_by
 
     async def pick(
-        self, required: choice.Requirements, until: float
+        self,
+        required: choice.Requirements,
+        until: float,
+        *,
+        preferred: model.Upstream | None = None,
     ) -> model.Upstream | None:
         """Return an upstream to send to at once, None if none is ready.
 
@@ -33,13 +37,15 @@
         ----------
         until : float
             Monotonic time in seconds until which the request can wait.
+        preferred : model.Upstream or None
+            The upstream to use if it is still ready, None for the best one.
 
         Raises
         ------
         waiting.NoPermitInTimeError
             The upstreams are at the rates that they name for too long.
         """
-        upstream = self.chooser.pick(required)
+        upstream = preferred or self.chooser.pick(required)
         while upstream is not None:
             permit = await self.wait.acquire(upstream.run_key)
             if self._may_send(upstream, required, permit):
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/streaming.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/streaming.py
@@ -213,9 +213,11 @@
         """Return whether to escalate to a larger model; drop the answer if so."""
         if self.resp is not None or not self.call.route.levels:
             return False
-        state = self._cascade_state(opened)
+        upstreams = self._upstreams_by_level(opened)
+        state = self._cascade_state(opened, upstreams)
         target = self.policy(state)
-        if target is not None and not self.attempts.may_retry(is_planned=True):
+        if target not in upstreams or not self.attempts.may_retry(is_planned=True):
+            # An answer that is there is better than a wait for an upstream.
             target = None
         opened.confidence = state.confidence
         self._note_decision(state, target)
@@ -224,9 +226,25 @@
         self.attempts.feedback.record_success(opened)
         self.attempts.close(opened, f"dropped {state.confidence:.2f} for {target}")
         self.level = target
-        self.attempts.tried.clear()
+        self.attempts.restart_at(upstreams[target])
         return True
 
+    def _upstreams_by_level(
+        self, opened: answer.OpenAnswer
+    ) -> dict[int, model.Upstream]:
+        """Return the upstream that would run each larger model, where one is ready."""
+        levels = self.call.route.levels
+        # An escalation closes the connection of this answer first.
+        opened.health.outstanding -= 1
+        try:
+            found = {
+                level: self.attempts.peek(levels[level])
+                for level in range(self.level + 1, len(levels))
+            }
+        finally:
+            opened.health.outstanding += 1
+        return {level: row for level, row in found.items() if row is not None}
+
     def _note_decision(self, state: cascade.CascadeState, target: int | None) -> None:
         """Record the inputs of the decision for the log line of the request."""
         if not state.options:
@@ -243,35 +261,37 @@
         )
         self.call.decisions.append(decision)
 
-    def _cascade_state(self, opened: answer.OpenAnswer) -> cascade.CascadeState:
-        levels = self.call.route.levels
-        usable = self.attempts.usable()
-        options = [
-            self._option(level, usable) for level in range(self.level + 1, len(levels))
-        ]
+    def _cascade_state(
+        self, opened: answer.OpenAnswer, upstreams: dict[int, model.Upstream]
+    ) -> cascade.CascadeState:
+        classes = self.shared.contention.classes_of(self.call.service.name)
+        factor = classes.delay_factor(self.call.priority) if classes else 1.0
         return cascade.CascadeState(
             level=self.level,
-            levels=len(levels),
+            levels=len(self.call.route.levels),
             confidence=opened.head.confidence,
             objective_left_s=self.call.objective_left_s(),
             deadline_left_s=self.call.left_s(),
-            backlog_s=self.shared.placement.backlog_s(usable),
-            options=tuple(options) if usable else (),
+            backlog_s=self.shared.placement.backlog_s(self.attempts.usable()),
+            delay_factor=factor,
+            options=tuple(self._option(*row) for row in upstreams.items()),
         )
 
-    def _option(self, level: int, usable: list[model.Upstream]) -> cascade.Option:
+    def _option(self, level: int, upstream: model.Upstream) -> cascade.Option:
         levels, costs = self.call.route.levels, self.call.service.costs
+        prompt, service = self.call.head.prompt, self.call.service.name
+        forecasts = self.shared.forecasts
+        decode_s = forecasts.safe_decode_s(
+            service, levels[: level + 1], prompt.tokens_expected
+        )
         prefill = self.attempts.prefill(levels[level])
-        speed = self.shared.placement.speeds.of(self.call.service.name, levels[level])
-        first_s = 0.0
-        if usable and prefill is not None:
-            first_s = self.shared.placement.first_token_s(usable, prefill)
-        tokens = self.call.head.prompt.tokens_expected
+        expected = forecasts.of(upstream, prefill, decode_s)
+        speed = self.shared.placement.speeds.of(service, levels[level])
         return cascade.Option(
             level=level,
-            first_s=first_s,
-            total_s=first_s + tokens * speed.decode_token_s,
-            prefill_s=self.call.head.prompt.tokens_in * speed.prefill_token_s,
+            first_s=expected.first_s,
+            total_s=expected.total_s,
+            prefill_s=prompt.tokens_in * speed.prefill_token_s,
             cost=costs.get(levels[level], 0.0) / max(costs.values(), default=1.0),
         )
 
@@ -287,6 +307,8 @@
             bodies.drop_frames(exc)
             result = f"cut: {type(exc).__name__}"
             self.attempts.feedback.record_failure(opened, result)
+            if self.call.left_s() <= 0:
+                self.attempts.feedback.record_pace(opened)
         finally:
             self.attempts.close(opened, result)
         return result == "ok"
@@ -340,6 +362,7 @@
                 "the stream ended with an incomplete event or with none"
             )
         self.attempts.feedback.record_stream_end(opened.progress)
+        self.attempts.feedback.record_pace(opened)
         self.attempts.feedback.record_success(opened)
 
     async def _write(
--- a/libs/masticpost-gateway/src/masticpost_gateway/shared.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/shared.py
@@ -5,7 +5,14 @@
 
 from masticpost_gateway.learning import crashes, quarantine, sessions, trial
 from masticpost_gateway.reporting import requestmetrics
-from masticpost_gateway.routing import cascade, choice, placement, retrybudget
+from masticpost_gateway.routing import (
+    cascade,
+    choice,
+    contention,
+    forecasts,
+    placement,
+    retrybudget,
+)
 from masticpost_gateway.serving import headers
 from masticpost_gateway.sharing import loads
 from masticpost_gateway.state import isolation, recordcache
@@ -32,6 +39,8 @@
     metrics: requestmetrics.RequestMetrics
     loads: loads.Loads
     placement: placement.Placement
+    forecasts: forecasts.Forecasts
+    contention: contention.Contention
     policy: cascade.Policy
     isolation: isolation.Isolation
     crashes: crashes.CrashTracker
--- a/libs/masticpost-gateway/testing/routing/test_cascade.py
+++ b/libs/masticpost-gateway/testing/routing/test_cascade.py
@@ -68,6 +68,25 @@
     assert levels[1] <= levels[0]
 
 
+def kept_share(**changes):
+    """Return the share of confidences at which the answer is kept."""
+    rows = [chosen_level(confidence=c / 50, **changes) for c in range(51)]
+    return sum(row is None for row in rows) / len(rows)
+
+
+def test_escalations_of_less_urgent_requests_give_way_under_backlog():
+    """Guards against escalations of catalogue-quote that made project-review late."""
+    shares = [
+        kept_share(backlog_s=1.5, delay_factor=factor) for factor in (0.5, 1.0, 2.0)
+    ]
+    assert shares[0] < shares[1] < shares[2]
+
+
+def test_priority_does_not_change_escalations_without_backlog():
+    shares = {kept_share(delay_factor=factor) for factor in (0.5, 1.0, 2.0)}
+    assert len(shares) == 1
+
+
 @pytest.mark.parametrize(
     ("name", "level"), [("smallest", None), ("largest", 2), ("confident", 2)]
 )
--- a/libs/masticpost-gateway/testing/serving/test_streaming.py
+++ b/libs/masticpost-gateway/testing/serving/test_streaming.py
@@ -152,6 +152,38 @@
         ]
 
 
+async def test_answer_is_kept_when_no_upstream_is_ready_for_a_larger_model():
+    """Guards against an answer that is dropped for one that no upstream can begin.
+
+    The caller got 502, as the request had run, though the answer was there.
+    """
+    async with kit.Deployment() as dep:
+        script = kit.streams(3, confidence=10)
+        await dep.add_worker("w1", script, record={"cold_left_s": 30.0})
+        services = (model.Service(name="desk", cold_rate=1.0),)
+        chat = attrs.evolve(kit.CHAT, objective_s=0.4)
+        await dep.configure(kit.configuration(services=services, routes=(chat,)))
+        await dep.add_node()
+        reply = await dep.call("/chat/", method="POST", body=b"p", **PROMPT)
+        assert (reply.status, reply.body) == (200, events(3))
+
+
+async def test_only_connection_to_an_upstream_is_free_for_an_escalation():
+    async def script(req, writer):
+        doubtful = req.headers["request-model"] == "small"
+        await kit.streams(3, confidence=10 if doubtful else 90)(req, writer)
+
+    async with kit.Deployment() as dep:
+        worker = await dep.add_worker("w1", script)
+        services = (model.Service(name="desk", max_connections=1),)
+        await dep.configure(kit.configuration(services=services))
+        await dep.add_node()
+        reply = await dep.call("/chat/", method="POST", body=b"p", **PROMPT)
+        assert reply.is_complete
+        used = [req.headers["request-model"] for req in worker.requests]
+        assert used == ["small", "large"]
+
+
 async def test_server_error_is_forwarded_when_no_upstream_succeeds():
     async with kit.Deployment() as dep:
         await dep.add_worker("w1", kit.answers(500, b"failed"))
