--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
@@ -13,6 +13,7 @@
 from masticpost_gateway.routing import choice, placement
 from masticpost_gateway.serving import (
     answer,
+    demands,
     dispatches,
     headers,
     migration,
@@ -203,7 +204,11 @@
         sending.TryError
             The upstream did not run the request, or its answer is not usable.
         """
-        out = sending.outgoing(self.call, self.shared.names, upstream, level, last_id)
+        prefill = self.prefill(level)
+        urgency = demands.urgency_of(self.shared, self.call, upstream, prefill)
+        out = sending.outgoing(
+            self.call, self.shared.names, upstream, level, last_id, urgency
+        )
         rules = migration.stall_rules(
             self,
             upstream,
@@ -213,7 +218,7 @@
             silent_after_s=silent_after_s,
         )
         self.tried.add(upstream.incarnation)
-        dispatch = self.dispatches.begin(upstream, level, self.prefill(level))
+        dispatch = self.dispatches.begin(upstream, level, prefill)
         try:
             opened = await self._exchange(out, dispatch, rules)
         except BaseException as exc:
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/sending.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/sending.py
@@ -42,6 +42,7 @@
     upstream: model.Upstream,
     level: str,
     last_id: str,
+    urgency: int | None = None,
 ) -> conns.OutgoingRequest:
     """Return the request to send to an upstream.
 
@@ -51,6 +52,9 @@
         Model that is to answer; empty to keep the caller's choice.
     last_id : str
         Id of the last event that the caller has received; empty for none.
+    urgency : int or None
+        Rank of a stream in the queue of the upstream, 0 to 9; None to rank it by its
+        priority.
     """
     out = call.passed.copy()
     out[names.deadline_ms] = str(max(1, int(call.left_s() * MS_PER_S)))
@@ -62,8 +66,10 @@
     if last_id:
         out[names.last_event_id] = last_id
     if call.route.kind.is_stream:
-        rank = min(call.priority, len(URGENCY_OF_PRIORITY) - 1)
-        out[names.urgency] = str(URGENCY_OF_PRIORITY[rank])
+        if urgency is None:
+            rank = min(call.priority, len(URGENCY_OF_PRIORITY) - 1)
+            urgency = URGENCY_OF_PRIORITY[rank]
+        out[names.urgency] = str(urgency)
     return conns.OutgoingRequest(
         method=call.method, target=call.target, headers=out, body=call.body
     )
--- a/libs/masticpost-gateway/testing/serving/test_streaming.py
+++ b/libs/masticpost-gateway/testing/serving/test_streaming.py
@@ -184,6 +184,34 @@
         assert used == ["small", "large"]
 
 
+MIDDLE = {"name": "middle", "path_prefix": "/middle/", "priority": 1}
+URGENT = attrs.evolve(kit.CHAT, name="urgent", path_prefix="/urgent/", priority=0)
+
+
+@pytest.mark.parametrize(
+    ("is_contended", "path", "expected"),
+    [
+        (True, "/urgent/", "2"),
+        (True, "/chat/", "8"),
+        (False, "/urgent/", "1"),
+        (False, "/chat/", "7"),
+    ],
+)
+async def test_urgency_is_sent_by_priority_and_slack(is_contended, path, expected):
+    """Guards against a change for deployments whose settings do not ask for it."""
+    routes = (
+        attrs.evolve(kit.CHAT, priority=2),
+        URGENT,
+        attrs.evolve(URGENT, **MIDDLE),
+    )
+    async with kit.Deployment() as dep:
+        worker = await dep.add_worker("w1", kit.streams(2))
+        await dep.configure(kit.configuration(routes=routes))
+        await dep.add_node(is_contended=is_contended)
+        await dep.call(path, method="POST", body=b"p", **PROMPT)
+        assert worker.requests[0].headers["urgency"] == expected
+
+
 async def test_server_error_is_forwarded_when_no_upstream_succeeds():
     async with kit.Deployment() as dep:
         await dep.add_worker("w1", kit.answers(500, b"failed"))
