--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
@@ -4,6 +4,7 @@
 import math
 
 import aiohttp
+import attrs
 from masticpost_common import clock, errors, retry
 from masticpost_rates import waiting
 
@@ -12,6 +13,7 @@
 from masticpost_gateway.routing import choice, placement
 from masticpost_gateway.serving import (
     answer,
+    demands,
     dispatches,
     headers,
     migration,
@@ -76,6 +78,7 @@
         self.tried: set[model.Incarnation] = set()
         self.executions = 0
         self.may_have_run = False
+        self._preferred: model.Upstream | None = None
 
     @property
     def has_executions_left(self) -> bool:
@@ -165,7 +168,10 @@
         while True:
             self._refuse_quarantined()
             try:
-                upstream = await picker.pick(self.requirements(level), until)
+                preferred, self._preferred = self._preferred, None
+                upstream = await picker.pick(
+                    self.requirements(level), until, preferred=preferred
+                )
             except waiting.NoPermitInTimeError as exc:
                 reason = "the upstreams are at the rates that they name"
                 raise self.refusal(reason, exc.return_in_s) from exc
@@ -185,6 +191,19 @@
                 )
             await asyncio.sleep(picker.pause_s(POLL_S))
 
+    def peek(self, level: str) -> model.Upstream | None:
+        """Return the upstream that would now run another model, None if none is ready.
+
+        Those tried with the current model count as untried.
+        """
+        required = attrs.evolve(self.requirements(level), tried=frozenset())
+        return self.shared.chooser.pick(required)
+
+    def restart_at(self, upstream: model.Upstream) -> None:
+        """Forget which upstreams were tried; the next attempt prefers `upstream`."""
+        self.tried.clear()
+        self._preferred = upstream
+
     async def _choose_version(self) -> None:
         """Choose the version for all attempts, with borrowed budget if needed."""
         if self._is_planned:
@@ -214,7 +233,11 @@
         sending.TryError
             The upstream did not run the request, or its answer is not usable.
         """
-        out = sending.outgoing(self.call, self.shared.names, upstream, level, last_id)
+        prefill = self.prefill(level)
+        urgency = demands.urgency_of(self.shared, self.call, upstream, prefill)
+        out = sending.outgoing(
+            self.call, self.shared.names, upstream, level, last_id, urgency
+        )
         rules = migration.stall_rules(
             self,
             upstream,
@@ -225,7 +248,7 @@
         )
         self.tried.add(upstream.incarnation)
         dispatch = self.dispatches.begin(
-            upstream, level, self.prefill(level), may_borrow=not self.may_have_run
+            upstream, level, prefill, may_borrow=not self.may_have_run
         )
         try:
             opened = await self._exchange(out, dispatch, rules)
--- a/libs/masticpost-gateway/testing/serving/test_streaming.py
+++ b/libs/masticpost-gateway/testing/serving/test_streaming.py
@@ -152,6 +152,66 @@
         ]
 
 
+async def test_answer_is_kept_when_no_upstream_is_ready_for_a_larger_model():
+    """Guards against an answer that is dropped for one that no upstream can begin.
+
+    The caller got 502, as the request had run, though the answer was there.
+    """
+    async with kit.Deployment() as dep:
+        script = kit.streams(3, confidence=10)
+        await dep.add_worker("w1", script, record={"cold_left_s": 30.0})
+        services = (model.Service(name="desk", cold_rate=1.0),)
+        chat = attrs.evolve(kit.CHAT, objective_s=0.4)
+        await dep.configure(kit.configuration(services=services, routes=(chat,)))
+        await dep.add_node()
+        reply = await dep.call("/chat/", method="POST", body=b"p", **PROMPT)
+        assert (reply.status, reply.body) == (200, events(3))
+
+
+async def test_only_connection_to_an_upstream_is_free_for_an_escalation():
+    async def script(req, writer):
+        doubtful = req.headers["request-model"] == "small"
+        await kit.streams(3, confidence=10 if doubtful else 90)(req, writer)
+
+    async with kit.Deployment() as dep:
+        worker = await dep.add_worker("w1", script)
+        services = (model.Service(name="desk", max_connections=1),)
+        await dep.configure(kit.configuration(services=services))
+        await dep.add_node()
+        reply = await dep.call("/chat/", method="POST", body=b"p", **PROMPT)
+        assert reply.is_complete
+        used = [req.headers["request-model"] for req in worker.requests]
+        assert used == ["small", "large"]
+
+
+MIDDLE = {"name": "middle", "path_prefix": "/middle/", "priority": 1}
+URGENT = attrs.evolve(kit.CHAT, name="urgent", path_prefix="/urgent/", priority=0)
+
+
+@pytest.mark.parametrize(
+    ("is_contended", "path", "expected"),
+    [
+        (True, "/urgent/", "2"),
+        (True, "/chat/", "8"),
+        (False, "/urgent/", "1"),
+        (False, "/chat/", "7"),
+    ],
+)
+async def test_urgency_is_sent_by_priority_and_slack(is_contended, path, expected):
+    """Guards against a change for deployments whose settings do not ask for it."""
+    routes = (
+        attrs.evolve(kit.CHAT, priority=2),
+        URGENT,
+        attrs.evolve(URGENT, **MIDDLE),
+    )
+    async with kit.Deployment() as dep:
+        worker = await dep.add_worker("w1", kit.streams(2))
+        await dep.configure(kit.configuration(routes=routes))
+        await dep.add_node(is_contended=is_contended)
+        await dep.call(path, method="POST", body=b"p", **PROMPT)
+        assert worker.requests[0].headers["urgency"] == expected
+
+
 async def test_server_error_is_forwarded_when_no_upstream_succeeds():
     async with kit.Deployment() as dep:
         await dep.add_worker("w1", kit.answers(500, b"failed"))
