--- a/libs/masticpost-gateway/src/masticpost_gateway/reporting/requestmetrics.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/reporting/requestmetrics.py
@@ -51,6 +51,12 @@
             ["limit"],
             registry=self.registry,
         )
+        self.overload = prometheus_client.Counter(
+            "masticpost_gateway_overload",
+            "Requests rejected or ranked lower as capacity was short, by decision.",
+            ["route", "decision"],
+            registry=self.registry,
+        )
         self.first_event = prometheus_client.Histogram(
             "masticpost_gateway_first_event_seconds",
             "Time to the first event of a stream.",
@@ -80,6 +86,10 @@
             if row.confidence is not None:
                 kept = "no" if row.chosen else "yes"
                 self.confidence.labels(row.model, kept).observe(row.confidence)
+        if item.is_hopeless:
+            self.overload.labels(item.route.name, "rejected").inc()
+        if any(urgency.yields for urgency in item.urgencies):
+            self.overload.labels(item.route.name, "over share").inc()
         if item.first_event_s is not None:
             self.first_event.labels(item.route.name).observe(item.first_event_s)
         self._record_burn(item, outcome, status_code)
--- a/libs/masticpost-gateway/src/masticpost_gateway/routing/contention.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/routing/contention.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from masticpost_overload import classes
+from masticpost_overload import classes, draining, shares
 
 from masticpost_gateway.state import recordcache, table
 
@@ -23,6 +23,8 @@
         self.is_enabled = is_enabled
         self._table: table.Table | None = None
         self._classes: dict[str, classes.Classes | None] = {}
+        self._shares: dict[tuple[str, int], shares.Shares] = {}
+        self._drains: dict[str, draining.Drain] = {}
 
     def classes_of(self, service: str) -> classes.Classes | None:
         """Return the classes of a service, None if it is served without them."""
@@ -33,10 +35,18 @@
             self._classes = _classes_by_service(self._table)
         return self._classes.get(service)
 
+    def shares_of(self, service: str, priority: int) -> shares.Shares:
+        """Return the customers' shares in the work of a service at a priority."""
+        return self._shares.setdefault((service, priority), shares.Shares())
 
-def _classes_by_service(found: table.Table) -> dict[str, classes.Classes | None]:
+    def drain_of(self, service: str) -> draining.Drain:
+        """Return the rate at which the backlog of a service shrinks."""
+        return self._drains.setdefault(service, draining.Drain())
+
+
+def _classes_by_service(current: table.Table) -> dict[str, classes.Classes | None]:
     rows = collections.defaultdict(list)
-    for route in found.cfg.routes:
+    for route in current.cfg.routes:
         for target in route.targets:
-            rows[target.service].append((route.priority, route.objective_s))
-    return {service: classes.Classes.of(pairs) for service, pairs in rows.items()}
+            rows[target.service].append(route.priority)
+    return {service: classes.Classes.of(found) for service, found in rows.items()}
--- a/libs/masticpost-gateway/src/masticpost_gateway/routing/forecasts.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/routing/forecasts.py
@@ -26,6 +26,15 @@
     prefill_s: float = 0.0
     queued_s: float = 0.0
 
+    def without_queue(self) -> "Forecast":
+        """Return the forecast for an upstream that begins with this prompt."""
+        return attrs.evolve(
+            self,
+            first_s=self.first_s - self.queued_s,
+            total_s=self.total_s - self.queued_s,
+            queued_s=0.0,
+        )
+
 
 class Forecasts:
     """Forecasts from the load of the upstreams and the speeds of the models.
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/call.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/call.py
@@ -44,6 +44,8 @@
     first_s, total_s, read_s : float
         Expected seconds for the largest model to its first event, to its last event,
         and for its prefill of the prompt.
+    delay_factor : float
+        Factor on the cost of the delay of other requests, 1 where none is set.
     """
 
     model: str
@@ -53,6 +55,7 @@
     first_s: float
     total_s: float
     read_s: float
+    delay_factor: float = 1.0
 
     def __str__(self) -> str:
         outcome = f"then {self.chosen}" if self.chosen else "kept"
@@ -60,9 +63,29 @@
             f"{self.model} {outcome}, confidence {self.confidence}, backlog"
             f" {self.backlog_s:.2f}, largest first {self.first_s:.2f}"
             f" last {self.total_s:.2f} read {self.read_s:.2f}"
+            f" delay factor {self.delay_factor:.2g}"
         )
 
 
+@attrs.frozen(kw_only=True)
+class Urgency:
+    """Rank of one attempt in the queue of its upstream.
+
+    Attributes
+    ----------
+    rank : int
+        0 for the most urgent, 9 for the least.
+    yields : bool
+        Whether it is one lower since the customer is over its share of the work.
+    """
+
+    rank: int
+    yields: bool = False
+
+    def __str__(self) -> str:
+        return f"{self.rank} over share" if self.yields else str(self.rank)
+
+
 @attrs.define(kw_only=True)
 class Call:
     """One request of a caller.
@@ -81,6 +104,10 @@
         The choices of the model, oldest first.
     held_by : set of str
         Upstreams whose rate had no permit for the request when it was to be sent.
+    urgencies : list of Urgency
+        The rank of each attempt, oldest first, where it is more than the priority.
+    is_hopeless : bool
+        Whether it was rejected as no upstream could complete it in time.
     first_event_s : float or None
         Seconds from the arrival of the request to the first event of a stream.
     """
@@ -99,6 +126,8 @@
     records: list[AttemptRecord] = attrs.field(factory=list)
     decisions: list[ModelDecision] = attrs.field(factory=list)
     held_by: set[str] = attrs.field(factory=set)
+    urgencies: list[Urgency] = attrs.field(factory=list)
+    is_hopeless: bool = False
     first_event_s: float | None = None
     config_version: int = 0
 
@@ -158,6 +187,7 @@
             reason=reason,
             tries=attempts,
             held_by_rate=sorted(self.held_by),
+            urgencies=[str(urgency) for urgency in self.urgencies],
             models=[str(decision) for decision in self.decisions],
             first_s=None
             if self.first_event_s is None
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/streaming.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/streaming.py
@@ -258,6 +258,7 @@
             first_s=largest.first_s,
             total_s=largest.total_s,
             read_s=largest.prefill_s,
+            delay_factor=state.delay_factor,
         )
         self.call.decisions.append(decision)
 
--- a/libs/masticpost-overload/src/masticpost_overload/__init__.py
+++ b/libs/masticpost-overload/src/masticpost_overload/__init__.py
@@ -1,1 +1,1 @@
-"""Decisions on which requests are delayed or rejected while capacity is short."""
+"""Decisions on which requests are rejected or yield while capacity is short."""
--- a/libs/masticpost-overload/src/masticpost_overload/classes.py
+++ b/libs/masticpost-overload/src/masticpost_overload/classes.py
@@ -2,7 +2,6 @@
 
 import bisect
 import collections.abc
-import itertools
 
 import attrs
 
@@ -13,36 +12,21 @@
 
 @attrs.frozen(kw_only=True)
 class Classes:
-    """The priorities of a service's routes, and their latency objectives.
+    """The different priorities of a service's routes.
 
     Attributes
     ----------
     priorities : tuple of int
-        The different priorities, the lowest number and most urgent one first.
-    objectives_s : tuple of float
-        For each priority, the shortest latency objective up to it, in seconds.
+        The lowest number, which is the most urgent, comes first.
     """
 
     priorities: tuple[int, ...]
-    objectives_s: tuple[float, ...]
 
     @classmethod
-    def of(cls, rows: collections.abc.Iterable[tuple[int, float]]) -> "Classes | None":
-        """Return the classes of routes, None if all have the same priority.
-
-        Parameters
-        ----------
-        rows : iterable of tuple of int and float
-            Priority and latency objective of each route, in seconds.
-        """
-        shortest: dict[int, float] = {}
-        for priority, objective_s in rows:
-            shortest[priority] = min(objective_s, shortest.get(priority, objective_s))
-        if len(shortest) < 2:
-            return None
-        priorities = tuple(sorted(shortest))
-        objectives = itertools.accumulate((shortest[p] for p in priorities), min)
-        return cls(priorities=priorities, objectives_s=tuple(objectives))
+    def of(cls, priorities: collections.abc.Iterable[int]) -> "Classes | None":
+        """Return the classes of routes, None if all have the same priority."""
+        found = tuple(sorted(set(priorities)))
+        return cls(priorities=found) if len(found) > 1 else None
 
     def rank(self, priority: int) -> int:
         """Return the index of the class of a priority, 0 for the most urgent.
@@ -52,13 +36,9 @@
         """
         return max(0, bisect.bisect_right(self.priorities, priority) - 1)
 
-    def more_urgent_objective_s(self, priority: int) -> float | None:
-        """Return the shortest objective of the more urgent classes, None without one.
-
-        The objective is in seconds.
-        """
-        rank = self.rank(priority)
-        return self.objectives_s[rank - 1] if rank else None
+    def is_last(self, priority: int) -> bool:
+        """Return whether a priority is of the least urgent class."""
+        return self.rank(priority) == len(self.priorities) - 1
 
     def delay_factor(self, priority: int) -> float:
         """Return the factor on the cost of a delay that a request causes to others.
--- a/libs/masticpost-overload/src/masticpost_overload/demand.py
+++ b/libs/masticpost-overload/src/masticpost_overload/demand.py
@@ -18,9 +18,8 @@
         seconds.
     first_s, total_s : float
         Expected time to the first event and to the last one at the best upstream, in
-        seconds.
-    prefill_s : float
-        Part of `first_s` in which the upstream prefills this prompt, in seconds.
+        seconds. For the urgency, the queue there is left out: with it, requests that
+        arrive later overtake those that it makes late, which then starve.
     has_begun : bool
         Whether the caller has received events, so that it waits for the next one.
     """
@@ -31,7 +30,6 @@
     deadline_left_s: float
     first_s: float = 0.0
     total_s: float = 0.0
-    prefill_s: float = 0.0
     has_begun: bool = False
 
     @property
