--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
@@ -6,6 +6,7 @@
 import aiohttp
 import attrs
 from masticpost_common import clock, errors, retry
+from masticpost_overload import decision
 from masticpost_rates import waiting
 
 from masticpost_gateway import shared
@@ -148,6 +149,8 @@
                 reason = "the upstreams are at the rates that they name"
                 raise self.refusal(reason, exc.return_in_s) from exc
             if upstream is not None:
+                if resume_by is None:
+                    self._refuse_hopeless(upstream, level)
                 return upstream
             now = clock.now()
             if now >= until:
@@ -269,6 +272,22 @@
             reason = "the request crashed the upstreams that ran it"
             raise self.refusal(reason, left_s, outcomes.Outcome.QUARANTINED)
 
+    def _refuse_hopeless(self, upstream: model.Upstream, level: str) -> None:
+        """Raise if no upstream can complete a request that was not sent yet."""
+        prefill = self.prefill(level)
+        if self.dispatches.count or self.may_have_run or prefill is None:
+            return
+        found = demands.decide(self.shared, self.call, [upstream], prefill)
+        if isinstance(found, decision.Reject):
+            # The chosen one is the best of a sample; another may be in time.
+            required = self.requirements(level)
+            ready = self.shared.chooser.ready_upstreams(required, clock.now())
+            found = demands.decide(self.shared, self.call, ready, prefill)
+        if isinstance(found, decision.Reject):
+            reason = "no upstream can complete the request before its deadline"
+            self.call.is_hopeless = True
+            raise self.refusal(reason, found.retry_after_s)
+
     def refusal(
         self,
         reason: str,
--- a/libs/masticpost-gateway/testing/serving/test_streaming.py
+++ b/libs/masticpost-gateway/testing/serving/test_streaming.py
@@ -210,6 +210,33 @@
         assert worker.requests[0].headers["urgency"] == expected
 
 
+@pytest.mark.parametrize(
+    ("is_contended", "path", "is_rejected"),
+    [(True, "/chat/", True), (True, "/urgent/", False), (False, "/chat/", False)],
+)
+async def test_request_that_cannot_meet_its_deadline_is_rejected_at_once(
+    is_contended, path, is_rejected
+):
+    """Guards against late rejections, and streams that are cut at their deadline.
+
+    The queue holds prompts of all priorities, so that it says nothing on when a more
+    urgent one is read.
+    """
+    routes = (attrs.evolve(kit.CHAT, priority=2), URGENT)
+    async with kit.Deployment() as dep:
+        worker = await dep.add_worker("w1", kit.streams(2))
+        await dep.configure(kit.configuration(routes=routes))
+        node = await dep.add_node(is_contended=is_contended)
+        node.loads.begin("w1", 20.0)
+        reply = await dep.call(path, method="POST", body=b"p", **PROMPT)
+        assert reply.status == (503 if is_rejected else 200)
+        assert bool(worker.requests) is not is_rejected
+        if is_rejected:
+            assert 0 <= float(reply.headers["Retry-After"]) <= 3.0 / 3
+            line = b'overload_total{decision="rejected",route="chat"} 1.0'
+            assert line in node.metrics.render()
+
+
 async def test_customer_over_its_share_yields_while_capacity_is_short():
     """Guards against one customer whose long prompts delay those of the others."""
     customers = tuple(
