Share which runs of upstreams are unreachable between instances

Change: an own failed connection or 421 is told to all instances through the watchers. A pure module concludes what to eject, whose turn it is to try again and when it ends; before a turn a connection is tried. A bound method in attempts.py notes which requests were answered.

--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -25,6 +25,7 @@
 from masticpost_gateway.reporting import (
     countedstore,
     gauges,
+    healthmetrics,
     pages,
     requestmetrics,
     status,
@@ -36,11 +37,12 @@
     placement,
     retrybudget,
 )
-from masticpost_gateway.serving import gateway, headers
+from masticpost_gateway.serving import gateway, headers, sending
 from masticpost_gateway.sharing import (
     budgetsharing,
     crashreports,
     evidencereports,
+    healthreports,
     loads,
     mesh,
     quarantines,
@@ -49,7 +51,7 @@
     verdicts,
 )
 from masticpost_gateway.state import isolation, recordcache, source, watching
-from masticpost_gateway.upstreams import conns, exits
+from masticpost_gateway.upstreams import conns, exits, reachability
 
 KEEPALIVE_S = 75.0
 # Listen backlog, in connections.
@@ -107,6 +109,8 @@
         Name of the policy that chooses models.
     memory_bytes : float
         Memory that the process may use.
+    shares_health : bool
+        Whether instances share which upstreams are unreachable.
     """
 
     name: str
@@ -121,6 +125,7 @@
     trial_bounds: exposure.Bounds = attrs.field(factory=exposure.Bounds)
     policy: str = "expected-worth"
     memory_bytes: float = limits.DEFAULT_MEMORY_BYTES
+    shares_health: bool = False
 
 
 class Node(mode.Service):
@@ -179,6 +184,8 @@
             isolation=self.isolation,
         )
         self.sharing_services = self._make_sharing_services(store)
+        if cfg.shares_health:
+            self.sharing_services += (self._make_health_sharing(),)
         self.stages = stages.Stages(
             me=cfg.name,
             store=store,
@@ -224,6 +231,23 @@
             ),
         )
 
+    def _make_health_sharing(self) -> healthreports.HealthSharing:
+        """Return the service that shares which upstreams are unreachable."""
+        chooser = self.shared.chooser
+        return healthreports.HealthSharing(
+            peers=self.mesh,
+            relay=self.relay,
+            conclusions=reachability.Reachability(
+                me=self.cfg.name,
+                domain=self.cfg.domain,
+                domains=self.mesh.domains,
+                healths=chooser.healths,
+                find=chooser.health_of_run,
+                moved_reason=sending.MOVED,
+            ),
+            metrics=healthmetrics.HealthMetrics(registry=self.metrics.registry),
+        )
+
     def _make_shared(self, names: headers.HeaderNames) -> shared.Shared:
         """Return the components shared by all requests."""
         cfg = self.cfg
--- a/libs/masticpost-gateway/src/masticpost_gateway/routing/choice.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/routing/choice.py
@@ -6,7 +6,7 @@
 
 import attrs
 from masticpost_common import clock
-from masticpost_rates import upstreamrates
+from masticpost_rates import statements, upstreamrates
 
 from masticpost_gateway.learning import trial
 from masticpost_gateway.routing import coldstart, placement
@@ -101,6 +101,14 @@
         """Return the health of a run of an upstream."""
         return self.healths.get(upstream.name, upstream.incarnation)
 
+    def health_of_run(self, run_key: str) -> health.Health | None:
+        """Return the health of a run, None if it is not registered."""
+        name = statements.upstream_of(run_key)
+        row = self._registered.get(name)
+        if row is None or row.record.run_key != run_key:
+            return None
+        return self.health_of(row.record)
+
     def usable(self, service: str, now: float) -> list[model.Upstream]:
         """Return the upstreams of a service that may get new requests."""
         out = self.records.domains_out()
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
@@ -202,6 +202,7 @@
             self._note_failure(dispatch, exc)
             self.dispatches.end(dispatch.health, dispatch.work, dispatch.progress)
             raise
+        dispatch.health.record_answered(dispatch.sent_at)
         self.shared.trials.answers.record_start(dispatch.progress, opened.head_at)
         opened.work = dispatch.work
         opened.uncached_tokens = dispatch.uncached_tokens
--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/mesh.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/mesh.py
@@ -89,6 +89,7 @@
         )
         self._alive: list[probes.Member] = []
         self._names: frozenset[str] = frozenset()
+        self._domains: dict[str, str] = {}
         self._others: list[probes.Member] = []
         self._chosen: dict[tuple[str, int], list[probes.Member]] = {}
 
@@ -97,6 +98,11 @@
         self._refresh()
         return self._names
 
+    def domains(self) -> dict[str, str]:
+        """Return the failure domain of each instance that is alive, by name."""
+        self._refresh()
+        return self._domains
+
     def others(self) -> list[probes.Member]:
         """Return the other instances that are alive."""
         self._refresh()
@@ -119,6 +125,7 @@
             return
         self._alive = alive
         self._names = frozenset(member.name for member in alive)
+        self._domains = {member.name: member.domain for member in alive}
         self._others = [m for m in alive if m.name != self.me.name]
         self._chosen = {}
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/upstreams/exits.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/upstreams/exits.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections.abc
+import enum
 import math
 import socket
 
@@ -29,6 +30,14 @@
 Listener = collections.abc.Callable[[], None]
 
 
+class Listening(enum.Enum):
+    """Whether a process listens at an address."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
 @attrs.define(kw_only=True)
 class PossibleExit:
     """A run that may have ended; times are monotonic seconds.
@@ -131,7 +140,7 @@
     async def _probe(self, row: PossibleExit) -> None:
         # A successful connection may lead to the next run already, so it proves
         # nothing; a replaced store entry shows that case.
-        if not await _may_listen(row.upstream.address):
+        if await try_connect(row.upstream.address) is Listening.REFUSED:
             self._report_exit(row, "nothing listens")
 
     def _report_exit(self, row: PossibleExit, sign: str) -> None:
@@ -168,22 +177,22 @@
             del self._rows[key]
 
 
-async def _may_listen(address: str) -> bool:
-    """Return False if the address refuses connections, True in all other cases."""
+async def try_connect(address: str) -> Listening:
+    """Try a connection and close it again."""
     host, _, port = address.rpartition(":")
     try:
         target = (host, int(port))
     except ValueError:
-        return True
+        return Listening.UNKNOWN
     sock = conns.make_socket((socket.AF_INET, socket.SOCK_STREAM, 0, "", target))
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             await asyncio.get_running_loop().sock_connect(sock, target)
     except ConnectionRefusedError:
-        return False
+        return Listening.REFUSED
     except (OSError, OverflowError, TimeoutError):
         # An unreachable address says nothing about the process.
-        return True
+        return Listening.UNKNOWN
     finally:
         sock.close()
-    return True
+    return Listening.ACCEPTED
