--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -25,6 +25,7 @@
 from masticpost_gateway.reporting import (
     countedstore,
     gauges,
+    healthmetrics,
     pages,
     requestmetrics,
     status,
@@ -38,11 +39,12 @@
     placement,
     retrybudget,
 )
-from masticpost_gateway.serving import gateway, headers
+from masticpost_gateway.serving import gateway, headers, sending
 from masticpost_gateway.sharing import (
     budgetsharing,
     crashreports,
     evidencereports,
+    healthreports,
     loads,
     mesh,
     quarantines,
@@ -52,7 +54,7 @@
     verdicts,
 )
 from masticpost_gateway.state import isolation, recordcache, source, watching
-from masticpost_gateway.upstreams import conns, exits
+from masticpost_gateway.upstreams import conns, exits, reachability
 
 KEEPALIVE_S = 75.0
 # Listen backlog, in connections.
@@ -113,6 +115,8 @@
     is_contended : bool
         Whether requests of different priorities compete for the upstreams, so that
         delays and rejections are weighed by priority.
+    shares_health : bool
+        Whether instances share which upstreams are unreachable.
     """
 
     name: str
@@ -128,6 +132,7 @@
     policy: str = "expected-worth"
     memory_bytes: float = limits.DEFAULT_MEMORY_BYTES
     is_contended: bool = False
+    shares_health: bool = True
 
 
 class Node(mode.Service):
@@ -186,6 +191,8 @@
             isolation=self.isolation,
         )
         self.sharing_services = self._make_sharing_services(store)
+        if cfg.shares_health:
+            self.sharing_services += (self._make_health_sharing(),)
         self.stages = stages.Stages(
             me=cfg.name,
             store=store,
@@ -234,6 +241,23 @@
             ),
         )
 
+    def _make_health_sharing(self) -> healthreports.HealthSharing:
+        """Return the service that shares which upstreams are unreachable."""
+        chooser = self.shared.chooser
+        return healthreports.HealthSharing(
+            peers=self.mesh,
+            relay=self.relay,
+            conclusions=reachability.Reachability(
+                me=self.cfg.name,
+                domain=self.cfg.domain,
+                domains=self.mesh.domains,
+                healths=chooser.healths,
+                find=chooser.health_of_run,
+                moved_reason=sending.MOVED,
+            ),
+            metrics=healthmetrics.HealthMetrics(registry=self.metrics.registry),
+        )
+
     def _make_shared(self, names: headers.HeaderNames) -> shared.Shared:
         """Return the components shared by all requests."""
         cfg = self.cfg
