Treat a response without a valid status as malformed bytes

Responses with status 000, 099, 600, 999 or 101 were forwarded to the caller, on all kinds of routes and by both daemons. With a header for "not run", a non-idempotent request was sent to a second upstream. The connection now ends on such a response, interim ones included: an idempotent request is tried elsewhere, a non-idempotent one gets 502.

--- a/libs/masticpost-gateway/src/masticpost_gateway/reporting/requestmetrics.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/reporting/requestmetrics.py
@@ -47,7 +47,7 @@
         )
         self.resets = prometheus_client.Counter(
             "masticpost_gateway_resets",
-            "Connections to upstreams that sent without end, by the limit they passed.",
+            "Connections to upstreams that were reset, by limit passed or faulty part.",
             ["limit"],
             registry=self.registry,
         )
@@ -91,7 +91,7 @@
         self._record_burn(item, outcome, status_code)
 
     def record_reset(self, limit: str) -> None:
-        """Count a connection that was reset since it passed a limit."""
+        """Count a connection that was reset since it passed a limit or was faulty."""
         self.resets.labels(limit).inc()
 
     def record_loan(self, service: str, result: str, count: int) -> None:
--- a/libs/masticpost-gateway/testing/serving/test_faulty_answers.py
+++ b/libs/masticpost-gateway/testing/serving/test_faulty_answers.py
@@ -194,3 +194,77 @@
         reply = await dep.call("/chat/1", method="POST", body=b"p")
         assert (reply.status, reply.is_complete) == (200, True)
         assert reply.body == events(5)
+
+
+ROUTES = {"idempotent": "/lookup/1", **PATHS}
+# No statuses of a response; 101 is none either, since no upgrade is asked for.
+INVALID_STATUSES = ("000", "099", "101", "600", "999", "1000", "20", "-20", "2x0")
+
+
+def all_routes(test):
+    return pytest.mark.parametrize("path", ROUTES.values(), ids=ROUTES)(test)
+
+
+@all_routes
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+@pytest.mark.parametrize("extra", [{}, {"Not_Run": "1"}], ids=["plain", "not run"])
+async def test_response_without_a_valid_status_is_no_answer(path, status, extra):
+    """Guards against a status that is none at the caller, and a second execution."""
+
+    async def script(req, writer):
+        content_type = EVENT_STREAM if "/chat/" in req.target else "text/plain"
+        body = whole_body(req)
+        writer.write(
+            kit.response(req, status, body, Content_Type=content_type, **extra)
+        )
+
+    async with kit.Deployment() as dep:
+        workers = await start(dep, script, script)
+        reply = await dep.call(path, method="POST", body=b"p")
+        assert reply.status == 502
+        runs = sum(len(worker.requests) for worker in workers)
+        assert runs == (1 if path == PATHS["single"] else 2)
+
+
+@all_routes
+@pytest.mark.parametrize("interim", ["000", "099", "600"])
+async def test_interim_response_without_a_valid_status_ends_the_attempt(path, interim):
+    """Guards against an answer that follows bytes which are no response."""
+
+    async def faulty(req, writer):
+        writer.write(f"HTTP/1.1 {interim} X\r\n\r\n".encode())
+        writer.write(head_without_length(req) + whole_body(req))
+        writer.close()
+
+    async with kit.Deployment() as dep:
+        await start(dep, faulty)
+        assert (await dep.call(path, method="POST", body=b"p")).status == 502
+
+
+@all_routes
+@pytest.mark.parametrize("interim", ["100", "102", "103", "199"])
+async def test_interim_responses_precede_the_answer(path, interim):
+    """Guards against a valid answer taken for a faulty one."""
+
+    async def script(req, writer):
+        writer.write(f"HTTP/1.1 {interim} X\r\n\r\n".encode())
+        writer.write(head_without_length(req) + whole_body(req))
+        writer.close()
+
+    async with kit.Deployment() as dep:
+        await start(dep, script)
+        assert (await dep.call(path, method="POST", body=b"p")).status == 200
+
+
+@pytest.mark.parametrize("path", [ROUTES["idempotent"], PATHS["stream"]])
+async def test_request_that_may_repeat_is_answered_by_another_upstream(path):
+    """Guards against 502 where a second upstream can answer."""
+
+    async def sound(req, writer):
+        writer.write(head_without_length(req) + whole_body(req))
+        writer.close()
+
+    async with kit.Deployment() as dep:
+        await start(dep, kit.answers("600"), kit.answers("099"), sound)
+        for _ in range(4):
+            assert (await dep.call(path, method="POST", body=b"p")).status == 200
--- a/libs/masticpost-upstream/src/masticpost_upstream/limits.py
+++ b/libs/masticpost-upstream/src/masticpost_upstream/limits.py
@@ -3,7 +3,8 @@
 A faulty upstream may send bytes without end that are no response. Each connection
 counts what it has received since the last head or event that made sense, and is reset
 beyond its limit. What all connections hold together is bounded as well; beyond that
-bound, the one that holds most is reset.
+bound, the one that holds most is reset. A connection is also reset on a response whose
+status is none.
 """
 
 import asyncio
@@ -19,6 +20,8 @@
 # Enough for the largest head and for interim (1xx) responses before it.
 MAX_HEAD_BYTES = 65_536
 MAX_INTERIM_RESPONSES = 16
+# 101 is no answer either, since no request asks for another protocol.
+VALID_STATUSES = frozenset(range(100, 600)) - {101}
 # Parsed at once before the head is complete, so that interim responses are counted.
 HEAD_SLICE_BYTES = 4_096
 # Of a body whose reader does not say what it expects.
@@ -34,9 +37,13 @@
     """An upstream has sent more bytes than a response may have."""
 
 
-def _log(reason: str, held: int) -> None:
+class InvalidStatusError(aiohttp.ClientPayloadError):
+    """An upstream has sent a response whose status is none."""
+
+
+def _log(reason: str, held: int, exc: Exception) -> None:
     logger.bind(event="upstream", reason=reason, held=held).warning(
-        "reset a connection to an upstream that sends without end"
+        "reset a connection to an upstream: {}", exc
     )
 
 
@@ -117,7 +124,7 @@
         self.limit = MAX_HEAD_BYTES
         self._interim_count = 0
         self._has_head = False
-        self._rejection: EndlessError | None = None
+        self._rejection: aiohttp.ClientPayloadError | None = None
 
     def set_response_params(self, **params) -> None:
         """Prepare for the response to the next request."""
@@ -157,9 +164,14 @@
             super().data_received(data)
 
     def feed_data(self, data: object, size: int = 0) -> None:
-        """Pass a response on; count interim ones."""
+        """Pass a response on if its status is valid; count interim ones."""
         message, _ = data
-        if message.code >= 200 or message.code == 101:
+        if self._rejection is not None:
+            return
+        if message.code not in VALID_STATUSES:
+            self._reset("status", InvalidStatusError(f"status {message.code}"))
+            return
+        if message.code >= 200:
             self._has_head = True
             self.limit += MAX_BODY_BYTES
         else:
@@ -175,12 +187,16 @@
         super().connection_lost(self._rejection or exc)
 
     def reject(self, reason: str) -> None:
-        """Reset the connection, and let its reader fail."""
+        """Reset the connection beyond a limit, and let its reader fail."""
         if self._rejection is not None:
             return
-        exc = EndlessError(f"no end of the response within the limit: {reason}")
+        self._reset(
+            reason, EndlessError(f"no end of the response within the limit: {reason}")
+        )
+
+    def _reset(self, reason: str, exc: aiohttp.ClientPayloadError) -> None:
         self._rejection = exc
-        _log(reason, self.held)
+        _log(reason, self.held, exc)
         self.allowance.give_back(self)
         self.allowance.on_reset(reason)
         payload = self._payload
--- a/libs/masticpost-upstream/testing/test_faulty_answers.py
+++ b/libs/masticpost-upstream/testing/test_faulty_answers.py
@@ -225,3 +225,24 @@
             async for row in client.stream(upstream.target("one"), REQUEST):
                 seen.append(row)
         assert not seen
+
+
+@pytest.mark.parametrize("kind", CALLS)
+@pytest.mark.parametrize("status", ["000", "099", "101", "600", "999", "1000", "20"])
+@pytest.mark.parametrize("is_interim", [False, True])
+async def test_response_without_a_valid_status_is_no_answer(kind, status, is_interim):
+    """Guards against a status that is none at the caller, and an answer after it."""
+
+    async def script(attempt_id, number, writer):
+        body = CALLS[kind][2](attempt_id)
+        if is_interim:
+            writer.write(f"HTTP/1.1 {status} X\r\n\r\n".encode())
+            writer.write(response(200, body))
+        else:
+            writer.write(response(status, body))
+
+    async with Upstream(script) as upstream, client_of(kind) as (client, send, *_):
+        with pytest.raises(faults.UpstreamError) as caught:
+            await send(client, upstream.target("one"))
+        assert caught.value.verdict is retry.Verdict.NOT_KNOWN
+        assert caught.value.kind is faults.FaultKind.CUT
