--- a/libs/masticpost-gateway/testing/serving/test_streaming.py
+++ b/libs/masticpost-gateway/testing/serving/test_streaming.py
@@ -198,10 +198,7 @@
 )
 async def test_urgency_is_sent_by_priority_and_slack(is_contended, path, expected):
     """Guards against a change for deployments whose settings do not ask for it."""
-    routes = (
-        attrs.evolve(kit.CHAT, priority=2),
-        URGENT,
-    )
+    routes = (attrs.evolve(kit.CHAT, priority=2), URGENT)
     async with kit.Deployment() as dep:
         worker = await dep.add_worker("w1", kit.streams(2))
         await dep.configure(kit.configuration(routes=routes))
@@ -210,6 +207,38 @@
         assert worker.requests[0].headers["urgency"] == expected
 
 
+@pytest.mark.parametrize(
+    ("is_contended", "path", "models"),
+    [
+        (True, "/urgent/", ["small", "large"]),
+        (True, "/chat/", ["small"]),
+        (False, "/urgent/", ["small", "large"]),
+        (False, "/chat/", ["small", "large"]),
+    ],
+)
+async def test_escalation_under_backlog_depends_on_priority(is_contended, path, models):
+    """Guards against escalations of catalogue-quote that delay project-review.
+
+    Without the setting both are escalated, as before.
+    """
+
+    async def script(req, writer):
+        is_small = req.headers["request-model"] == "small"
+        await kit.streams(2, confidence=20 if is_small else 95)(req, writer)
+
+    routes = (attrs.evolve(kit.CHAT, priority=2), URGENT)
+    async with kit.Deployment() as dep:
+        workers = [await dep.add_worker(name, script) for name in ("w1", "w2")]
+        await dep.configure(kit.configuration(routes=routes))
+        node = await dep.add_node(is_contended=is_contended)
+        node.shared.placement.speeds.of("desk", "large").prefill_token_s = 6e-5
+        node.loads.begin("w2", 4.0)
+        extra = {"Token_Counts": "20000,50", "Prompt_Prefix": "a1:19000,b2:1000"}
+        await dep.call(path, method="POST", body=b"p", **extra)
+        rows = [req for worker in workers for req in worker.requests]
+        assert [req.headers["request-model"] for req in rows] == models
+
+
 @pytest.mark.parametrize(
     ("is_contended", "path", "is_rejected"),
     [(True, "/chat/", True), (True, "/urgent/", False), (False, "/chat/", False)],
