Pool the samples of the models' speeds over the instances

Cause: each of 75 instances learns a model's speed from its own few answers. Most forecasts for the largest model used the initial 10 ms per token and 50 us per prompt token, up to 3.6 times too fast, so that escalations were made that could not finish. Change: groups of about 48 instances pool their samples at one of them, which answers with the estimates; the initial estimate is dropped after three samples. Measured: test_speedpools.py, test_speeds.py, routing and herding tests, 68 passed.

--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -51,6 +51,7 @@
     relay,
     retrylending,
     sessionupdates,
+    speedpools,
     verdicts,
 )
 from masticpost_gateway.state import isolation, recordcache, source, watching
@@ -223,6 +224,7 @@
             retrylending.RetryLending(
                 peers=self.mesh, budget=self.shared.retries, metrics=self.metrics
             ),
+            speedpools.SpeedPooling(peers=self.mesh, own=self.shared.placement.speeds),
             sessionupdates.SessionSharing(
                 peers=self.mesh,
                 relay=self.relay,
