Follow a completed roll-out in requests that are planned already

Cause: the other versions stop at the moment a roll-out is completed. Change: requirements of an attempt follow the completed roll-out.

--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/trial.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/trial.py
@@ -138,13 +138,12 @@
         order = self.records.roll_out(service)
         if order is None:
             return VersionPlan()
-        if order.state is model.RollOutState.COMPLETED:
-            return VersionPlan(preferred=order.target)
+        completed = self.completed_plan(service)
+        if completed is not None:
+            return completed
         trial = self.open.get(service)
         if trial is None or trial.verdict:
             return VersionPlan(excluded=order.target)
-        if trial.decided is model.RollOutState.COMPLETED:
-            return VersionPlan(preferred=order.target)
         now = clock.now()
         purpose = self._purpose(trial, session, request_id, now)
         if purpose is None:
@@ -154,6 +153,19 @@
             return VersionPlan(avoided=order.target)
         return VersionPlan(preferred=order.target)
 
+    def completed_plan(self, service: str) -> VersionPlan | None:
+        """Return the plan after a completed roll-out, None if there is none."""
+        order = self.records.roll_out(service)
+        if order is None:
+            return None
+        completed = VersionPlan(preferred=order.target)
+        if order.state is model.RollOutState.COMPLETED:
+            return completed
+        trial = self.open.get(service)
+        if trial is None or trial.verdict:
+            return None
+        return completed if trial.decided is model.RollOutState.COMPLETED else None
+
     def _purpose(
         self, trial: trialevidence.Trial, session: str, request_id: str, now: float
     ) -> budgetneeds.Purpose | None:
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
@@ -215,6 +215,15 @@
         self.plan = self.shared.trials.plan(*self._subject)
         self._is_planned = True
 
+    def _follow_completion(self) -> None:
+        """Plan anew after a completed roll-out, since the other versions stop at once.
+
+        The requests that they cut were sent from one stopped upstream to the next.
+        """
+        completed = self.shared.trials.completed_plan(self.call.service.name)
+        if completed is not None and self.plan.preferred != completed.preferred:
+            self.plan = completed
+
     async def open(
         self,
         upstream: model.Upstream,
@@ -370,6 +379,8 @@
 
     def requirements(self, level: str) -> choice.Requirements:
         """Return what the next attempt requires of an upstream."""
+        if self._is_planned:
+            self._follow_completion()
         return choice.Requirements(
             service=self.call.service,
             plan=self.plan,
--- a/libs/masticpost-gateway/testing/serving/test_streaming.py
+++ b/libs/masticpost-gateway/testing/serving/test_streaming.py
@@ -8,12 +8,20 @@
 import attrs
 import pytest
 from masticpost_common import clock
+from masticpost_gateway.learning import exposure
 from masticpost_gateway.routing import placement
 from masticpost_gateway.serving import attempts, headers
 from masticpost_gateway.state import model, source
 from support import gatewaykit as kit
 
 PROMPT = {"Token_Counts": "100,50", "Prompt_Prefix": "a1:60,b2:40"}
+ROLL_OUT = model.RollOut(
+    service="desk",
+    target="v2",
+    duration_s=10.0,
+    state=model.RollOutState.RUNNING,
+    share=0.0,
+)
 
 
 def events(count):
@@ -82,6 +90,28 @@
         assert ((await reply).body, reply.result().is_complete) == (events(6), True)
 
 
+async def test_stream_cut_by_a_completed_roll_out_goes_on_at_the_new_version():
+    """Guards against retries from one upstream of a stopped version to the next."""
+    async with kit.Deployment() as dep:
+        old = await dep.add_worker("w1", kit.streams(6, cut_after=4, pause_s=0.3))
+        await dep.configure()
+        bounds = exposure.Bounds(share=1.0, slack=50.0)
+        node = await dep.add_node(trial_bounds=bounds)
+        await dep.store.put(source.Kind.ROLL_OUTS, "desk", ROLL_OUT)
+        call = dep.call("/chat/", method="POST", body=b"p", **PROMPT)
+        reply = asyncio.create_task(call)
+        await kit.until(lambda: old.requests)
+        other = await dep.add_worker("w2", kit.streams(6))
+        new = await dep.add_worker("w3", kit.streams(6), record={"version": "v2"})
+        state = model.RollOutState.COMPLETED
+        done = attrs.evolve(ROLL_OUT, state=state, share=1.0)
+        await dep.store.put(source.Kind.ROLL_OUTS, "desk", done)
+        assert (await reply).body == events(6)
+        assert node.shared.trials.completed_plan("desk").preferred == "v2"
+        assert not other.requests
+        assert new.requests[0].headers["last-event-id"] == "4"
+
+
 async def test_begun_stream_does_not_wait_longer_than_for_a_stalled_upstream():
     async with kit.Deployment() as dep:
         await dep.add_worker("w1", kit.streams(6, cut_after=4))
