--- a/libs/masticpost-gateway/testing/upstreams/test_reachability.py
+++ b/libs/masticpost-gateway/testing/upstreams/test_reachability.py
@@ -278,6 +278,49 @@
     assert all(instance.reach.is_idle for instance in sim.instances)
 
 
+def report_of(sim, name, *, number=1, domain="d1"):
+    return reachability.Observation(
+        run=health_key(sim, name),
+        round=number,
+        observer=f"i-{domain}",
+        domain=domain,
+        at=sim.now,
+    )
+
+
+def test_late_report_of_a_known_round_does_not_extend_an_own_ejection():
+    """Guards against instances that extend each other's ejections by late reports."""
+    sim = Simulation(8)
+    row = sim.instances[0].row("u0")
+    row.record_unreachable(0.0, REFUSED)
+    until = row.unreachable_until
+    sim.now = until - 0.1
+    for domain in ("d1", "d2"):
+        sim.instances[0].reach.note_report(report_of(sim, "u0", domain=domain), sim.now)
+    assert row.unreachable_until == until
+    later = report_of(sim, "u0", number=2)
+    assert sim.instances[0].reach.note_report(later, sim.now)
+    assert row.unreachable_until > until
+    assert not sim.instances[0].reach.note_report(report_of(sim, "u0"), sim.now)
+
+
+def test_reports_of_one_domain_eject_few_upstreams_for_a_short_time():
+    """Guards against a cut-off domain that takes upstreams from all others."""
+    sim = Simulation(12)
+    instance = sim.instances[0]
+    rows = [instance.row(name) for name in sim.names]
+    for name in sim.names:
+        instance.reach.note_report(report_of(sim, name), sim.now)
+    ejected = [row for row in rows if row.is_ejected(sim.now)]
+    assert 0 < len(ejected) <= UPSTREAMS // 4 + 1
+    first_until = ejected[0].unreachable_until
+    longest_s = reachability.AVOIDANCE_S + reachability.MAX_TURN_S
+    assert first_until <= sim.now + longest_s
+    confirmed = report_of(sim, ejected[0].name, domain="d2")
+    instance.reach.note_report(confirmed, sim.now)
+    assert ejected[0].unreachable_until > first_until
+
+
 def test_answers_of_earlier_requests_show_no_recovery():
     """Guards against upstreams that finish their streams but take no new requests."""
     sim = Simulation(8)
