Take a body without a length as whole only after the upstream's end

A body without a length was taken as whole when this process had closed the connection, and when an end was read after a reset whose error a failed write had taken. One with Transfer-Encoding: identity counted as one with a length, so its part was a success after a reset, on all routes and in both daemons. Such a body now needs the upstream's FIN, on a connection that was not reset. The other framings (no length, chunked, Content-Length, HTTP/1.0, kept alive) were right already and keep a table of tests, while the request is written.

--- a/libs/masticpost-gateway/testing/serving/test_faulty_answers.py
+++ b/libs/masticpost-gateway/testing/serving/test_faulty_answers.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import socket
 
 import pytest
 from support import gatewaykit as kit
@@ -268,3 +269,87 @@
         await start(dep, kit.answers("600"), kit.answers("099"), sound)
         for _ in range(4):
             assert (await dep.call(path, method="POST", body=b"p")).status == 200
+
+
+class HeadReader:
+    """Reads the heads of requests and leaves their bodies unread."""
+
+    def __init__(self, reader):
+        self.readuntil = reader.readuntil
+
+    async def readexactly(self, count):
+        return b""
+
+
+class HeadWorker(kit.Worker):
+    """An upstream that answers while the request is still being written."""
+
+    async def start(self):
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.bind(("127.0.0.1", self.port))
+        self._server = await asyncio.start_server(self._serve, sock=sock, limit=1024)
+        return self
+
+    async def _serve(self, reader, writer):
+        await super()._serve(HeadReader(reader), writer)
+
+
+# Version and header of a body that is cut, and its start as sent.
+FRAMINGS = {
+    "no length": ("1.1", "", lambda body: body),
+    "identity": ("1.1", "Transfer-Encoding: identity\r\n", lambda body: body),
+    "chunked": ("1.1", "Transfer-Encoding: chunked\r\n", kit.chunk),
+    "length": ("1.1", "Content-Length: 900\r\n", lambda body: body),
+    "HTTP/1.0": ("1.0", "", lambda body: body),
+    "HTTP/1.0 kept": (
+        "1.0",
+        "Connection: keep-alive\r\nContent-Length: 900\r\n",
+        lambda body: body,
+    ),
+}
+UPLOAD = b"u" * 900_000
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize(
+    "method, path, upload",
+    [("POST", path, UPLOAD) for path in ROUTES.values()]
+    + [("GET", ROUTES["idempotent"], None)],
+)
+@pytest.mark.parametrize("pause_s", [0.0, 0.03])
+async def test_answer_reset_while_the_request_is_written_is_not_complete(
+    framing, method, path, upload, pause_s, monkeypatch
+):
+    """Guards against a part of a body that looks whole, and a second execution."""
+    version, extra, encode = FRAMINGS[framing]
+
+    async def script(req, writer):
+        head = kit.response_head(req, Content_Type=EVENT_STREAM, Confidence=90)
+        head = head.replace("HTTP/1.1", f"HTTP/{version}") + extra + "\r\n"
+        writer.write(head.encode() + encode(whole_body(req)))
+        await writer.drain()
+        await asyncio.sleep(pause_s)
+        kit.reset(writer)
+
+    monkeypatch.setattr(kit, "Worker", HeadWorker)
+    async with kit.Deployment() as dep:
+        (worker,) = await start(dep, script)
+        reply = await dep.call(path, method=method, body=upload)
+        assert worker.requests
+        assert reply.status == 502 or not reply.is_complete
+        assert path != PATHS["single"] or len(worker.requests) == 1
+
+
+@pytest.mark.parametrize("method, status", [("GET", 204), ("GET", 304), ("HEAD", 200)])
+async def test_answer_without_a_body_needs_no_end_of_its_connection(method, status):
+    """Guards against 502, as the connection is closed here once the head is read."""
+
+    async def script(req, writer):
+        head = kit.response_head(req, status, Connection="close")
+        writer.write((head + "\r\n").encode())
+
+    async with kit.Deployment() as dep:
+        (worker,) = await start(dep, script)
+        assert (await dep.call("/lookup/1", method=method)).status == status
+        assert len(worker.requests) == 1
--- a/libs/masticpost-upstream/src/masticpost_upstream/connections.py
+++ b/libs/masticpost-upstream/src/masticpost_upstream/connections.py
@@ -20,6 +20,8 @@
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 # Statuses that may tell that a request was not run.
 REFUSAL_STATUSES = frozenset((400, 404, 408, 421, 429, 503))
+# State in TCP_INFO of a connection that was reset.
+TCP_CLOSE = 7
 
 
 class GuardedProtocol(aiohttp.client_proto.ResponseHandler):
@@ -31,14 +33,17 @@
         Whether the connection is kept open without a request in flight.
     is_lost : bool
         Whether the connection has ended.
+    is_ended : bool
+        Whether the upstream has ended it, so that all that it sent has arrived.
     lost_exc : BaseException or None
-        Why it ended; None if the upstream closed it.
+        Why it ended; None if the upstream or this process closed it.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self.is_idle = False
         self.is_lost = False
+        self.is_ended = False
         self.lost_exc: BaseException | None = None
 
     def mark_idle(self) -> None:
@@ -64,6 +69,14 @@
             self.force_close()
         super().feed_data(data, size)
 
+    def eof_received(self) -> None:
+        """Note that the upstream has ended the connection, unless it was reset.
+
+        A write that failed takes the error of a reset. What follows is read as an end.
+        """
+        self.is_ended = not _is_reset(self.transport)
+        super().eof_received()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Note how the connection ended, before readers of the body are woken."""
         self.is_lost, self.lost_exc = True, exc
@@ -131,21 +144,37 @@
     transport.abort()
 
 
+def _is_reset(transport: asyncio.Transport | None) -> bool:
+    sock = None if transport is None else transport.get_extra_info("socket")
+    if sock is None:
+        return True
+    return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == TCP_CLOSE
+
+
 def check_body_end(resp: GuardedResponse) -> None:
     """Raise unless a body that was read to its end is known to be complete.
 
-    aiohttp takes any end of the connection for the end of a body without a length. A
-    read that has begun does not look for an error that was set meanwhile.
+    aiohttp takes any end of the connection for the end of a body without a length,
+    also a reset and a close by this process. A read that has begun does not look for
+    an error that was set meanwhile.
 
     Raises
     ------
     aiohttp.ClientPayloadError
-        The connection was reset.
+        The connection was reset or closed here.
     """
     if resp.content.exception() is not None:
         raise resp.content.exception()
-    if "Content-Length" in resp.headers or "Transfer-Encoding" in resp.headers:
+    if resp.content is aiohttp.streams.EMPTY_PAYLOAD or _has_length(resp):
         return
     conn = resp.protocol
-    if conn.is_lost and conn.lost_exc is not None:
+    if conn.is_lost and (conn.lost_exc is not None or not conn.is_ended):
         raise aiohttp.ClientPayloadError(f"connection reset: {conn.lost_exc}")
+
+
+def _has_length(resp: GuardedResponse) -> bool:
+    """Return whether a body ends before its connection does."""
+    codings = ",".join(resp.headers.getall("Transfer-Encoding", ())).split(",")
+    if codings != [""]:
+        return codings[-1].strip().lower() == "chunked"
+    return "Content-Length" in resp.headers
--- a/libs/masticpost-upstream/testing/test_faulty_answers.py
+++ b/libs/masticpost-upstream/testing/test_faulty_answers.py
@@ -8,7 +8,7 @@
 
 import pytest
 from masticpost_common import retry
-from masticpost_upstream import engine, faults, openai, plain, pool
+from masticpost_upstream import connections, engine, faults, openai, plain, pool
 
 EVENT_STREAM = "Content-Type: text/event-stream\r\n"
 
@@ -246,3 +246,126 @@
             await send(client, upstream.target("one"))
         assert caught.value.verdict is retry.Verdict.NOT_KNOWN
         assert caught.value.kind is faults.FaultKind.CUT
+
+
+FRAMINGS = {
+    "no length": ("1.1", "", b"part"),
+    "identity": ("1.1", "Transfer-Encoding: identity\r\n", b"part"),
+    "chunked": ("1.1", "Transfer-Encoding: chunked\r\n", b"4\r\npart\r\n"),
+    "length": ("1.1", "Content-Length: 9\r\n", b"part"),
+    "HTTP/1.0": ("1.0", "", b"part"),
+    "HTTP/1.0 kept": (
+        "1.0",
+        "Connection: keep-alive\r\nContent-Length: 9\r\n",
+        b"part",
+    ),
+}
+
+
+@contextlib.asynccontextmanager
+async def partial_upstream(framing, finish):
+    """Serve a part of an answer without reading the body of the request."""
+    version, extra, part = FRAMINGS[framing]
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(f"HTTP/{version} 200 X\r\n{extra}\r\n".encode() + part)
+        await writer.drain()
+        await finish(writer)
+
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.bind(("127.0.0.1", 0))
+    url = f"http://127.0.0.1:{sock.getsockname()[1]}"
+    async with await asyncio.start_server(serve, sock=sock, limit=1024):
+        yield pool.Target(upstream="up", url=url, attempt_id="one", deadline_s=3.0)
+
+
+def plain_request(method, body):
+    return plain.PlainRequest(method=method, path="/x", query="", headers={}, body=body)
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("method, upload", [("POST", b"u" * 900_000), ("GET", b"")])
+@pytest.mark.parametrize("pause_s", [0.0, 0.03])
+async def test_answer_reset_while_the_request_is_written_is_not_complete(
+    framing, method, upload, pause_s
+):
+    """Guards against a part of a body that looks whole."""
+
+    async def finish(writer):
+        await asyncio.sleep(pause_s)
+        reset(writer)
+
+    async with (
+        partial_upstream(framing, finish) as target,
+        client_of("plain") as (client, *_),
+    ):
+        with pytest.raises(faults.UpstreamError) as caught:
+            await client.call(target, plain_request(method, upload))
+        assert caught.value.verdict is retry.Verdict.NOT_KNOWN
+
+
+async def test_answer_whose_connection_is_closed_here_is_not_complete():
+    """Guards against a part that looks whole as a write fails or the pool closes."""
+
+    async def finish(writer):
+        await asyncio.sleep(1.0)
+        reset(writer)
+
+    async with (
+        partial_upstream("no length", finish) as target,
+        client_of("plain") as (client, *_),
+    ):
+        asyncio.get_running_loop().call_later(0.1, abort_connections, client)
+        with pytest.raises(faults.UpstreamError) as caught:
+            await client.call(target, plain_request("GET", b""))
+        assert caught.value.verdict is retry.Verdict.NOT_KNOWN
+
+
+def abort_connections(client):
+    for conn in client.pool.session().connector._acquired:
+        conn.transport.abort()
+
+
+async def test_end_that_is_read_after_a_reset_is_no_end():
+    """Guards against a reset whose error a failed write has taken."""
+    loop, accepted = asyncio.get_running_loop(), asyncio.Event()
+
+    async def serve(reader, writer):
+        reset(writer)
+        accepted.set()
+
+    async with await asyncio.start_server(serve, "127.0.0.1", 0) as server:
+        sock = socket.socket()
+        sock.connect(server.sockets[0].getsockname())
+        await accepted.wait()
+        await asyncio.sleep(0.02)
+        assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        assert sock.recv(1) == b""
+        conn = connections.GuardedProtocol(loop)
+        conn.transport = Transport(sock)
+        conn.eof_received()
+        sock.close()
+    assert not conn.is_ended
+
+
+@pytest.mark.parametrize("method, status", [("GET", 204), ("HEAD", 200)])
+async def test_answer_without_a_body_needs_no_end_of_its_connection(method, status):
+    """Guards against a failure, as the connection is closed here after the head."""
+
+    async def script(attempt_id, number, writer):
+        writer.write(response(status, b"", framing=""))
+
+    async with Upstream(script) as upstream, client_of("plain") as (client, *_):
+        target = upstream.target("one")
+        answer = await client.call(target, plain_request(method, b""))
+        assert answer.status == status
+
+
+class Transport:
+    def __init__(self, sock):
+        self.sock = sock
+
+    def get_extra_info(self, name):
+        return self.sock
