Learn the speed of each upstream and place prompts by it

Cause: upstreams that take several times as long got as many attempts as fast ones, since the load was only known in seconds at the usual speed.

Change: each instance samples completed prefills and groups of stream events relative to the usual time of the model and load; the samples of all instances are added up in a new field of the load reports (absent: unknown), once per second or at once after a change. The factor is 1 unless the difference exceeds the samples' error, is bounded to 0.25 to 4, and decays to 1. Requests in flight that wait for longer than expected raise it; time that a slow caller takes does not count. Placement scores, first_token_s and the new Placement.expected are in the upstream's own seconds. Load reports also carry the tokens in flight.

--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/feedback.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/feedback.py
@@ -87,6 +87,8 @@
         answer_progress = opened.progress
         if answer_progress.events:
             self._record_decode(opened, events, waited_s)
+        elif opened.work is not None:
+            opened.work.timing.note_progress(clock.now())
         answer_progress.add_events(events, clock.now())
         if answer_progress.is_measured:
             self.shared.trials.answers.record_progress(answer_progress)
@@ -99,7 +101,11 @@
         self, opened: answer.OpenAnswer, events: int, waited_s: float
     ) -> None:
         speed = self.shared.placement.speeds.of(self.call.service.name, opened.level)
-        speed.record_decode(events * self.call.service.tokens_per_event, waited_s)
+        tokens = events * self.call.service.tokens_per_event
+        factor = self.shared.loads.speed_factor(opened.upstream.name, clock.now())
+        speed.record_decode(tokens, waited_s / factor)
+        if opened.work is not None:
+            self.shared.loads.note_events(opened.work, events, tokens)
 
     def record_version(self, version: str) -> None:
         """Record the version that runs the request's session."""
@@ -119,8 +125,21 @@
         self, opened: answer.OpenAnswer, prefill: placement.Prefill
     ) -> None:
         """Record that the prefill is done, since the answer has begun."""
-        self.shared.loads.note_prefilled(opened.work)
-        took_s = opened.head_at - opened.sent_at
+        if opened.is_failure:
+            self.shared.loads.note_prefilled(opened.work)
+            return
+        tokens, took_s = opened.uncached_tokens, opened.head_at - opened.sent_at
         speed = self.shared.placement.speeds.of(prefill.service, prefill.model)
-        if not opened.is_failure:
-            speed.record_prefill(opened.uncached_tokens, took_s)
+        factor = self.shared.loads.speed_factor(opened.upstream.name, opened.head_at)
+        speed.record_prefill(tokens, took_s / factor)
+        self.shared.loads.note_prefilled(
+            opened.work, uncached_tokens=tokens, took_s=took_s
+        )
+
+    def record_passed_on(self, opened: answer.OpenAnswer) -> None:
+        """Record that events were passed on and the upstream is waited for again.
+
+        Time that a slow caller takes says nothing about the upstream.
+        """
+        if opened.work is not None:
+            opened.work.timing.note_waiting(clock.now())
--- a/libs/masticpost-gateway/src/masticpost_gateway/routing/placement.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/routing/placement.py
@@ -24,6 +24,8 @@
 STREAM_COST_S = 0.004
 RANK_COST_S = 0.002
 OVERFLOW_COST_S = 0.1
+# Weight of a later end of the answer, relative to a later first event.
+DECODE_WEIGHT = 0.1
 # Fraction of the upstreams that is reserved for the smallest model.
 SMALL_LEVEL_SHARE = 0.2
 # Number of upstreams sampled by rank, and at random from the rest.
@@ -55,6 +57,11 @@
     is_smallest: bool = False
     has_levels: bool = False
 
+    @property
+    def tokens(self) -> int:
+        """Tokens of the prompt and the expected answer."""
+        return self.prompt.tokens_in + self.prompt.tokens_expected
+
     def prefix_keys(self) -> list[str]:
         """Return a cache key for each prefix of the prompt that ends with a part."""
         chain, found = self.model, []
@@ -64,6 +71,14 @@
         return found
 
 
+@attrs.frozen(kw_only=True)
+class Expected:
+    """Expected time to the first event of an answer and to the last, in seconds."""
+
+    first_s: float
+    total_s: float
+
+
 @attrs.frozen(kw_only=True)
 class Group:
     """Names of upstreams for a model; `extra_s` is added to their scores."""
@@ -129,7 +144,10 @@
         return max(total, 1)
 
     def prefill_s(self, upstream: str, prefill: Prefill) -> float:
-        """Return the time to prefill the uncached part of a prompt, in seconds."""
+        """Return the time to prefill the uncached part of a prompt, in seconds.
+
+        It is that at the usual speed of the service, as in the load reports.
+        """
         speed = self.speeds.of(prefill.service, prefill.model)
         return self.uncached_tokens(upstream, prefill) * speed.prefill_token_s
 
@@ -231,9 +249,22 @@
 
     def first_token_s(self, ready: list[model.Upstream], prefill: Prefill) -> float:
         """Return the seconds until the best upstream would have prefilled a prompt."""
-        name = self.best(ready, prefill).name
-        load = self.loads.total(name, clock.now())
-        return load.reading_s + self.prefill_s(name, prefill)
+        return self.expected(self.best(ready, prefill), prefill).first_s
+
+    def expected(self, upstream: model.Upstream, prefill: Prefill) -> Expected:
+        """Return the times that an upstream would take, at its own speed."""
+        now = clock.now()
+        factor = self.loads.speed_factor(upstream.name, now)
+        reading_s = self.loads.total(upstream.name, now).reading_s
+        first_s = factor * (reading_s + self.prefill_s(upstream.name, prefill))
+        return Expected(
+            first_s=first_s, total_s=first_s + factor * self._decode_s(prefill)
+        )
+
+    def _decode_s(self, prefill: Prefill) -> float:
+        """Return the time to decode the expected answer at the usual speed."""
+        speed = self.speeds.of(prefill.service, prefill.model)
+        return prefill.prompt.tokens_expected * speed.decode_token_s
 
     def backlog_s(self, ready: list[model.Upstream]) -> float:
         """Return the mean queued prefill time of upstreams, in seconds."""
@@ -242,10 +273,15 @@
         return sum(waiting) / max(1, len(waiting))
 
     def _score(self, name: str, prefill: Prefill) -> float:
-        load = self.loads.total(name, clock.now())
+        now = clock.now()
+        load = self.loads.total(name, now)
         prefill_s = self.prefill_s(name, prefill)
         stall_s = prefill_s * STALL_WEIGHT * load.streams
-        return load.reading_s + prefill_s + stall_s + STREAM_COST_S * load.streams
+        score = load.reading_s + prefill_s + stall_s + STREAM_COST_S * load.streams
+        factor = self.loads.speed_factor(name, now)
+        if factor == 1.0:
+            return score
+        return factor * score + DECODE_WEIGHT * (factor - 1.0) * self._decode_s(prefill)
 
 
 def _groups(ranked: list[str], prefill: Prefill) -> list[Group]:
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/dispatches.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/dispatches.py
@@ -88,7 +88,13 @@
             placer = self.shared.placement
             dispatch.uncached_tokens = placer.uncached_tokens(upstream.name, prefill)
             prefill_s = placer.prefill_s(upstream.name, prefill)
-            dispatch.work = self.shared.loads.begin(upstream.name, prefill_s)
+            dispatch.work = self.shared.loads.begin(
+                upstream.name,
+                prefill_s,
+                service=prefill.service,
+                model=prefill.model,
+                tokens=prefill.tokens,
+            )
             self.observer.record_prompt(upstream.name, prefill)
         return dispatch
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/streaming.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/streaming.py
@@ -324,6 +324,7 @@
                 self.attempts.suspects.note_events(opened)
                 opened.health.last_response_at = last_event_at = now
                 await self._write(opened, fresh)
+                self.attempts.feedback.record_passed_on(opened)
             else:
                 # Bytes that complete no event do not count as progress.
                 dataless += sum(len(block.raw) for block in fresh)
--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/loadreports.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/loadreports.py
@@ -1,6 +1,7 @@
 """Messages with the load that instances put on the upstreams, and their sums."""
 
 import collections.abc
+import math
 
 import attrs
 from masticpost_peers import messages
@@ -8,6 +9,8 @@
 # Time after which a report that was not repeated is dropped.
 REPORT_TTL_S = 3.0
 MS_PER_S = 1000
+# Tokens in flight are reported in blocks of this size, rounded up.
+BLOCK_TOKENS = 512
 
 
 @attrs.frozen(kw_only=True)
@@ -17,17 +20,21 @@
     Attributes
     ----------
     reading_s : float
-        Total prefill time of the prompts that are not read yet, in seconds.
+        Total prefill time of the prompts that are not read yet, in seconds at the
+        usual speed of the service.
     streams : int
         Responses that are being generated.
     unread : int
         Requests whose prompts are not read yet.
+    tokens : int
+        Tokens of the prompts and of the expected answers.
     """
 
     upstream: str
     reading_s: float = 0.0
     streams: int = 0
     unread: int = 0
+    tokens: int = 0
 
     @property
     def requests(self) -> int:
@@ -41,6 +48,7 @@
             reading_s=round(self.reading_s + other.reading_s, 3),
             streams=self.streams + other.streams,
             unread=self.unread + other.unread,
+            tokens=self.tokens + other.tokens,
         )
 
 
@@ -71,6 +79,11 @@
         Names; the other lists have a value for each.
     placed : dict
         Length in tokens of each cached part, by upstream and key.
+    blocks : list of int
+        Tokens in flight in blocks of `BLOCK_TOKENS`; empty if all are 0 or unknown.
+    speeds : dict
+        Numbers of `upstreamspeeds.Evidence` by upstream; empty if not sent with this
+        report.
     """
 
     upstreams: list[str]
@@ -78,15 +91,26 @@
     streams: list[int]
     placed: dict[str, dict[str, int]]
     unread: list[int] = attrs.field(factory=list)
+    blocks: list[int] = attrs.field(factory=list)
+    speeds: dict[str, tuple[int, int, int]] = attrs.field(factory=dict)
 
     def loads(self) -> list[Load]:
         """Return the loads as rows."""
-        # Instances of an earlier version do not send `unread`.
+        # Instances of an earlier version do not send `unread` and `blocks`.
         unread = self.unread or [0] * len(self.upstreams)
-        rows = zip(self.upstreams, self.reading_ms, self.streams, unread, strict=True)
+        blocks = self.blocks or [0] * len(self.upstreams)
+        rows = zip(
+            self.upstreams, self.reading_ms, self.streams, unread, blocks, strict=True
+        )
         return [
-            Load(upstream=name, reading_s=ms / MS_PER_S, streams=streams, unread=count)
-            for name, ms, streams, count in rows
+            Load(
+                upstream=name,
+                reading_s=ms / MS_PER_S,
+                streams=streams,
+                unread=count,
+                tokens=size * BLOCK_TOKENS,
+            )
+            for name, ms, streams, count, size in rows
         ]
 
     def parts(self) -> list[PartUpdate]:
@@ -98,17 +122,24 @@
         ]
 
 
-def to_columns(loads: list[Load], parts: list[PartUpdate]) -> Columns:
+def to_columns(
+    loads: list[Load],
+    parts: list[PartUpdate],
+    speeds: dict[str, tuple[int, int, int]] | None = None,
+) -> Columns:
     """Convert rows to columns."""
     placed: dict[str, dict[str, int]] = {}
     for part in parts:
         placed.setdefault(part.upstream, {})[part.key] = part.tokens
+    blocks = [math.ceil(load.tokens / BLOCK_TOKENS) for load in loads]
     return Columns(
         upstreams=[load.upstream for load in loads],
         reading_ms=[round(load.reading_s * MS_PER_S) for load in loads],
         streams=[load.streams for load in loads],
         unread=[load.unread for load in loads],
         placed=placed,
+        blocks=blocks if any(blocks) else [],
+        speeds=speeds or {},
     )
 
 
@@ -150,6 +181,7 @@
     reading_ms: int = 0
     streams: int = 0
     unread: int = 0
+    tokens: int = 0
     senders: int = 0
 
     @property
@@ -162,6 +194,7 @@
         self.reading_ms += sign * round(load.reading_s * MS_PER_S)
         self.streams += sign * load.streams
         self.unread += sign * load.unread
+        self.tokens += sign * load.tokens
         self.senders += sign
 
 
@@ -203,6 +236,7 @@
             reading_s=load_sum.reading_s,
             streams=load_sum.streams,
             unread=load_sum.unread,
+            tokens=load_sum.tokens,
         )
 
     def upstreams(self, now: float) -> set[str]:
--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/loads.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/loads.py
@@ -17,7 +17,8 @@
 from masticpost_common import clock, rendezvous
 from masticpost_peers import messages, probes
 
-from masticpost_gateway.sharing import loadreports, mesh
+from masticpost_gateway.learning import upstreamspeeds
+from masticpost_gateway.sharing import loadreports, mesh, speedsharing
 from masticpost_gateway.state import model
 
 # Up to this many instances report to each other directly; a larger deployment has one
@@ -85,13 +86,19 @@
     Attributes
     ----------
     prefill_s : float
-        Expected time to read its prompt, in seconds.
+        Expected time to read its prompt, in seconds at the usual speed.
+    timing : upstreamspeeds.RequestTiming
+        When the upstream was expected to go on with it.
+    tokens : int
+        Tokens of its prompt and its expected answer.
     is_prefilled : bool
         Whether the prompt was read, since the response has begun.
     """
 
     upstream: str
     prefill_s: float
+    timing: upstreamspeeds.RequestTiming
+    tokens: int = 0
     is_prefilled: bool = False
 
 
@@ -107,6 +114,8 @@
     ----------
     cache_tokens : int
         Size of one upstream's prompt cache.
+    speeds : speedsharing.SpeedSharing
+        Speeds of the upstreams.
     """
 
     def __init__(self, *, peers: mesh.Mesh) -> None:
@@ -116,6 +125,7 @@
         self._active: dict[str, set[ActiveRequest]] = {}
         self._cached_loads: dict[str, loadreports.Load] = {}
         self.cache_tokens = DEFAULT_CACHE_TOKENS
+        self.speeds = speedsharing.SpeedSharing()
         self._prompt_caches: dict[str, PromptCache] = {}
         self._full_until: dict[str, float] = {}
         # Reports of the other hubs, of a hub's members, and of the own hub.
@@ -132,18 +142,85 @@
         peers.hub.handle(loadreports.MemberLoad, self._on_member)
         peers.hub.handle(loadreports.LoadSums, self._on_sums)
 
-    def begin(self, upstream: str, prefill_s: float) -> ActiveRequest:
-        """Note a request that an upstream starts; its prefill takes `prefill_s`."""
-        request = ActiveRequest(upstream=upstream, prefill_s=prefill_s)
+    def begin(
+        self,
+        upstream: str,
+        prefill_s: float,
+        *,
+        service: str = "",
+        model: str = "",
+        tokens: int = 0,
+    ) -> ActiveRequest:
+        """Note a request that an upstream starts; its prefill takes `prefill_s`.
+
+        Parameters
+        ----------
+        tokens : int
+            Tokens of its prompt and its expected answer.
+        """
+        now = clock.now()
+        load = self.total(upstream, now)
+        timing = upstreamspeeds.RequestTiming(
+            upstream=upstream,
+            service=service,
+            model=model,
+            wait_s=load.reading_s + prefill_s,
+            waits_since=now,
+            is_alone=not load.unread,
+        )
+        request = ActiveRequest(
+            upstream=upstream, prefill_s=prefill_s, timing=timing, tokens=tokens
+        )
         self._active.setdefault(upstream, set()).add(request)
         self._note_change(upstream)
         return request
 
-    def note_prefilled(self, request: ActiveRequest) -> None:
-        """Note that the prompt of a request was read and its response has begun."""
-        request.is_prefilled = True
+    def note_prefilled(
+        self, request: ActiveRequest, *, uncached_tokens: int = 0, took_s: float = 0.0
+    ) -> None:
+        """Note that the prompt of a request was read and its response has begun.
+
+        Parameters
+        ----------
+        uncached_tokens : int
+            Tokens that were read in `took_s` seconds, to measure the speed; 0 if that
+            says nothing about it.
+        """
+        now = clock.now()
+        if self.total(request.upstream, now).unread > 1:
+            request.timing.is_alone = False
+        self.speeds.samples.record_prefill(
+            request.timing,
+            tokens=uncached_tokens,
+            took_s=took_s,
+            factor=self.speed_factor(request.upstream, now),
+            now=now,
+        )
+        request.is_prefilled = request.timing.is_prefilled = True
+        request.timing.note_progress(now)
+        request.timing.note_waiting(now)
         self._note_change(request.upstream)
 
+    def note_events(self, request: ActiveRequest, events: int, tokens: int) -> None:
+        """Note that events of a stream have arrived and are passed on."""
+        now = clock.now()
+        load = self.total(request.upstream, now)
+        self.speeds.samples.record_events(
+            request.timing,
+            events=events,
+            tokens=tokens,
+            reading_s=load.reading_s,
+            streams=load.streams,
+            factor=self.speed_factor(request.upstream, now),
+            now=now,
+        )
+        request.timing.note_progress(now)
+
+    def speed_factor(self, upstream: str, now: float) -> float:
+        """Return the time that an upstream takes as a multiple of the usual one."""
+        requests = self.total(upstream, now).requests
+        return self.speeds.factor(upstream, requests, now)
+
     def end(self, request: ActiveRequest) -> None:
         """Note that a request has ended."""
         active = self._active.get(request.upstream, set())
@@ -179,11 +256,13 @@
         """Return the load of all instances at an upstream."""
         own = self._own_load(upstream)
         reading_s, streams, unread = own.reading_s, own.streams, own.unread
+        tokens = own.tokens
         for reports in (self._hub_reports, self._member_reports):
             reported = reports.sum(upstream, now)
             reading_s += reported.reading_s
             streams += reported.streams
             unread += reported.unread
+            tokens += reported.tokens
         sums = self._sums.sum(upstream, now)
         if sums.senders:
             # The sums include the load that this instance itself has reported.
@@ -191,11 +270,13 @@
             reading_s += max(0.0, sums.reading_s - sent.reading_s)
             streams += max(0, sums.streams - sent.streams)
             unread += max(0, sums.unread - sent.unread)
+            tokens += max(0, sums.tokens - sent.tokens)
         return loadreports.Load(
             upstream=upstream,
             reading_s=round(reading_s, 3),
             streams=streams,
             unread=unread,
+            tokens=tokens,
         )
 
     def note_rejection(self, upstream: str) -> None:
@@ -217,6 +298,7 @@
             del self._prompt_caches[name]
         for name in self._cached_loads.keys() - names - self._active.keys():
             del self._cached_loads[name]
+        self.speeds.samples.keep_only(names)
 
     def forget(self, upstream: str) -> None:
         """Drop the model of an upstream's prompt cache, after its restart."""
@@ -242,6 +324,7 @@
             await self._report(hubs, clock.now())
 
     async def _report(self, hubs: list[probes.Member], now: float) -> None:
+        self.refresh_speeds(now)
         me = self.peers.me
         if all(hub.name != me.name for hub in hubs):
             hub = hub_of(me.name, me.domain, hubs)
@@ -253,19 +336,21 @@
             loads.append(load.plus(self._member_reports.total(name, now)))
         updates, self._pending_updates = self._pending_updates, []
         others = [hub.address for hub in hubs if hub.name != me.name]
-        if updates or self._should_send(loads):
-            report = loadreports.LoadReport(work=loadreports.to_columns(loads, updates))
-            await self.peers.hub.broadcast(others, report)
+        rows = self.speeds.reports.take(self.speeds.own_and_members(now), now)
+        if updates or rows or self._should_send(loads):
+            work = loadreports.to_columns(loads, updates, speedsharing.to_wire(rows))
+            await self.peers.hub.broadcast(others, loadreports.LoadReport(work=work))
         self._member_updates += updates
         await self._send_sums(hubs, now)
 
     async def _report_to_hub(self, address: str) -> None:
-        loads = list(self._own_loads().values())
-        if not self._pending_updates and not self._should_send(loads):
+        loads, now = list(self._own_loads().values()), clock.now()
+        rows = self.speeds.reports.take(self.speeds.own_and_members(now), now)
+        if not (self._pending_updates or rows) and not self._should_send(loads):
             return
         updates, self._pending_updates = self._pending_updates, []
-        report = loadreports.MemberLoad(work=loadreports.to_columns(loads, updates))
-        await self.peers.hub.broadcast([address], report)
+        work = loadreports.to_columns(loads, updates, speedsharing.to_wire(rows))
+        await self.peers.hub.broadcast([address], loadreports.MemberLoad(work=work))
 
     async def _send_sums(self, hubs: list[probes.Member], now: float) -> None:
         hub_names = {hub.name for hub in hubs}
@@ -280,8 +365,9 @@
             return
         upstreams = set(self._last_sent) | self._hub_reports.upstreams(now)
         sums = [self.total(name, now) for name in sorted(upstreams)]
-        report = loadreports.LoadSums(work=loadreports.to_columns(sums, updates))
-        await self.peers.hub.broadcast(members, report)
+        rows = self.speeds.sums.take(self.speeds.all_rows(now), now)
+        work = loadreports.to_columns(sums, updates, speedsharing.to_wire(rows))
+        await self.peers.hub.broadcast(members, loadreports.LoadSums(work=work))
 
     def _should_send(self, loads: list[loadreports.Load]) -> bool:
         """Tell whether loads have changed, or must be repeated before they expire.
@@ -317,13 +403,45 @@
             ),
             streams=sum(row.is_prefilled for row in active),
             unread=sum(not row.is_prefilled for row in active),
+            tokens=sum(row.tokens for row in active),
         )
         self._cached_loads[upstream] = cached
         return cached
 
+    def refresh_speeds(self, now: float) -> None:
+        """Update the speeds with this instance's samples and overdue requests."""
+        rows = {}
+        for name in self.speeds.samples.upstreams() | self._active.keys():
+            found = self.speeds.samples.evidence(name, now)
+            found = found.plus(self._overdue(name, now))
+            if found != upstreamspeeds.NO_EVIDENCE:
+                rows[name] = found
+        self.speeds.refresh(rows)
+
+    def _overdue(self, upstream: str, now: float) -> upstreamspeeds.Evidence:
+        """Return the evidence of this instance's overdue requests at an upstream."""
+        found = upstreamspeeds.NO_EVIDENCE
+        active = self._active.get(upstream)
+        if not active:
+            return found
+        load = self.total(upstream, now)
+        factor = self.speed_factor(upstream, now)
+        for request in active:
+            found = found.plus(
+                self.speeds.samples.overdue(
+                    request.timing,
+                    reading_s=load.reading_s,
+                    streams=load.streams,
+                    factor=factor,
+                    now=now,
+                )
+            )
+        return found
+
     async def _on_report(
         self, envelope: messages.Envelope, body: loadreports.LoadReport
     ) -> None:
+        self._store_speeds(self.speeds.from_hubs, envelope.sender, body.work)
         self._member_updates += self._store_report(
             self._hub_reports, envelope.sender, body.work
         )
@@ -331,6 +449,7 @@
     async def _on_member(
         self, envelope: messages.Envelope, body: loadreports.MemberLoad
     ) -> None:
+        self._store_speeds(self.speeds.from_members, envelope.sender, body.work)
         self._pending_updates += self._store_report(
             self._member_reports, envelope.sender, body.work
         )
@@ -339,8 +458,17 @@
     async def _on_sums(
         self, envelope: messages.Envelope, body: loadreports.LoadSums
     ) -> None:
+        self._store_speeds(self.speeds.from_own_hub, "hub", body.work)
         self._store_report(self._sums, "hub", body.work)
 
+    def _store_speeds(
+        self,
+        reports: speedsharing.ReportedSpeeds,
+        sender: str,
+        work: loadreports.Columns,
+    ) -> None:
+        self.speeds.store(reports, sender, work.speeds, clock.now())
+
     def _store_report(
         self, reports: loadreports.ReportedLoads, sender: str, work: loadreports.Columns
     ) -> list[loadreports.PartUpdate]:
--- a/libs/masticpost-gateway/testing/test_herding.py
+++ b/libs/masticpost-gateway/testing/test_herding.py
@@ -69,9 +69,12 @@
         left_s = max(0.0, view.get(name, 0.0) - (self.now - at))
         return loadreports.Load(upstream=name, reading_s=left_s)
 
-    def has_room(self, upstream):
+    def has_room(self, upstream, tokens=0):
         return True
 
+    def speed_factor(self, name, now):
+        return 1.0
+
     def has_cached(self, upstream, key, now):
         return (upstream, key) in self.cached
 
