Count an upstream as full without memory for a request's tokens

Cause: an engine crashes if the requests that it holds exceed its memory, but only its slots were compared: 64 prompts of 17,000 tokens are nearly twice 588,416 tokens.

Change: has_room compares the tokens in flight of all instances and of the new request with Service.cache_tokens of the upstream's service; 0 means unknown. They come from the same sums as the requests, so that a choice costs as much as before.

--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -372,7 +372,5 @@
             self.rates.keep_only(frozenset(u.run_key for u in upstreams))
             self.loads.keep_only({upstream.name for upstream in upstreams})
         if kind is source.Kind.CONFIGURATION and self.records.table is not None:
-            cache_sizes = [s.cache_tokens for s in self.records.table.cfg.services]
-            self.loads.cache_tokens = (
-                max(cache_sizes, default=0) or self.loads.cache_tokens
-            )
+            services = self.records.table.cfg.services
+            self.loads.set_memory({s.name: s.cache_tokens for s in services})
--- a/libs/masticpost-gateway/src/masticpost_gateway/routing/placement.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/routing/placement.py
@@ -209,7 +209,7 @@
             rows.append(
                 Scored(
                     upstream=upstreams[name],
-                    has_room=self.loads.has_room(upstreams[name]),
+                    has_room=self.loads.has_room(upstreams[name], prefill.tokens),
                     score=self._score(name, prefill) + extra_s,
                 )
             )
--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/loads.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/loads.py
@@ -114,6 +114,8 @@
     ----------
     cache_tokens : int
         Size of one upstream's prompt cache.
+    memory_tokens : dict of str to int
+        Tokens in flight for which one upstream has memory, by service.
     speeds : speedsharing.SpeedSharing
         Speeds of the upstreams.
     """
@@ -125,6 +127,7 @@
         self._active: dict[str, set[ActiveRequest]] = {}
         self._cached_loads: dict[str, loadreports.Load] = {}
         self.cache_tokens = DEFAULT_CACHE_TOKENS
+        self.memory_tokens: dict[str, int] = {}
         self.speeds = speedsharing.SpeedSharing()
         self._prompt_caches: dict[str, PromptCache] = {}
         self._full_until: dict[str, float] = {}
@@ -283,12 +286,27 @@
         """Note that an upstream has rejected a request because it is full."""
         self._full_until[upstream] = clock.now() + REJECTION_HOLD_OFF_S
 
-    def has_room(self, upstream: model.Upstream) -> bool:
-        """Tell whether an upstream would probably start one more request at once."""
+    def has_room(self, upstream: model.Upstream, tokens: int = 0) -> bool:
+        """Tell whether an upstream would probably start one more request at once.
+
+        Parameters
+        ----------
+        tokens : int
+            Tokens of its prompt and its expected answer.
+        """
         now = clock.now()
         if now < self._full_until.get(upstream.name, -math.inf):
             return False
-        return self.total(upstream.name, now).requests < upstream.slots
+        load = self.total(upstream.name, now)
+        memory = self.memory_tokens.get(upstream.service, 0)
+        if memory and load.tokens + tokens > memory:
+            return False
+        return load.requests < upstream.slots
+
+    def set_memory(self, tokens: dict[str, int]) -> None:
+        """Set the size of one upstream's memory by service; 0 if unknown."""
+        self.memory_tokens = tokens
+        self.cache_tokens = max(tokens.values(), default=0) or self.cache_tokens
 
     def keep_only(self, names: set[str]) -> None:
         """Drop the state of upstreams that are not in `names`."""
--- a/libs/masticpost-gateway/testing/test_upstream_speeds.py
+++ b/libs/masticpost-gateway/testing/test_upstream_speeds.py
@@ -121,6 +121,20 @@
     assert not learnt()
 
 
+def test_upstream_without_memory_for_the_tokens_has_no_room(make):
+    fleet = make(8, 8, per_engine=1.0)
+    tracker, upstream = fleet.loads["node-000"], fleet.upstreams[0]
+    tracker.begin(upstream.name, 0.1, tokens=9_000)
+    assert tracker.has_room(upstream, 9_000)
+    tracker.set_memory({enginefleet.SERVICE: 20_000})
+    report = loadreports.Load(upstream=upstream.name, streams=1, tokens=6_144)
+    work = loadreports.to_columns([report], [])
+    assert work.loads() == [report]
+    tracker._hub_reports.put("other", work.loads(), fleet.now)
+    assert tracker.has_room(upstream, 4_856)
+    assert not tracker.has_room(upstream, 4_857)
+
+
 @pytest.mark.parametrize("engines", [8, 400])
 def test_choice_scores_as_many_upstreams_however_many_there_are(
     make, monkeypatch, engines
