--- a/libs/masticpost-gateway/src/masticpost_gateway/reporting/gauges.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/reporting/gauges.py
@@ -63,6 +63,7 @@
         )
         yield _record_ages(current)
         yield _upstream_counts(current)
+        yield _speed_factors(current)
         yield _rates(current)
         yield _rate_permits(current)
         yield _completed_versions(current)
@@ -93,6 +94,18 @@
     return family
 
 
+def _speed_factors(current: status.Status) -> core.Metric:
+    family = core.GaugeMetricFamily(
+        "masticpost_gateway_upstream_speed_factor",
+        "Time that an upstream takes as a multiple of the usual one, if not 1.",
+        labels=["upstream"],
+    )
+    for row in current.upstreams:
+        if row.speed_factor != 1.0:
+            family.add_metric([row.name], row.speed_factor)
+    return family
+
+
 def _rates(current: status.Status) -> core.Metric:
     family = core.GaugeMetricFamily(
         "masticpost_gateway_upstream_rate",
--- a/libs/masticpost-gateway/src/masticpost_gateway/reporting/status.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/reporting/status.py
@@ -62,6 +62,8 @@
     ----------
     outstanding : int
         Requests of this instance in flight there.
+    speed_factor : float
+        Time that it takes as a multiple of the usual one.
     """
 
     name: str
@@ -70,6 +72,7 @@
     version: str
     state: UpstreamState
     outstanding: int
+    speed_factor: float = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -214,6 +217,9 @@
         version=upstream.version,
         state=_state(upstream, chooser, now),
         outstanding=chooser.health_of(upstream).outstanding,
+        speed_factor=round(
+            chooser.placement.loads.speed_factor(upstream.name, now), DECIMALS
+        ),
     )
 
 
