--- a/libs/masticpost-gateway/src/masticpost_gateway/routing/forecasts.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/routing/forecasts.py
@@ -1,6 +1,7 @@
 """Expected time of a request at the upstream that would run it."""
 
 import attrs
+from masticpost_common import clock
 
 from masticpost_gateway.learning import streampaces
 from masticpost_gateway.routing import placement
@@ -60,11 +61,16 @@
         prefill: placement.Prefill | None,
         decode_s: float,
     ) -> Forecast:
-        """Return the forecast for a prompt whose answer decodes for `decode_s`."""
+        """Return the forecast for a prompt whose answer decodes for `decode_s`.
+
+        That time is at the usual speed of the service, the forecast at the upstream's.
+        """
+        factor = self.placement.loads.speed_factor(upstream.name, clock.now())
+        decode_s *= factor
         if prefill is None:
             return Forecast(first_s=0.0, total_s=decode_s)
         first_s = self._first_s(upstream, prefill)
-        prefill_s = self.placement.prefill_s(upstream.name, prefill)
+        prefill_s = factor * self.placement.prefill_s(upstream.name, prefill)
         return Forecast(
             first_s=first_s,
             total_s=first_s + decode_s,
