Send retries to the new version once it gets all requests

Cause: upstreams of the old version stop at the moment of completion, before the instances learn of it, up to 0.5 s. Change: requirements follow the plan of new requests from the stage on at which all go to the new version, as far as its budget covers them.

--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/trial.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/trial.py
@@ -138,9 +138,9 @@
         order = self.records.roll_out(service)
         if order is None:
             return VersionPlan()
-        completed = self.completed_plan(service)
-        if completed is not None:
-            return completed
+        settled = self.settled_plan(service)
+        if settled is not None:
+            return settled
         trial = self.open.get(service)
         if trial is None or trial.verdict:
             return VersionPlan(excluded=order.target)
@@ -153,18 +153,26 @@
             return VersionPlan(avoided=order.target)
         return VersionPlan(preferred=order.target)
 
-    def completed_plan(self, service: str) -> VersionPlan | None:
-        """Return the plan after a completed roll-out, None if there is none."""
+    def settled_plan(self, service: str) -> VersionPlan | None:
+        """Return the plan once all requests go to the new version, None before.
+
+        That is so after a completed roll-out, and before while the budget covers it.
+        """
         order = self.records.roll_out(service)
         if order is None:
             return None
-        completed = VersionPlan(preferred=order.target)
+        settled = VersionPlan(preferred=order.target)
         if order.state is model.RollOutState.COMPLETED:
-            return completed
+            return settled
         trial = self.open.get(service)
         if trial is None or trial.verdict:
             return None
-        return completed if trial.decided is model.RollOutState.COMPLETED else None
+        if trial.decided is model.RollOutState.COMPLETED:
+            return settled
+        purpose = budgetneeds.Purpose.BEGIN
+        is_wide = order.share >= WIDE_SHARE
+        is_covered = not budgetneeds.missing(trial, purpose, clock.now())
+        return settled if is_wide and is_covered else None
 
     def _purpose(
         self, trial: trialevidence.Trial, session: str, request_id: str, now: float
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
@@ -215,14 +215,16 @@
         self.plan = self.shared.trials.plan(*self._subject)
         self._is_planned = True
 
-    def _follow_completion(self) -> None:
-        """Plan anew after a completed roll-out, since the other versions stop at once.
+    def _follow_roll_out(self) -> None:
+        """Plan anew once all requests go to a new version.
 
-        The requests that they cut were sent from one stopped upstream to the next.
+        The other versions stop as soon as the roll-out is completed. The requests that
+        they cut were sent from one stopped upstream to the next, until this instance
+        had learnt of the completion.
         """
-        completed = self.shared.trials.completed_plan(self.call.service.name)
-        if completed is not None and self.plan.preferred != completed.preferred:
-            self.plan = completed
+        settled = self.shared.trials.settled_plan(self.call.service.name)
+        if settled is not None and self.plan.preferred != settled.preferred:
+            self.plan = settled
 
     async def open(
         self,
@@ -380,7 +382,7 @@
     def requirements(self, level: str) -> choice.Requirements:
         """Return what the next attempt requires of an upstream."""
         if self._is_planned:
-            self._follow_completion()
+            self._follow_roll_out()
         return choice.Requirements(
             service=self.call.service,
             plan=self.plan,
--- a/libs/masticpost-gateway/testing/serving/test_streaming.py
+++ b/libs/masticpost-gateway/testing/serving/test_streaming.py
@@ -90,7 +90,10 @@
         assert ((await reply).body, reply.result().is_complete) == (events(6), True)
 
 
-async def test_stream_cut_by_a_completed_roll_out_goes_on_at_the_new_version():
+@pytest.mark.parametrize(
+    "state", [model.RollOutState.RUNNING, model.RollOutState.COMPLETED]
+)
+async def test_stream_cut_at_the_end_of_a_roll_out_goes_on_at_the_new_version(state):
     """Guards against retries from one upstream of a stopped version to the next."""
     async with kit.Deployment() as dep:
         old = await dep.add_worker("w1", kit.streams(6, cut_after=4, pause_s=0.3))
@@ -103,11 +106,10 @@
         await kit.until(lambda: old.requests)
         other = await dep.add_worker("w2", kit.streams(6))
         new = await dep.add_worker("w3", kit.streams(6), record={"version": "v2"})
-        state = model.RollOutState.COMPLETED
         done = attrs.evolve(ROLL_OUT, state=state, share=1.0)
         await dep.store.put(source.Kind.ROLL_OUTS, "desk", done)
         assert (await reply).body == events(6)
-        assert node.shared.trials.completed_plan("desk").preferred == "v2"
+        assert node.shared.trials.settled_plan("desk").preferred == "v2"
         assert not other.requests
         assert new.requests[0].headers["last-event-id"] == "4"
 
