--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,8 @@
 	$(BIN)/masticpost-bench demo
 
 test: $(STAMP)
-	$(BIN)/pytest -n 4 --dist loadgroup -rs
+	$(BIN)/pytest -n 4 --dist loadgroup -rs -m "not alone"
+	$(BIN)/pytest -rs -m alone
 
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
