--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -9,7 +9,7 @@
 from loguru import logger
 from masticpost_common import clock
 from masticpost_rates import upstreamrates
-from masticpost_telemetry import callerconns
+from masticpost_telemetry import callerbytes, callerconns, callerguard
 from masticpost_upstream import limits
 
 from masticpost_gateway import shared
@@ -48,17 +48,21 @@
     sessionupdates,
     verdicts,
 )
-from masticpost_gateway.state import isolation, recordcache, source, watching
+from masticpost_gateway.state import (
+    isolation,
+    model,
+    recordcache,
+    source,
+    watching,
+)
 from masticpost_gateway.upstreams import conns, exits
 
-KEEPALIVE_S = 75.0
 # Listen backlog, in connections.
 BACKLOG = 512
 MAX_LINE_BYTES = 32_768
 HTTP_SETTINGS = {
     "handler_cancellation": True,
     "access_log": None,
-    "keepalive_timeout": KEEPALIVE_S,
     "max_line_size": MAX_LINE_BYTES,
     "max_field_size": MAX_LINE_BYTES,
 }
@@ -107,6 +111,8 @@
         Name of the policy that chooses models.
     memory_bytes : float
         Memory that the process may use.
+    descriptors : int
+        File descriptors that the process may open; 0 for the limit of the process.
     """
 
     name: str
@@ -121,6 +127,7 @@
     trial_bounds: exposure.Bounds = attrs.field(factory=exposure.Bounds)
     policy: str = "expected-worth"
     memory_bytes: float = limits.DEFAULT_MEMORY_BYTES
+    descriptors: int = 0
 
 
 class Node(mode.Service):
@@ -189,6 +196,8 @@
             has_majority=self._has_majority,
         )
         self.gateway = gateway.Gateway(parts=self.shared)
+        self.guard = callerguard.Guard(registry=self.metrics.registry)
+        self._limit_callers(model.Limits())
         gauge = gauges.StatusGauges(
             read=lambda: status.of(self), traffic=self.mesh.hub.traffic
         )
@@ -301,15 +310,16 @@
             self.gateway.handle,
             account=self.metrics.account,
             id_header=self.shared.names.request_id,
+            guard=self.guard,
+            limits=lambda: self.caller_limits,
             **HTTP_SETTINGS,
         )
         self.add_future(self.metrics.account.watch())
+        self.add_future(self.guard.watch())
         await self._listen(self.cfg.callers, self._callers)
-        await self._listen(self.cfg.ready, web.Server(self._ready, **HTTP_SETTINGS))
+        await self._listen(self.cfg.ready, self._side_server(self._ready))
         if self.cfg.metrics is not None:
-            await self._listen(
-                self.cfg.metrics, web.Server(self._page, **HTTP_SETTINGS)
-            )
+            await self._listen(self.cfg.metrics, self._side_server(self._page))
         logger.bind(event="start", name=self.cfg.name).info("listening")
 
     async def on_stop(self) -> None:
@@ -350,6 +360,33 @@
             self._runners[0].sites, max(deadline, clock.now()) + END_TIMEOUT_S
         )
 
+    def _limit_callers(self, stated: model.Limits) -> None:
+        """Set the limits on callers; what the configuration states stays possible."""
+        cfg, default = self.cfg, callerbytes.CallerLimits()
+        descriptors = cfg.descriptors or callerguard.descriptor_limit()
+        self.caller_limits = attrs.evolve(
+            default,
+            connections=callerbytes.connection_limit(descriptors),
+            body_bytes=stated.body_bytes,
+            head_bytes=max(default.head_bytes, stated.head_bytes),
+            head_s=max(default.head_s, stated.head_s),
+            idle_s=max(default.idle_s, stated.idle_s),
+        )
+        self.side_limits = attrs.evolve(
+            default, connections=callerbytes.side_connection_limit(descriptors)
+        )
+        self.guard.account.limit = callerbytes.byte_limit(
+            cfg.memory_bytes, stated.body_bytes
+        )
+
+    def _side_server(
+        self, handler: collections.abc.Callable
+    ) -> callerconns.GuardedServer:
+        """Return the server of a listener for checks or operators."""
+        return callerconns.GuardedServer(
+            handler, guard=self.guard, limits=lambda: self.side_limits, **HTTP_SETTINGS
+        )
+
     async def _listen(self, address: Address, server: web.Server) -> None:
         runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await runner.setup()
@@ -370,6 +407,7 @@
             self.rates.keep_only(frozenset(u.run_key for u in upstreams))
             self.loads.keep_only({upstream.name for upstream in upstreams})
         if kind is source.Kind.CONFIGURATION and self.records.table is not None:
+            self._limit_callers(self.records.table.cfg.limits)
             cache_sizes = [s.cache_tokens for s in self.records.table.cfg.services]
             self.loads.cache_tokens = (
                 max(cache_sizes, default=0) or self.loads.cache_tokens
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/gateway.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/gateway.py
@@ -22,6 +22,7 @@
 # Time after the order to stop during which new requests are still accepted.
 ACCEPT_AFTER_STOP_S = 2.8
 STOPPING_RETRY_AFTER_S = 0.05
+NO_MEMORY_RETRY_AFTER_S = 0.5
 
 
 class Gateway:
@@ -75,7 +76,10 @@
             call = await self._admit(req, started_at)
         except errors.RefusalError as exc:
             self._log_refused(req, exc.refusal)
-            return refusal_response(exc.refusal)
+            resp = refusal_response(exc.refusal)
+            if isinstance(exc.__cause__, callerconns.BODY_ERRORS):
+                resp.force_close()
+            return resp
         except asyncio.CancelledError:
             if callerconns.has_left(req):
                 raise
@@ -232,19 +236,27 @@
         )
 
     async def _read_body(self, req: web.BaseRequest, limits: model.Limits) -> bytes:
-        if not req.body_exists:
-            return b""
-        chunks, size = [], 0
-        async for chunk in req.content.iter_any():
-            size += len(chunk)
-            if size > limits.body_bytes:
+        try:
+            return await callerconns.read_body(req, limits.body_bytes)
+        except callerconns.BodyTooLargeError as exc:
+            raise errors.refuse(
+                413,
+                outcomes.Outcome.TOO_LARGE,
+                "the request body exceeds the size limit",
+            ) from exc
+        except callerconns.BodyRejectedError as exc:
+            if exc.is_slow:
                 raise errors.refuse(
-                    413,
-                    outcomes.Outcome.TOO_LARGE,
-                    "the request body exceeds the size limit",
-                )
-            chunks.append(chunk)
-        return b"".join(chunks)
+                    408,
+                    outcomes.Outcome.TOO_SLOW,
+                    "the request body did not arrive in time",
+                ) from exc
+            raise errors.refuse(
+                503,
+                outcomes.Outcome.NOT_RUN,
+                "this instance has no memory for the request body",
+                retry_after_s=NO_MEMORY_RETRY_AFTER_S,
+            ) from exc
 
     def _forwarded_headers(self, req: web.BaseRequest) -> multidict.CIMultiDict:
         return headers.end_to_end(req.headers, self._stripped_names)
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/outcomes.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/outcomes.py
@@ -23,6 +23,8 @@
         Refused for good according to the current configuration.
     TOO_LARGE
         Refused: the body exceeds the size limit.
+    TOO_SLOW
+        Refused: no part of the body came within the time limit.
     STOPPING
         Refused: this instance is shutting down.
     NOT_RUN
@@ -43,6 +45,7 @@
     NO_ROUTE = "no-route"
     UNKNOWN_KEY = "unknown-key"
     TOO_LARGE = "too-large"
+    TOO_SLOW = "too-slow"
     STOPPING = "stopping"
     NOT_RUN = "not-run"
     QUARANTINED = "quarantined"
--- a/libs/masticpost-gateway/src/masticpost_gateway/state/model.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/state/model.py
@@ -117,9 +117,22 @@
 
 @attrs.frozen(kw_only=True)
 class Limits:
-    """Limits on callers' requests."""
+    """Limits on callers' requests; 0 if the configuration does not state a limit.
+
+    Attributes
+    ----------
+    body_bytes, head_bytes : int
+        Largest body and largest head.
+    head_s : float
+        Longest time in which a caller sends a head.
+    idle_s : float
+        Time after which callers no longer use an idle connection.
+    """
 
     body_bytes: int = 4_194_304
+    head_bytes: int = 0
+    head_s: float = 0.0
+    idle_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/libs/masticpost-gateway/testing/serving/test_outcomes.py
+++ b/libs/masticpost-gateway/testing/serving/test_outcomes.py
@@ -108,6 +108,19 @@
     assert reply.status == 413
 
 
+@SCENARIOS.register(outcomes.Outcome.TOO_SLOW)
+async def too_slow(dep):
+    instance = await start(dep, kit.answers())
+    instance.caller_limits = attrs.evolve(instance.caller_limits, body_gap_s=0.1)
+    fields = f"Host: {kit.HOST}\r\nApi-Key: {kit.KEY}\r\nRequest-Id: {ID}\r\n"
+    address = instance.cfg.callers
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    head = f"POST /book/ HTTP/1.1\r\n{fields}Content-Length: 2\r\n\r\n"
+    writer.write(head.encode() + b"x")
+    assert (await reader.read()).startswith(b"HTTP/1.1 408")
+    writer.close()
+
+
 @SCENARIOS.register(outcomes.Outcome.STOPPING)
 async def stopping(dep):
     node = await start(dep, kit.answers())
--- a/libs/masticpost-telemetry/src/masticpost_telemetry/callerconns.py
+++ b/libs/masticpost-telemetry/src/masticpost_telemetry/callerconns.py
@@ -1,7 +1,8 @@
-"""Callers' connections: what each still owes, closed only when that is nothing.
+"""Callers' connections: limits on what they take, and what each is still owed.
 
-All use of what aiohttp does not publish is in this module; `test_callerconns` fails if
-aiohttp changes it.
+A connection is closed only when it owes nothing, or beyond a limit. All use of what
+aiohttp does not publish is in this module; `test_callerconns` fails if aiohttp changes
+it.
 """
 
 import array
@@ -9,12 +10,15 @@
 import collections.abc
 import fcntl
 import select
+import socket
 import termios
 
+import aiohttp
 from aiohttp import web, web_protocol
 from masticpost_common import clock
 
 from masticpost_telemetry import account as accounts
+from masticpost_telemetry import callerbytes, callerguard
 
 # Keys under which a handler says how its request ended.
 REFUSED_KEY = web.ResponseKey("masticpost-refused", bool)
@@ -25,7 +29,358 @@
 ACCEPT_POLL_S = 0.002
 
 
-class CallerConn(web_protocol.RequestHandler):
+# Bytes that aiohttp and the kernel hold of a connection before they stop reading.
+# Linux doubles the kernel's value.
+READ_BUFFER_BYTES = 32_768
+KERNEL_BUFFER_BYTES = 65_536
+# An answer counts as not read when this much of it waits.
+UNREAD_ANSWER_BYTES = 65_536
+# Time for which a rejected caller may read its answer; its bytes are read no more.
+# A connection that is closed at once with bytes unread loses the answer.
+LINGER_S = 0.5
+HEAD_TOO_LARGE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+)
+
+
+class BodyTooLargeError(Exception):
+    """The body of a request exceeds its limit."""
+
+
+class BodyRejectedError(Exception):
+    """A request is given up while its body is read; it has not run.
+
+    Attributes
+    ----------
+    is_slow : bool
+        Whether its caller sent nothing for too long.
+    """
+
+    def __init__(self, limit: str) -> None:
+        super().__init__(limit)
+        self.is_slow = limit == "body time"
+
+
+BODY_ERRORS = (BodyTooLargeError, BodyRejectedError)
+
+
+class GuardedConn(web_protocol.RequestHandler):
+    """One connection of a client, with limits on what it takes.
+
+    Parameters
+    ----------
+    guard : callerguard.Guard
+        Account of the bytes that the process holds for its clients.
+    limits : callerbytes.CallerLimits
+        Returns the limits of the listener.
+    """
+
+    def __init__(
+        self,
+        *args,
+        guard: callerguard.Guard,
+        limits: collections.abc.Callable[[], callerbytes.CallerLimits],
+        **kwargs,
+    ) -> None:
+        kwargs.setdefault("keepalive_timeout", limits().idle_s)
+        super().__init__(
+            *args,
+            read_bufsize=READ_BUFFER_BYTES,
+            max_headers=limits().fields,
+            **kwargs,
+        )
+        self.guard = guard
+        self.limits = limits
+        self.is_rejected = False
+        self._socket_transport: asyncio.Transport | None = None
+        self._is_serving = False
+        self._reader: aiohttp.StreamReader | None = None
+        self._last_payload: aiohttp.StreamReader | None = None
+        self._body = bytearray()
+        self._partial_head_bytes = self._head_cost = self._body_held = 0
+        self._head_began_at = self._read_at = self._answer_moved_at = 0.0
+        self._unwritten_before = 0
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the connection is lost."""
+        return self._manager is None
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the connection waits for the head of a request."""
+        return self._waiter is not None and not self._waiter.done()
+
+    @property
+    def is_evictable(self) -> bool:
+        """Whether closing it breaks no request that may have run and makes progress."""
+        if self.is_rejected or self.has_ended:
+            return False
+        if self._reader is not None or not self._is_serving:
+            return True
+        return self.unwritten() >= UNREAD_ANSWER_BYTES
+
+    @property
+    def head_since(self) -> float | None:
+        """Time at which an incomplete head began."""
+        is_partial = self._partial_head_bytes > 0 and self.is_waiting
+        return self._head_began_at if is_partial else None
+
+    @property
+    def body_since(self) -> float | None:
+        """Time of the last bytes of a body that a handler waits for."""
+        if self._reader is None or self._reading_paused:
+            return None
+        return self._read_at
+
+    @property
+    def answer_since(self) -> float | None:
+        """Time at which the size of an unread answer changed."""
+        return self._answer_moved_at if self._unwritten_before else None
+
+    def unwritten(self) -> int:
+        """Return the number of bytes that wait to be written to the socket."""
+        if self._socket_transport is None or self.has_ended:
+            return 0
+        return self._socket_transport.get_write_buffer_size()
+
+    def held(self) -> int:
+        """Return an estimate of the bytes that the process holds for the client."""
+        waiting = sum(
+            callerbytes.head_cost(getattr(message, "raw_headers", ()))
+            + getattr(payload, "_size", 0)
+            for message, payload in self._messages
+        )
+        served = self._last_payload if not self._messages else None
+        return (
+            callerbytes.CONNECTION_BYTES
+            + waiting
+            + getattr(served, "_size", 0)
+            + self._partial_head_bytes
+            + self._head_cost
+            + self._body_held
+            + len(self._message_tail)
+            + self.unwritten()
+        )
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin the connection's part of the account."""
+        self._socket_transport = transport
+        sock = transport.get_extra_info("socket")
+        if sock is not None and sock.family in (socket.AF_INET, socket.AF_INET6):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_BUFFER_BYTES)
+        super().connection_made(transport)
+        self.guard.open(self, self._manager.connections)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End the connection's part of the account."""
+        self.guard.close(self)
+        super().connection_lost(exc)
+
+    def pause_writing(self) -> None:
+        """Count an answer that is not read."""
+        super().pause_writing()
+        self.guard.update(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came within the limits; drop what comes after a rejection."""
+        if self.is_rejected:
+            return
+        before, is_in_body = self._request_count, self._is_in_body
+        super().data_received(data)
+        self._read_at = clock.now()
+        if self._request_count != before:
+            self._partial_head_bytes = 0
+            if self._messages:
+                self._last_payload = self._messages[-1][1]
+        elif not is_in_body and data:
+            self._count_head(len(data))
+        self.guard.record_read(self, len(data), self._read_at)
+
+    @property
+    def _is_in_body(self) -> bool:
+        return self._last_payload is not None and not self._last_payload.is_eof()
+
+    def _count_head(self, size: int) -> None:
+        if not self._partial_head_bytes:
+            self._head_began_at = self._read_at
+        self._partial_head_bytes += size
+        self._check_head()
+
+    def _check_head(self) -> None:
+        is_too_large = self._partial_head_bytes > self.limits().head_bytes
+        if is_too_large and not self._is_serving and not self.is_rejected:
+            self._socket_transport.write(HEAD_TOO_LARGE)
+            self.guard.reject(self, "head size")
+
+    def check(self, now: float) -> None:
+        """Count what the connection holds, and reject it if it exceeds a time limit."""
+        size = self.unwritten()
+        if size != self._unwritten_before:
+            moved = max(0, self._unwritten_before - size)
+            self.guard.account.move(self, moved, now)
+            self._unwritten_before, self._answer_moved_at = size, now
+        self.guard.update(self)
+        self._check_head()
+        limit = callerbytes.find_overdue(self, self.limits(), now)
+        if limit and not self.is_rejected:
+            self.guard.reject(self, limit)
+
+    def reject(self, limit: str, *, is_abrupt: bool = False) -> None:
+        """Give up a request whose body is read, or else close the connection."""
+        self.is_rejected = True
+        self._stop_reading()
+        if self._reader is not None and not is_abrupt:
+            self._body.clear()
+            self._reader.set_exception(BodyRejectedError(limit))
+            return
+        if self._socket_transport is None:
+            return
+        if self._is_serving or is_abrupt:
+            self._socket_transport.abort()
+        else:
+            self._force_close = True
+            self._socket_transport.close()
+
+    def _stop_reading(self) -> None:
+        self._lingering_time = 0.0
+        self._buffer_paused = True
+        self._pause_transport_reading()
+
+    async def read_body(self, payload: aiohttp.StreamReader, limit: int) -> bytes:
+        """Return a complete body; see `read_body`."""
+        self._reader, self._read_at = payload, clock.now()
+        try:
+            async for part in payload.iter_any():
+                if self.is_rejected:
+                    raise payload.exception() or BodyRejectedError(callerguard.MEMORY)
+                self._body += part
+                if len(self._body) > limit:
+                    raise BodyTooLargeError
+                self._hold_body(len(self._body))
+            # The complete body is copied once.
+            self._hold_body(2 * len(self._body))
+            if self.is_rejected:
+                raise payload.exception()
+            body = bytes(self._body)
+        finally:
+            self._reader = None
+            # A traceback that refers to the array would keep its bytes.
+            self._body.clear()
+            self._hold_body(0)
+        self._hold_body(len(body))
+        return body
+
+    def _hold_body(self, size: int) -> None:
+        self._body_held = size
+        self.guard.update(self)
+
+    async def _handle_request(
+        self,
+        request: web.BaseRequest,
+        start_time: float | None,
+        request_handler: collections.abc.Callable,
+    ) -> tuple[web.StreamResponse, bool]:
+        resp, is_lost = await self._serve(request, start_time, request_handler)
+        is_too_large = (request.content_length or 0) > self.limits().body_bytes
+        is_unread = not request.content.is_eof()
+        if is_unread and not is_lost and (is_too_large or not resp.keep_alive):
+            await self._linger()
+        return resp, is_lost
+
+    async def _serve(
+        self,
+        request: web.BaseRequest,
+        start_time: float | None,
+        request_handler: collections.abc.Callable,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Let the handler answer a request, and count what it holds meanwhile."""
+        fields = request._message.raw_headers
+        self._head_cost = callerbytes.head_cost(fields)
+        self._is_serving = True
+        size = sum(len(name) + len(value) for name, value in fields)
+        if size > self.limits().head_bytes:
+            request_handler = _refuse_head
+        try:
+            return await super()._handle_request(request, start_time, request_handler)
+        finally:
+            self._is_serving = False
+            self._head_cost = self._body_held = 0
+            self.guard.account.restart(self, clock.now())
+            self.guard.update(self)
+
+    async def _linger(self) -> None:
+        """Give a caller time to read its answer; read no more from it."""
+        self._stop_reading()
+        transport = self._socket_transport
+        if transport.can_write_eof() and not transport.is_closing():
+            transport.write_eof()
+        await asyncio.sleep(LINGER_S)
+        self.close()
+
+
+async def _refuse_head(req: web.BaseRequest) -> web.Response:
+    resp = web.Response(status=431)
+    resp[REFUSED_KEY] = True
+    resp.force_close()
+    return resp
+
+
+class GuardedServer(web.Server):
+    """Makes connections with limits.
+
+    Parameters
+    ----------
+    guard : callerguard.Guard
+        Account of the bytes that the process holds for its clients.
+    limits : callable
+        Returns the limits of the listener.
+    """
+
+    def __init__(
+        self,
+        handler,
+        *,
+        guard: callerguard.Guard | None = None,
+        limits: collections.abc.Callable[
+            [], callerbytes.CallerLimits
+        ] = callerbytes.CallerLimits,
+        **kwargs,
+    ) -> None:
+        super().__init__(handler, **kwargs)
+        self.guard = guard or callerguard.Guard()
+        self.limits = limits
+
+    def __call__(self) -> GuardedConn:
+        """Return the protocol of a new connection."""
+        return GuardedConn(
+            self,
+            loop=self._loop,
+            guard=self.guard,
+            limits=self.limits,
+            **self._kwargs,
+        )
+
+
+async def read_body(req: web.BaseRequest, limit: int) -> bytes:
+    """Return the complete body of a request, counted as long as the request lasts.
+
+    Raises
+    ------
+    BodyTooLargeError
+        As soon as it is known that the body is larger than `limit` bytes.
+    BodyRejectedError
+        If the request is given up to stay within a limit.
+    """
+    if not req.body_exists:
+        return b""
+    if (req.content_length or 0) > limit:
+        raise BodyTooLargeError
+    return await req.protocol.read_body(req.content, limit)
+
+
+class CallerConn(GuardedConn):
     """One connection of a caller, with its part of the account.
 
     Parameters
@@ -48,7 +403,6 @@
         self.account = account
         self.id_header = id_header
         self.has_left = False
-        self._socket_transport: asyncio.Transport | None = None
         # Requests that a handler has, and answers not known to be written.
         self._serving: list[str] = []
         self._handed: list[tuple[str, accounts.End]] = []
@@ -72,16 +426,6 @@
         begun = self._done_count + len(self._serving)
         return self._request_count - len(self._messages) - begun
 
-    @property
-    def has_ended(self) -> bool:
-        """Whether the connection is lost."""
-        return self._manager is None
-
-    @property
-    def is_waiting(self) -> bool:
-        """Whether the connection waits for the head of a request."""
-        return self._waiter is not None and not self._waiter.done()
-
     @property
     def has_more(self) -> bool:
         """Whether requests, or bytes of them, wait behind the one being served."""
@@ -109,12 +453,6 @@
             return 0
         return size[0]
 
-    def unwritten(self) -> int:
-        """Return the number of bytes that wait to be written to the socket."""
-        if self._socket_transport is None or self.has_ended:
-            return 0
-        return self._socket_transport.get_write_buffer_size()
-
     def settle(self) -> None:
         """Record the ends of the answers that are written."""
         if self._handed and self.unwritten() == 0:
@@ -122,7 +460,6 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin the connection's part of the account."""
-        self._socket_transport = transport
         self.account.conns.add(self)
         super().connection_made(transport)
 
@@ -171,7 +508,7 @@
             self._next_keepalive_close_time = self._loop.time() + LOOK_AGAIN_S
         super()._process_keepalive()
 
-    async def _handle_request(
+    async def _serve(
         self,
         request: web.BaseRequest,
         start_time: float | None,
@@ -183,9 +520,7 @@
         end, reason = accounts.End.CUT, "its answer could not be written"
         is_told = False
         try:
-            resp, is_lost = await super()._handle_request(
-                request, start_time, request_handler
-            )
+            resp, is_lost = await super()._serve(request, start_time, request_handler)
             if not is_lost:
                 is_refusal = resp.get(REFUSED_KEY, False)
                 end = accounts.End.REFUSED if is_refusal else accounts.End.ANSWERED
@@ -226,7 +561,7 @@
         return fields.get(self.id_header, "")
 
 
-class CallerServer(web.Server):
+class CallerServer(GuardedServer):
     """Makes the connections of callers.
 
     Parameters
@@ -251,6 +586,8 @@
             loop=self._loop,
             account=self.account,
             id_header=self.id_header,
+            guard=self.guard,
+            limits=self.limits,
             **self._kwargs,
         )
 
@@ -299,14 +636,27 @@
         Gets the end of each request.
     id_header : str
         Name of the header with the caller's id of a request.
+    guard, limits
+        As in `GuardedServer`.
     """
 
     def __init__(
-        self, app: web.Application, *, account: accounts.Account, id_header: str, **kw
+        self,
+        app: web.Application,
+        *,
+        account: accounts.Account,
+        id_header: str,
+        guard: callerguard.Guard | None = None,
+        limits: collections.abc.Callable[
+            [], callerbytes.CallerLimits
+        ] = callerbytes.CallerLimits,
+        **kw,
     ) -> None:
         super().__init__(app, **kw)
         self._account = account
         self._id_header = id_header
+        self._guard = guard or callerguard.Guard()
+        self._limits = limits
 
     async def _make_server(self) -> CallerServer:
         made = await super()._make_server()
@@ -316,6 +666,8 @@
             handler_cancellation=made.handler_cancellation,
             account=self._account,
             id_header=self._id_header,
+            guard=self._guard,
+            limits=self._limits,
             **made._kwargs,
         )
 
--- a/libs/masticpost-telemetry/testing/test_callerconns.py
+++ b/libs/masticpost-telemetry/testing/test_callerconns.py
@@ -11,7 +11,7 @@
 import uvloop
 from aiohttp import web
 from masticpost_common import clock
-from masticpost_telemetry import account, callerconns
+from masticpost_telemetry import account, callerbytes, callerconns, callerguard
 
 ID = "Request-Id"
 LARGE = b"x" * 4_000_000
@@ -36,6 +36,13 @@
             await self.held.wait()
         if req.path == "/cancel":
             raise asyncio.CancelledError
+        if req.path == "/body":
+            try:
+                return web.Response(body=await callerconns.read_body(req, 100_000))
+            except callerconns.BODY_ERRORS as exc:
+                resp = web.Response(status=503, text=type(exc).__name__)
+                resp.force_close()
+                return resp
         if req.path == "/large":
             return web.Response(body=LARGE)
         resp = web.Response(text="done")
@@ -293,6 +300,42 @@
     run(body())
 
 
+LIMITS = callerbytes.CallerLimits(head_bytes=2_000, head_s=0.2, body_gap_s=0.2)
+POST = b"POST /body HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
+
+
+# Guards against a limit that holds a client's bytes or its connection forever.
+@pytest.mark.parametrize(
+    ("sent", "found"),
+    [
+        (b"GET / HTTP/1.1\r\nHost: a", b""),
+        (b"GET / HTTP/1.1\r\n" + b"F: " + b"f" * 3_000, b"HTTP/1.1 431"),
+        (b"GET / HTTP/1.1\r\nHost: " + b"a" * 3_000 + b"\r\n\r\n", b"HTTP/1.1 431"),
+        (POST % 5 + b"abc", b"BodyRejectedError"),
+        (POST % 100_001, b"BodyTooLargeError"),
+        (POST % 60_000 + b"b" * 50_000, b"BodyRejectedError"),
+        (POST % 50_000 + b"b" * 50_000, b"b" * 50_000),
+    ],
+)
+def test_connection_beyond_a_limit_is_closed_after_its_answer(sent, found):
+    async def body():
+        guard = callerguard.Guard(limit=120_000)
+        async with scene(guard=guard, limits=lambda: LIMITS) as made:
+            watching = asyncio.create_task(guard.watch())
+            sock = connect(made.port)
+            sock.sendall(sent)
+            received = await answer(sock)
+            while found not in received:
+                received += await answer(sock)
+            if b"200 OK" not in received:
+                await read_all(sock)
+            await made.until(lambda: not made.server.connections or sock.close())
+            await made.until(lambda: not guard.account.held)
+            watching.cancel()
+
+    run(body())
+
+
 # Guards against aiohttp changing what it does not publish and this module uses.
 def test_private_parts_of_aiohttp_are_as_the_module_expects():
     async def body():
