--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -456,7 +456,3 @@
             services = self.records.table.cfg.services
             self.loads.set_memory({s.name: s.cache_tokens for s in services})
             self._limit_callers(self.records.table.cfg.limits)
-            cache_sizes = [s.cache_tokens for s in self.records.table.cfg.services]
-            self.loads.cache_tokens = (
-                max(cache_sizes, default=0) or self.loads.cache_tokens
-            )
