Keep a crash from sending all requests to the one idle upstream

Cause: with overflow into one group after the other, each instance sampled most of the upstreams in a view 0.2 to 0.5 s old, and found the same idle one: 64 prompts, 943,000 tokens, within 0.25 s after 13 of 60 upstreams had crashed. Change: where loads are not exchanged directly, the first group and one other are looked at, fewer by rank in small groups; an instance counts what it sent within the age of a view as a sign of a quarter of the others doing the same.

--- a/libs/masticpost-gateway/src/masticpost_gateway/routing/placement.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/routing/placement.py
@@ -28,9 +28,12 @@
 DECODE_WEIGHT = 0.1
 # Fraction of the upstreams that is reserved for the smallest model.
 SMALL_LEVEL_SHARE = 0.2
-# Number of upstreams sampled by rank, and at random from the rest.
+# Number of upstreams sampled by rank, and at random from the rest. Of a small group
+# only one in `SAMPLE_DIVISOR` is sampled by rank, or all instances would see the same
+# idle one.
 NEAR_SAMPLE = 3
 FAR_SAMPLE = 2
+SAMPLE_DIVISOR = 4
 # Cost of a request that crosses failure domains, beyond its delay.
 CROSS_DOMAIN_COST_S = 0.15
 
@@ -152,13 +155,23 @@
         upstreams = {upstream.name: upstream for upstream in ready}
         remote = self._remote(ready)
         best: Scored | None = None
-        for group in _groups(self._ranked(ready, prefill), prefill):
+        for group in self._visited(_groups(self._ranked(ready, prefill), prefill)):
             if best is not None and best.is_at_least_as_good_as(group):
                 break
             found = self._best_of_group(group, upstreams, remote, prefill)
             best = found if best is None else min(best, found, key=Scored.sort_key)
         return best.upstream
 
+    def _visited(self, groups: list[Group]) -> list[Group]:
+        """Return the groups to look at: in a large deployment the first and one other.
+
+        Overflow into one group after the other would sample most upstreams, and all
+        instances would find the same idle one.
+        """
+        if self.loads.is_direct or len(groups) < 2:
+            return groups
+        return [groups[0], self.rng.choice(groups[1:])]
+
     def _remote(self, ready: list[model.Upstream]) -> frozenset[str]:
         """Return the names of the upstreams outside the preferred failure domain.
 
@@ -232,7 +245,8 @@
             return rendezvous.ranked(names, key)
         local = [name for name in names if name not in remote] if remote else names
         ranked = rendezvous.ranked(local, key)
-        near, far = ranked[:NEAR_SAMPLE], ranked[NEAR_SAMPLE:]
+        count = min(NEAR_SAMPLE, math.ceil(len(ranked) / SAMPLE_DIVISOR))
+        near, far = ranked[:count], ranked[count:]
         others = [name for name in names if name in remote]
         if not others:
             return near + self._draw(far, FAR_SAMPLE)
@@ -275,7 +289,8 @@
     def _score(self, load: loadreports.Load, prefill: Prefill, now: float) -> float:
         prefill_s = self.prefill_s(load.upstream, prefill)
         stall_s = prefill_s * STALL_WEIGHT * load.streams
-        score = load.reading_s + prefill_s + stall_s + STREAM_COST_S * load.streams
+        reading_s = load.reading_s + self.loads.concurrent_s(load.upstream, now)
+        score = reading_s + prefill_s + stall_s + STREAM_COST_S * load.streams
         factor = self.loads.speed_factor(load.upstream, now)
         if factor == 1.0:
             return score
--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/loads.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/loads.py
@@ -33,6 +33,11 @@
 CACHED_PART_TTL_S = 90.0
 # A cached part is reported to the others again after this time at the earliest.
 PART_REPORT_PERIOD_S = 15.0
+# Time until the other instances of a large deployment see a request in their views.
+VIEW_AGE_S = 0.4
+# Share of the other instances that is taken to have chosen an upstream at the same time
+# as this one did.
+CONCURRENT_SHARE = 0.25
 # Size of an upstream's cache if the configuration gives none.
 DEFAULT_CACHE_TOKENS = 200_000
 # An upstream that has rejected a request counts as full for this time.
@@ -91,6 +96,8 @@
         When the upstream was expected to go on with it.
     tokens : int
         Tokens of its prompt and its expected answer.
+    begun_at : float
+        Monotonic time in seconds at which it was sent.
     is_prefilled : bool
         Whether the prompt was read, since the response has begun.
     """
@@ -99,6 +106,7 @@
     prefill_s: float
     timing: upstreamspeeds.RequestTiming
     tokens: int = 0
+    begun_at: float = -math.inf
     is_prefilled: bool = False
 
 
@@ -172,7 +180,11 @@
             is_alone=not load.unread,
         )
         request = ActiveRequest(
-            upstream=upstream, prefill_s=prefill_s, timing=timing, tokens=tokens
+            upstream=upstream,
+            prefill_s=prefill_s,
+            timing=timing,
+            tokens=tokens,
+            begun_at=now,
         )
         self._active.setdefault(upstream, set()).add(request)
         self._note_change(upstream)
@@ -285,6 +297,23 @@
             tokens=tokens,
         )
 
+    def concurrent_s(self, upstream: str, now: float) -> float:
+        """Return the prefill time that others have probably sent to an upstream.
+
+        Views of a large deployment are old. When many requests come at once, as after
+        a crash, each instance sees the same idle upstream, and learns too late that
+        the others have chosen it too. What it has just sent there itself tells of it.
+        """
+        if self.is_direct:
+            return 0.0
+        recent_s = sum(
+            row.prefill_s
+            for row in self._active.get(upstream, ())
+            if row.begun_at > now - VIEW_AGE_S
+        )
+        others = len(self.peers.members.alive()) - 1
+        return CONCURRENT_SHARE * others * recent_s
+
     def note_rejection(self, upstream: str) -> None:
         """Note that an upstream has rejected a request because it is full."""
         self._full_until[upstream] = clock.now() + REJECTION_HOLD_OFF_S
--- a/libs/masticpost-gateway/testing/test_herding.py
+++ b/libs/masticpost-gateway/testing/test_herding.py
@@ -4,10 +4,12 @@
 requests would go to the same upstream until the next view (herding).
 """
 
+import collections
 import random
 import types
 
 import attrs
+import pytest
 from masticpost_gateway.learning import speeds
 from masticpost_gateway.routing import placement
 from masticpost_gateway.serving import headers
@@ -75,6 +77,9 @@
     def speed_factor(self, name, now):
         return 1.0
 
+    def concurrent_s(self, name, now):
+        return 0.0
+
     def has_cached(self, upstream, key, now):
         return (upstream, key) in self.cached
 
@@ -170,3 +175,49 @@
     members = types.SimpleNamespace(alive=lambda: [None] * count)
     hub = types.SimpleNamespace(handle=lambda kind, handler: None)
     return types.SimpleNamespace(members=members, hub=hub)
+
+
+class FleetView(loads.Loads):
+    """The loads as one instance sees them: its own requests, and an old view of all."""
+
+    def __init__(self, count, backlogs):
+        super().__init__(peers=mesh_of(count))
+        self.backlogs = backlogs
+
+    def total(self, upstream, now):
+        own = super().total(upstream, now)
+        reading_s = own.reading_s + self.backlogs[upstream]
+        return attrs.evolve(own, reading_s=reading_s)
+
+
+@pytest.mark.parametrize(("count", "requests"), [(70, 5), (195, 3)])
+def test_requests_cut_by_a_crash_do_not_all_go_to_the_one_idle_upstream(
+    count, requests
+):
+    """Guards against a herd: 64 prompts in 0.25 s after 13 of 60 upstreams crashed."""
+    backlogs = {upstream.name: 1.0 for upstream in UPSTREAMS} | {"engine-0": 0.0}
+    estimates = speeds.Speeds()
+    estimates.of("s", "small").prefill_token_s = PREFILL_TOKEN_S / 10
+    got = collections.Counter()
+    for number in range(count):
+        view = FleetView(count, backlogs)
+        placer = placement.Placement(
+            loads=view,
+            speeds=estimates,
+            domain="abc"[number % 3],
+            rng=random.Random(number),
+        )
+        for again in range(requests):
+            prompt = prompt_of(KINDS[0], number % 24, number * requests + again)
+            prefill = placement.Prefill(
+                service="s",
+                model="small",
+                prompt=prompt,
+                is_smallest=True,
+                has_levels=True,
+            )
+            name = placer.best(UPSTREAMS, prefill).name
+            view.begin(name, placer.prefill_s(name, prefill), tokens=prefill.tokens)
+            got[name] += 1
+    assert got["engine-0"] > 0
+    assert got["engine-0"] < 0.15 * got.total()
