Abort rejected connections whose callers read nothing

Cause: a rejected connection left the account and was closed only once its buffer was written, so callers that read nothing could keep descriptors that no limit counted.

Change: a rejected connection is aborted after 2 s at the latest and counts for the limit on connections until it is closed.

--- a/libs/masticpost-daemon/src/masticpost_daemon/instance.py
+++ b/libs/masticpost-daemon/src/masticpost_daemon/instance.py
@@ -34,7 +34,7 @@
     views,
 )
 from masticpost_store import client, instances
-from masticpost_telemetry import callerconns
+from masticpost_telemetry import callerbytes, callerconns, callerguard
 from masticpost_upstream import engine, plain, rating
 
 from masticpost_daemon import discovery, settings
@@ -42,8 +42,6 @@
 # Longest time to write each of claims, bills and budgets while draining.
 FLUSH_TIMEOUT_S = 10.0
 IDLE_POLL_INTERVAL_S = 0.05
-# Idle time after which a caller's connection is closed.
-KEEPALIVE_S = 75.0
 LISTEN_BACKLOG = 1024
 # Time for handlers of a listener that closes; aiohttp takes 0 for no limit.
 SHUTDOWN_TIMEOUT_S = 0.1
@@ -79,19 +77,27 @@
         self.in_doubt_resolver = indoubt.InDoubtResolver(rt=self.rt)
         self.estimate_sharing = estimatesharing.EstimateSharing(rt=self.rt)
         self._runner: callerconns.CallerRunner | None = None
+        limit = callerbytes.byte_limit(cfg.memory_bytes, runtime.MAX_BODY_BYTES)
+        self.guard = callerguard.Guard(limit=limit, registry=self.rt.meters.registry)
+        self.caller_limits = callerbytes.CallerLimits(
+            connections=callerbytes.connection_limit(callerguard.descriptor_limit()),
+            body_bytes=runtime.MAX_BODY_BYTES,
+        )
 
     async def on_start(self) -> None:
         """Start the components in dependency order, then listen for callers."""
         for component in self._components():
             await component.start()
         self.add_future(self.rt.meters.account.watch())
+        self.add_future(self.guard.watch())
         self._runner = callerconns.CallerRunner(
             app.make_app(self.rt),
             account=self.rt.meters.account,
             id_header=intake.ID_HEADER,
             handler_cancellation=True,
             access_log=None,
-            keepalive_timeout=KEEPALIVE_S,
+            guard=self.guard,
+            limits=lambda: self.caller_limits,
             max_line_size=app.MAX_HEADER_BYTES,
             max_field_size=app.MAX_HEADER_BYTES,
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
--- a/libs/masticpost-daemon/src/masticpost_daemon/settings.py
+++ b/libs/masticpost-daemon/src/masticpost_daemon/settings.py
@@ -12,6 +12,7 @@
 
 ENV_PREFIX = "MASTICPOST_"
 MAX_PORT = 65_535
+BYTES_PER_MB = 2**20
 LOG_LEVELS = ("debug", "info", "warning", "error")
 NAME_PATTERN = re.compile(r"[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?")
 
@@ -51,6 +52,7 @@
                          settled [default: 30].
   --ask-at-once-s S      Maximum seconds that a caller waits while the service is
                          queried about its call in doubt [default: 2].
+  --memory-mb MB         Memory that the process may use [default: 512].
   --log-level LEVEL      debug, info, warning or error [default: info].
   --help                 Show this help.
 
@@ -104,6 +106,7 @@
     drain_limit_s: float
     settle_after_s: float
     ask_at_once_s: float
+    memory_bytes: float
     log_level: str
 
 
@@ -219,6 +222,7 @@
         drain_limit_s=reader.number("drain-limit-s", 0, 3600),
         settle_after_s=reader.number("settle-after-s", 0, 3600),
         ask_at_once_s=reader.number("ask-at-once-s", 0, 600),
+        memory_bytes=reader.number("memory-mb", 64, 1_048_576) * BYTES_PER_MB,
         log_level=reader.text("log-level"),
     )
     _check_consistency(reader, settings)
--- a/libs/masticpost-entry/src/masticpost_entry/app.py
+++ b/libs/masticpost-entry/src/masticpost_entry/app.py
@@ -120,7 +120,10 @@
     logger.bind(request_id=request_id, code=refusal.code, ran=refusal.ran).info(
         "request refused"
     )
-    return reply.error_response(refusal, request_id)
+    resp = reply.error_response(refusal, request_id)
+    if isinstance(exc.__cause__, (*callerconns.BODY_ERRORS, TimeoutError)):
+        resp.force_close()
+    return resp
 
 
 def _record(
--- a/libs/masticpost-entry/src/masticpost_entry/intake.py
+++ b/libs/masticpost-entry/src/masticpost_entry/intake.py
@@ -9,6 +9,7 @@
 import attrs
 from aiohttp import web
 from masticpost_common import errors
+from masticpost_telemetry import callerconns
 from masticpost_text import model
 
 from masticpost_entry import runtime
@@ -23,6 +24,7 @@
 MIN_DEADLINE_MS = 1
 STALE_RETRY_S = 2.0
 STOPPING_RETRY_S = 1.0
+NO_MEMORY_RETRY_S = 1.0
 
 
 @attrs.define(kw_only=True)
@@ -146,21 +148,32 @@
 
 
 async def read_body(req: web.Request) -> bytes:
-    """Return the body; raises `errors.RefusalError` when it is too large or slow."""
-    too_large = errors.refuse(
-        413, "too_large", f"The body is over {runtime.MAX_BODY_BYTES} bytes."
-    )
-    if (req.content_length or 0) > runtime.MAX_BODY_BYTES:
-        raise too_large
+    """Return the body; raises `errors.RefusalError` when it cannot be taken.
+
+    It is too large, comes too slowly, or the instance has no memory for it.
+    """
     try:
         async with asyncio.timeout(BODY_TIMEOUT_S):
-            return await req.read()
-    except web.HTTPRequestEntityTooLarge as exc:
-        raise too_large from exc
-    except TimeoutError as exc:
+            return await callerconns.read_body(req, runtime.MAX_BODY_BYTES)
+    except callerconns.BodyTooLargeError as exc:
+        raise errors.refuse(
+            413, "too_large", f"The body is over {runtime.MAX_BODY_BYTES} bytes."
+        ) from exc
+    except callerconns.BodyRejectedError as exc:
+        if exc.is_slow:
+            raise _slow_body_error() from exc
         raise errors.refuse(
-            408, "slow_body", "The body did not arrive in time."
+            503,
+            "no_memory",
+            "This instance has no memory for the body. The request was not run.",
+            retry_after_s=NO_MEMORY_RETRY_S,
         ) from exc
+    except TimeoutError as exc:
+        raise _slow_body_error() from exc
+
+
+def _slow_body_error() -> errors.RefusalError:
+    return errors.refuse(408, "slow_body", "The body did not arrive in time.")
 
 
 def make_call(
--- a/libs/masticpost-telemetry/src/masticpost_telemetry/callerconns.py
+++ b/libs/masticpost-telemetry/src/masticpost_telemetry/callerconns.py
@@ -38,6 +38,9 @@
 # Time for which a rejected caller may read its answer; its bytes are read no more.
 # A connection that is closed at once with bytes unread loses the answer.
 LINGER_S = 0.5
+# Time after which a rejected connection is aborted; one whose caller reads nothing
+# would otherwise wait for its buffer to be written.
+ABORT_AFTER_S = 2.0
 HEAD_TOO_LARGE = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
     b"Content-Length: 0\r\nConnection: close\r\n\r\n"
@@ -232,14 +235,13 @@
         self.is_rejected = True
         self._stop_reading()
         if self._reader is not None and not is_abrupt:
+            self._loop.call_later(ABORT_AFTER_S, self._socket_transport.abort)
             self._body.clear()
             self._reader.set_exception(BodyRejectedError(limit))
-            return
-        if self._socket_transport is None:
-            return
-        if self._is_serving or is_abrupt:
+        elif self._is_serving or is_abrupt:
             self._socket_transport.abort()
         else:
+            self._loop.call_later(ABORT_AFTER_S, self._socket_transport.abort)
             self._force_close = True
             self._socket_transport.close()
 
--- a/libs/masticpost-telemetry/src/masticpost_telemetry/callerguard.py
+++ b/libs/masticpost-telemetry/src/masticpost_telemetry/callerguard.py
@@ -93,7 +93,7 @@
 
     def update(self, conn: Conn) -> None:
         """Count what a connection holds, and evict while too much is held."""
-        self.account.hold(conn, conn.held())
+        self.account.hold(conn, 0 if conn.is_rejected else conn.held())
         while self.account.is_exceeded:
             victim = self.account.heaviest(lambda row: row.is_evictable, clock.now())
             if victim is None:
@@ -101,10 +101,10 @@
             self.reject(victim, MEMORY)
 
     def reject(self, conn: Conn, limit: str, *, is_abrupt: bool = False) -> None:
-        """Reject a connection; what it held counts as free."""
+        """Reject a connection; it holds nothing more, but counts until it is closed."""
         self.rejected[limit] += 1
         self._rejections.labels(limit).inc()
-        self.account.close(conn)
+        self.account.hold(conn, 0)
         conn.reject(limit, is_abrupt=is_abrupt)
 
     def check(self, now: float) -> None:
--- a/libs/masticpost-telemetry/testing/test_callerconns.py
+++ b/libs/masticpost-telemetry/testing/test_callerconns.py
@@ -6,6 +6,7 @@
 import struct
 import time
 
+import attrs
 import prometheus_client
 import pytest
 import uvloop
@@ -336,6 +337,22 @@
     run(body())
 
 
+# Guards against descriptors that callers keep by reading nothing.
+def test_caller_that_reads_nothing_is_given_up():
+    async def body():
+        limits = attrs.evolve(LIMITS, read_gap_s=0.2)
+        guard = callerguard.Guard()
+        async with scene(guard=guard, limits=lambda: limits) as made:
+            watching = asyncio.create_task(guard.watch())
+            sock = connect(made.port, rcvbuf=4096)
+            sock.sendall(request("a", "/large"))
+            await made.until(lambda: made.handled)
+            await made.until(lambda: not guard.account.parts)
+            watching.cancel()
+
+    run(body())
+
+
 # Guards against aiohttp changing what it does not publish and this module uses.
 def test_private_parts_of_aiohttp_are_as_the_module_expects():
     async def body():
