--- a/libs/masticpost-daemon/testing/test_settings.py
+++ b/libs/masticpost-daemon/testing/test_settings.py
@@ -20,6 +20,7 @@
     assert cfg.peer_keys == ("a-long-enough-key-1", "a-long-enough-key-2")
     assert cfg.instances_url == cfg.store_url
     assert str(cfg.peer_advertise) == "127.0.0.1:8081"
+    assert cfg.memory_bytes == 512 * 2**20
 
 
 def test_every_mistake_is_reported():
