Calibrate the forecast of first events for escalations

Cause: forecasts add up prefill times on an idle upstream. Change: the cascade multiplies the forecast by the mean ratio of time taken to time forecast of the model; attempts given up count with the time waited.

--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/feedback.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/feedback.py
@@ -5,10 +5,11 @@
 from masticpost_common import clock
 
 from masticpost_gateway import shared
-from masticpost_gateway.learning import progress
+from masticpost_gateway.learning import calibration, progress
 from masticpost_gateway.routing import placement
 from masticpost_gateway.serving import answer
 from masticpost_gateway.serving import call as calls
+from masticpost_gateway.sharing import loads
 from masticpost_gateway.state import model
 
 
@@ -145,10 +146,21 @@
         speed = self.shared.placement.speeds.of(prefill.service, prefill.model)
         factor = self.shared.loads.speed_factor(opened.upstream.name, opened.head_at)
         speed.record_prefill(tokens, took_s / factor)
+        self._calibration(prefill).record(opened.work.forecast_s, took_s)
         self.shared.loads.note_prefilled(
             opened.work, uncached_tokens=tokens, took_s=took_s
         )
 
+    def record_missing_event(
+        self, work: loads.ActiveRequest, prefill: placement.Prefill, waited_s: float
+    ) -> None:
+        """Record that an upstream was given up before its first event."""
+        self._calibration(prefill).record_missing(work.forecast_s, waited_s)
+
+    def _calibration(self, prefill: placement.Prefill) -> calibration.Calibration:
+        calibrations = self.shared.forecasts.calibrations
+        return calibrations.of(prefill.service, prefill.model)
+
     def record_passed_on(self, opened: answer.OpenAnswer) -> None:
         """Record that events were passed on and the upstream is waited for again.
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/routing/forecasts.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/routing/forecasts.py
@@ -3,7 +3,7 @@
 import attrs
 from masticpost_common import clock
 
-from masticpost_gateway.learning import streampaces
+from masticpost_gateway.learning import calibration, streampaces
 from masticpost_gateway.routing import placement
 from masticpost_gateway.state import model
 
@@ -49,11 +49,14 @@
     ----------
     paces : streampaces.Paces
         Decode times of whole streams.
+    calibrations : calibration.Calibrations
+        How much longer first events take than the placement expects.
     """
 
     def __init__(self, *, placement: placement.Placement) -> None:
         self.placement = placement
         self.paces = streampaces.Paces()
+        self.calibrations = calibration.Calibrations()
 
     def of(
         self,
@@ -69,7 +72,8 @@
         decode_s *= factor
         if prefill is None:
             return Forecast(first_s=0.0, total_s=decode_s)
-        first_s = self._first_s(upstream, prefill)
+        ratio = self.calibrations.of(prefill.service, prefill.model).ratio
+        first_s = ratio * self._first_s(upstream, prefill)
         prefill_s = factor * self.placement.prefill_s(upstream.name, prefill)
         return Forecast(
             first_s=first_s,
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
@@ -374,6 +374,11 @@
         self.may_have_run = True
         dispatch.health.record_failure(now, exc.reason)
         is_cut = exc.reason.startswith(sending.BROKEN)
+        if exc.reason == sending.SILENT and dispatch.work is not None:
+            waited_s = now - dispatch.sent_at
+            self.feedback.record_missing_event(
+                dispatch.work, dispatch.prefill, waited_s
+            )
         if is_cut or exc.reason == sending.SILENT:
             self.suspects.note_no_answer(
                 dispatch.upstream, dispatch.sent_at, opened=None, is_cut=is_cut
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/dispatches.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/dispatches.py
@@ -122,6 +122,7 @@
             placer = self.shared.placement
             dispatch.uncached_tokens = placer.uncached_tokens(upstream.name, prefill)
             prefill_s = placer.prefill_s(upstream.name, prefill)
+            forecast_s = placer.expected(upstream, prefill).first_s
             dispatch.work = self.shared.loads.begin(
                 upstream.name,
                 prefill_s,
@@ -129,6 +130,7 @@
                 model=prefill.model,
                 tokens=prefill.tokens,
             )
+            dispatch.work.forecast_s = forecast_s
             self.observer.record_prompt(upstream.name, prefill)
         return dispatch
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/loads.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/loads.py
@@ -98,6 +98,8 @@
         Tokens of its prompt and its expected answer.
     begun_at : float
         Monotonic time in seconds at which it was sent.
+    forecast_s : float
+        Time to its first event as forecast when it was sent, in seconds.
     is_prefilled : bool
         Whether the prompt was read, since the response has begun.
     """
@@ -107,6 +109,7 @@
     timing: upstreamspeeds.RequestTiming
     tokens: int = 0
     begun_at: float = -math.inf
+    forecast_s: float = 0.0
     is_prefilled: bool = False
 
 
