Answer where a request would go on the operators' listener

Change: a page /route, GET only, describes the request in its query and answers with route, service, version plan, candidates and their obstacles, the decision on overload, the urgency and the retries left. It asks the deciding code on copies of the components that record something. Chooser.considered, Placement.scored and Attempts.overload_decision are split off existing code; their callers decide as before.

--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/speeds.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/speeds.py
@@ -171,6 +171,12 @@
         """Return the speed of a model at a service."""
         return self._rows.setdefault((service, model), Speed())
 
+    def copy(self) -> "Speeds":
+        """Return the same speeds, to which those of further models can be added."""
+        copied = Speeds()
+        copied._rows = dict(self._rows)
+        return copied
+
     def take(self) -> dict[Key, Samples]:
         """Return the new samples of each model that has any."""
         taken = {key: speed.take() for key, speed in self._rows.items()}
--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -444,7 +444,7 @@
         return web.Response(status=200 if self.is_ready else 503)
 
     async def _page(self, req: web.BaseRequest) -> web.Response:
-        return pages.respond(self, req.path)
+        return pages.respond(self, req.path, method=req.method, query=req.query)
 
     def _on_change(self, kind: source.Kind) -> None:
         if kind is source.Kind.UPSTREAMS:
--- a/libs/masticpost-gateway/src/masticpost_gateway/routing/choice.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/routing/choice.py
@@ -1,6 +1,7 @@
 """Choice of the upstream for one attempt of a request."""
 
 import collections.abc
+import copy
 import math
 import random
 
@@ -137,14 +138,18 @@
         The request may be sent there only after `confirm`, and with a permit if the
         upstream has named a rate.
         """
+        found = self.considered(required)
+        return self._best(found, required) if found else None
+
+    def considered(self, required: Requirements) -> list[model.Upstream]:
+        """Return the ready upstreams of the preferred versions, to pick one of."""
         now = clock.now()
         found = self._untried(required, now)
         for group in self._groups_by_preference(found, required.plan, now):
             ready = [u for u in group if self._is_ready(u, required, now)]
             if ready:
-                focused = self.trials.focus(required.service.name, ready)
-                return self._best(focused, required)
-        return None
+                return self.trials.focus(required.service.name, ready)
+        return []
 
     def confirm(self, upstream: model.Upstream, required: Requirements) -> bool:
         """Note that a request is sent to an upstream now, if it is still ready."""
@@ -179,6 +184,17 @@
             and self._is_ready(upstream, required, now)
         ]
 
+    def copy(self, places: placement.Placement) -> "Chooser":
+        """Return a chooser that makes the same choices and leaves no trace here.
+
+        It is for one question: it does not follow the registered upstreams.
+        """
+        copied = copy.copy(self)
+        copied.placement = places
+        copied.healths = self.healths.copy()
+        copied.cold_start = self.cold_start.copy()
+        return copied
+
     def _untried(self, required: Requirements, now: float) -> list[model.Upstream]:
         return [
             upstream
@@ -238,8 +254,12 @@
             return min(with_room or ready, key=self._load)
         return self.placement.best(ready, required.prefill)
 
+    def load_share(self, upstream: model.Upstream) -> float:
+        """Return this instance's requests at an upstream as a share of its slots."""
+        return self.health_of(upstream).outstanding / max(1, upstream.slots)
+
     def _load(self, upstream: model.Upstream) -> tuple[float, bool, float]:
-        load = self.health_of(upstream).outstanding / max(1, upstream.slots)
+        load = self.load_share(upstream)
         return (load, upstream.domain != self.domain, random.random())
 
     def _on_change(self, kind: source.Kind) -> None:
--- a/libs/masticpost-gateway/src/masticpost_gateway/routing/coldstart.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/routing/coldstart.py
@@ -7,6 +7,7 @@
 """
 
 import collections.abc
+import copy
 import math
 
 import attrs
@@ -62,3 +63,9 @@
     def record_request(self, upstream: str, now: float) -> None:
         """Record that a request is sent to a cold upstream."""
         self._last_sent[upstream] = now
+
+    def copy(self) -> "ColdStartLimiter":
+        """Return a limiter with the same requests, which records further ones alone."""
+        copied = copy.copy(self)
+        copied._last_sent, copied._ranked = dict(self._last_sent), dict(self._ranked)
+        return copied
--- a/libs/masticpost-gateway/src/masticpost_gateway/routing/contention.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/routing/contention.py
@@ -1,6 +1,7 @@
 """Priority classes of each service, where a deployment's settings ask for them."""
 
 import collections
+import copy
 
 from masticpost_overload import classes, draining, shares
 
@@ -39,6 +40,13 @@
         """Return the customers' shares in the work of a service at a priority."""
         return self._shares.setdefault((service, priority), shares.Shares())
 
+    def copy(self) -> "Contention":
+        """Return a copy that records work and backlogs alone."""
+        copied = copy.copy(self)
+        copied._shares = copy.deepcopy(self._shares)
+        copied._drains = copy.deepcopy(self._drains)
+        return copied
+
     def drain_of(self, service: str) -> draining.Drain:
         """Return the rate at which the backlog of a service shrinks."""
         return self._drains.setdefault(service, draining.Drain())
--- a/libs/masticpost-gateway/src/masticpost_gateway/routing/placement.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/routing/placement.py
@@ -159,6 +159,25 @@
             best = found if best is None else min(best, found, key=Scored.sort_key)
         return best.upstream
 
+    def scored(self, ready: list[model.Upstream], prefill: Prefill) -> list[Scored]:
+        """Return all upstreams with their scores, without the cost of their ranks."""
+        now, rows = clock.now(), []
+        upstreams = {upstream.name: upstream for upstream in ready}
+        remote = self._remote(ready)
+        for group in _groups(self._ranked(ready, prefill), prefill):
+            for name in group.names:
+                extra_s = group.extra_s
+                if name in remote:
+                    extra_s += CROSS_DOMAIN_COST_S
+                rows.append(self._scored(upstreams[name], prefill, extra_s, now))
+        return rows
+
+    def copy(self) -> "Placement":
+        """Return a placement that draws its own samples and adds no models here."""
+        return Placement(
+            loads=self.loads, speeds=self.speeds.copy(), domain=self.domain
+        )
+
     def _remote(self, ready: list[model.Upstream]) -> frozenset[str]:
         """Return the names of the upstreams outside the preferred failure domain.
 
@@ -199,19 +218,22 @@
         """Return the best sampled upstream of a group."""
         now, rows = clock.now(), []
         for rank, name in enumerate(self._sample(group.names, remote, prefill)):
-            load = self.loads.total(name, now)
             extra_s = group.extra_s + RANK_COST_S * rank
             if name in remote:
                 extra_s += CROSS_DOMAIN_COST_S
-            rows.append(
-                Scored(
-                    upstream=upstreams[name],
-                    has_room=self.loads.has_room(upstreams[name], prefill.tokens, load),
-                    score=self._score(load, prefill, now) + extra_s,
-                )
-            )
+            rows.append(self._scored(upstreams[name], prefill, extra_s, now))
         return min(rows, key=Scored.sort_key)
 
+    def _scored(
+        self, upstream: model.Upstream, prefill: Prefill, extra_s: float, now: float
+    ) -> Scored:
+        load = self.loads.total(upstream.name, now)
+        return Scored(
+            upstream=upstream,
+            has_room=self.loads.has_room(upstream, prefill.tokens, load),
+            score=self._score(load, prefill, now) + extra_s,
+        )
+
     def _sample(
         self, names: list[str], remote: frozenset[str], prefill: Prefill
     ) -> list[str]:
--- a/libs/masticpost-gateway/src/masticpost_gateway/routing/retrybudget.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/routing/retrybudget.py
@@ -7,6 +7,7 @@
 
 import collections
 import collections.abc
+import copy
 import math
 
 import attrs
@@ -58,6 +59,23 @@
     use_by: float | None = None
 
 
+@attrs.frozen(kw_only=True)
+class Left:
+    """Retries that an instance may still send now.
+
+    Attributes
+    ----------
+    own, planned : float
+        Left of its share for all retries, and for planned ones; below 1 for none.
+    borrowed : int
+        Borrowed ones, for requests that no upstream has run.
+    """
+
+    own: float
+    planned: float
+    borrowed: int
+
+
 @attrs.define(kw_only=True)
 class Counts:
     """Requests and retries of one service, as times in monotonic seconds.
@@ -158,6 +176,17 @@
             return True
         return may_borrow and bool(counts.borrowed)
 
+    def left(self, service: str, now: float) -> Left:
+        """Return the retries that may be sent now; counts nothing."""
+        counts = copy.deepcopy(self._counts.get(service, Counts()))
+        counts.discard(now, self.bounds.window_s)
+        share = self._share(counts)
+        return Left(
+            own=share - counts.used,
+            planned=share * PLANNED_RETRY_SHARE - counts.used,
+            borrowed=len(counts.borrowed),
+        )
+
     def record_retry(
         self, service: str, now: float, *, may_borrow: bool = False
     ) -> Charge:
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
@@ -34,6 +34,7 @@
 # Sent to callers with a refusal unless a better estimate is available.
 RETRY_AFTER_S = 0.4
 CLIENT_ERROR = 400
+HOPELESS_REASON = "no upstream can complete the request before its deadline"
 
 
 class Attempts:
@@ -315,21 +316,27 @@
             reason = "the request crashed the upstreams that ran it"
             raise self.refusal(reason, left_s, outcomes.Outcome.QUARANTINED)
 
-    def _refuse_hopeless(self, upstream: model.Upstream, level: str) -> None:
-        """Raise if no upstream can complete a request that was not sent yet."""
+    def overload_decision(
+        self, upstream: model.Upstream, level: str
+    ) -> decision.Decision:
+        """Return whether a request that was not sent yet is sent, or rejected."""
         prefill = self.prefill(level)
         if self.dispatches.count or self.may_have_run or prefill is None:
-            return
+            return decision.Send()
         found = demands.decide(self.shared, self.call, [upstream], prefill)
         if isinstance(found, decision.Reject):
             # The chosen one is the best of a sample; another may be in time.
             required = self.requirements(level)
             ready = self.shared.chooser.ready_upstreams(required, clock.now())
             found = demands.decide(self.shared, self.call, ready, prefill)
+        return found
+
+    def _refuse_hopeless(self, upstream: model.Upstream, level: str) -> None:
+        """Raise if no upstream can complete a request that was not sent yet."""
+        found = self.overload_decision(upstream, level)
         if isinstance(found, decision.Reject):
-            reason = "no upstream can complete the request before its deadline"
             self.call.is_hopeless = True
-            raise self.refusal(reason, found.retry_after_s)
+            raise self.refusal(HOPELESS_REASON, found.retry_after_s)
 
     def refusal(
         self,
--- a/libs/masticpost-gateway/src/masticpost_gateway/upstreams/health.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/upstreams/health.py
@@ -81,6 +81,13 @@
         # takes two comparisons.
         return now < self.held_until and self._is_held(now)
 
+    def ejected_for_s(self, now: float) -> float | None:
+        """Return the seconds until its ejection ends at the latest, None if ready."""
+        if not self.is_ejected(now):
+            return None
+        until = max(self.ejected_until, self.unreachable_until)
+        return (until if now < until else self.held_until) - now
+
     def record_answered(self, sent_at: float) -> None:
         """Record that the run answers a request sent at a monotonic time in seconds."""
         self.answered_sent_at = max(self.answered_sent_at, sent_at)
@@ -154,6 +161,13 @@
             self._rows[name] = row
         return row
 
+    def copy(self) -> "HealthTable":
+        """Return a table to which the health of further upstreams can be added."""
+        copied = HealthTable()
+        copied.observer = self.observer
+        copied._rows = dict(self._rows)
+        return copied
+
     def count(self) -> int:
         """Return the number of rows."""
         return len(self._rows)
