Add the command masticpost gateway route

Cause: the page /route is for programs.

Change: the command asks one gateway and prints the verdict, what it follows from, and a table of the candidates, or the JSON. It exits with 1 if the request would not be sent now.

--- a/libs/masticpost-cli/src/masticpost_cli/main.py
+++ b/libs/masticpost-cli/src/masticpost_cli/main.py
@@ -12,6 +12,7 @@
     commands,
     explain,
     report,
+    routes,
     session,
     status,
     texts,
@@ -36,6 +37,7 @@
   masticpost budgets [options]
   masticpost report burn [ADDRESS...] [--html OUT] [options]
   masticpost explain REQUEST_ID LOG... [options]
+  masticpost gateway route ADDRESS [options]
   masticpost --help
 
 Commands:
@@ -58,6 +60,9 @@
   budgets   Show the spending of customers with a budget in the current window.
   report    Show the burn rate of the error budget, of instances or gateways.
   explain   Show what happened to a request, from the logs of instances.
+  gateway route
+            Show where a gateway would send a request now, and why; nothing is sent
+            or counted. ADDRESS is that of its metrics.
 
 Options:
   --store-url URL   The platform's object API (MASTICPOST_STORE_URL).
@@ -72,6 +77,18 @@
   --note TEXT       Note stored with the generation.
   --html OUT        Write the report as an HTML page with plots.
   --json            Print JSON.
+  --host HOST       Host of the request.
+  --path PATH       Path of the request.
+  --customer NAME   Its customer, for the priority and the share.
+  --priority N      Its priority, instead of the customer's or the route's.
+  --session ID      Its session.
+  --id ID           Its id, which stands in for a session.
+  --model NAME      A model of the route (default: the smallest).
+  --parts PARTS     Parts of its prompt, as callers name them: NAME:TOKENS,...
+  --tokens-in N     Tokens of the whole prompt.
+  --tokens-out N    Tokens of the answer at most.
+  --tokens-hint N   Tokens of the answer that the caller expects.
+  --deadline-ms N   Time that the caller waits.
   --help            Show this help.
 
 Examples:
@@ -80,6 +97,7 @@
   masticpost report burn --json
   masticpost status 10.0.0.11:9464 10.0.0.12:9464
   masticpost explain 6946f0469c7e4215 front-*.log
+  masticpost gateway route 10.0.0.11:9464 --host shop.example --path /chat/
 
 Exit codes: 0 success, 1 negative result (findings, conflict, mismatch), 2 usage
 error, 3 the object API or an instance could not be reached.
--- a/libs/masticpost-cli/testing/test_gateways.py
+++ b/libs/masticpost-cli/testing/test_gateways.py
@@ -89,3 +89,40 @@
         code, _, err = await tool("report", "burn", *urls, dead)
         assert code == 3
         assert dead in err
+
+
+async def test_route_tells_where_a_request_would_go():
+    """Guards against a question that reaches an upstream, or hides an obstacle."""
+    async with kit.Deployment() as dep:
+        worker = await dep.add_worker("w1", kit.answers())
+        await dep.add_worker("w2", kit.answers(), record={"is_draining": True})
+        await dep.configure()
+        urls = await add_nodes(dep, 1)
+        question = ("gateway", "route", *urls, "--host", kit.HOST, "--path", "/chat/")
+        prompt = ("--tokens-in", "1000", "--parts", "shared:900,own:100")
+        code, out, err = await tool(*question, *prompt)
+        assert (code, err) == (0, "")
+        assert "n0 (a): would send it to w1" in out
+        (row,) = [line for line in out.splitlines() if line.startswith("w2")]
+        assert "draining" in row
+        code, out, _ = await tool(*question, "--json")
+        assert (code, json.loads(out)["chosen"]) == (0, "w1")
+        assert worker.connections == 0
+
+
+async def test_route_tells_of_unknown_routes_and_wrong_arguments():
+    async with kit.Deployment() as dep:
+        await dep.configure()
+        urls = await add_nodes(dep, 1)
+        question = ("gateway", "route", *urls, "--path", "/nowhere/")
+        code, out, _ = await tool(*question, "--host", kit.HOST)
+        assert code == 1
+        assert "would reject it: no route matches host and path" in out
+        code, _, err = await tool(*question)
+        assert (code, err) == (2, "give --host\n")
+        code, _, err = await tool(*question, "--host", "x", "--priority", "high")
+        assert code == 2
+        dead = f"127.0.0.1:{procs.free_ports(1)[0]}"
+        code, _, err = await tool("gateway", "route", dead, *question[3:], "--host=x")
+        assert code == 3
+        assert dead in err
