Tell of held rates and of the cost of a question about a route

Cause: a request that all ready upstreams hold for longer than it can wait was shown as waiting, and the load of an upstream was summed three times.

Change: it is shown as rejected, by the last answer of the granter. The load is summed once for the slots and the memory.

--- a/libs/masticpost-gateway/src/masticpost_gateway/reporting/candidatelist.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/reporting/candidatelist.py
@@ -33,7 +33,8 @@
     rate_wait_s : float
         Time until a permit may be there.
     has_slot, has_memory : bool
-        Whether it would start the request at once.
+        Whether it would start the request at once. The memory is looked at only where
+        there is a slot.
     outstanding : int
         Requests of this instance in flight there.
     score : float or None
@@ -105,8 +106,10 @@
     health = chooser.health_of(upstream)
     hold_off_s = chooser.notices.ready_at(upstream, now) - now
     ejected_s = health.ejected_for_s(now)
-    has_slot = loads.has_room(upstream)
-    has_room = loads.has_room(upstream, prefill.tokens) if prefill else has_slot
+    load = loads.total(upstream.name, now)
+    has_slot = loads.has_room(upstream, load=load)
+    tokens = prefill.tokens if prefill is not None else 0
+    has_room = loads.has_room(upstream, tokens, load)
     first_s, total_s = _expected(parts.placement, upstream, prefill)
     return Candidate(
         name=upstream.name,
--- a/libs/masticpost-gateway/src/masticpost_gateway/reporting/routeexplanation.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/reporting/routeexplanation.py
@@ -271,8 +271,14 @@
         if not chooser.usable(self.call.service.name, now):
             after_s = attempts.RETRY_AFTER_S
             return Verdict.REJECT, "no upstream is in service", after_s
-        if chooser.held_upstreams(self.required):
+        held = chooser.held_upstreams(self.required)
+        if held:
+            # Only the granter of a rate knows its queue; this is its last answer here.
+            rates, priority = self.parts.rates, self.call.priority
+            free_at = min(rates.asks_at(u.run_key, priority, now) for u in held)
             reason = "the upstreams are at the rates that they name"
+            if free_at - now > self.wait_s:
+                return Verdict.REJECT, reason, free_at - now
             return Verdict.WAIT, reason, None
         ready_in_s = chooser.next_ready_at(self.required, now) - now
         if ready_in_s >= self.wait_s:
--- a/libs/masticpost-gateway/testing/reporting/test_routeexplanation.py
+++ b/libs/masticpost-gateway/testing/reporting/test_routeexplanation.py
@@ -8,11 +8,13 @@
 from masticpost_gateway.reporting import routeexplanation
 from masticpost_gateway.routing import choice
 from masticpost_gateway.state import model, source
+from masticpost_rates import upstreamrates
 from support import gatewaykit as kit
 
 PROMPT = {"parts": "shared:900,own:100", "tokens_in": "1000", "tokens_out": "200"}
 URGENT = attrs.evolve(kit.CHAT, name="urgent", path_prefix="/urgent/", priority=0)
 REJECT = routeexplanation.Verdict.REJECT
+WAIT = routeexplanation.Verdict.WAIT
 ROLLED_BACK = model.RollOutState.ROLLED_BACK
 COLD_SERVICE = model.Service(name="desk", cold_rate=1.0)
 
@@ -222,10 +224,52 @@
         instance = await add_node(dep)
         instance.shared.chooser.cold_start.record_request("w1", clock.now() + 60.0)
         found = await explain(instance, "/lookup/")
-        assert found.verdict is routeexplanation.Verdict.WAIT
+        assert found.verdict is WAIT
         assert (found.reason, found.wait_s) == ("no upstream is ready", 0.25)
 
 
+async def test_permit_of_a_named_rate_is_told_and_not_taken():
+    """Guards against questions that use up what an upstream takes."""
+    async with kit.Deployment() as dep:
+        await dep.add_worker("w1", kit.answers(Upstream_Rate="5"))
+        await dep.configure()
+        instance = await add_node(dep)
+        rates = instance.shared.rates
+        for _ in range(2):
+            await dep.call("/lookup/")
+        assert rates.permits._granters
+
+        def granted():
+            rows = [(row.granted, row.held) for row in rates.statuses()]
+            return repr((rows, [vars(row) for row in rates.permits._granters.values()]))
+
+        before = granted()
+        for _ in range(20):
+            found = await explain(instance, "/lookup/")
+        assert granted() == before
+        assert found.candidates[0].is_rate_limited
+        assert found.notes == ["a permit would be needed, as the upstream names a rate"]
+        for held_s, verdict in [(0.9, WAIT), (60.0, REJECT)]:
+            run, at = next(iter(rates.statements.limited)), clock.now() + held_s
+            rates._holds[run] = upstreamrates.Hold(
+                until=at, turn_at=at, return_at=at, priority=0
+            )
+            found = await explain(instance, "/chat/")
+            assert found.verdict is verdict
+            assert found.candidates[0].obstacles == ["at its rate"]
+            assert "at the rates that they name" in found.reason
+
+
+async def test_upstream_without_memory_for_a_prompt_is_told():
+    async with kit.Deployment() as dep:
+        await dep.add_worker("w1", kit.streams(3))
+        service = model.Service(name="desk", cache_tokens=1100)
+        await dep.configure(kit.configuration(services=(service,)))
+        instance = await add_node(dep)
+        (row,) = (await explain(instance, "/chat/", **PROMPT)).candidates
+        assert (row.has_slot, row.has_memory) == (True, False)
+
+
 async def test_page_rejects_other_methods_and_bad_queries():
     async with kit.Deployment() as dep:
         await dep.configure()
