--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/calibration.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/calibration.py
@@ -46,3 +46,9 @@
     def of(self, service: str, model: str) -> Calibration:
         """Return the calibration of a model of a service."""
         return self._rows.setdefault((service, model), Calibration())
+
+    def copy(self) -> "Calibrations":
+        """Return the same calibrations, to which further ones can be added."""
+        copied = Calibrations()
+        copied._rows = dict(self._rows)
+        return copied
--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/streampaces.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/streampaces.py
@@ -49,3 +49,9 @@
     def of(self, service: str) -> Pace:
         """Return the pace of a service's streams."""
         return self._rows.setdefault(service, Pace())
+
+    def copy(self) -> "Paces":
+        """Return the same paces, to which those of further services can be added."""
+        copied = Paces()
+        copied._rows = dict(self._rows)
+        return copied
--- a/libs/masticpost-gateway/src/masticpost_gateway/routing/forecasts.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/routing/forecasts.py
@@ -58,6 +58,13 @@
         self.paces = streampaces.Paces()
         self.calibrations = calibration.Calibrations()
 
+    def copy(self, places: placement.Placement) -> "Forecasts":
+        """Return the same forecasts for a copy of the placement."""
+        copied = Forecasts(placement=places)
+        copied.paces = self.paces.copy()
+        copied.calibrations = self.calibrations.copy()
+        return copied
+
     def of(
         self,
         upstream: model.Upstream,
