Let begun streams borrow retries and wait for them

Change: a begun stream may use a borrowed retry, and looks for budget every 0.1 s until its gap is over. The retry is taken as the request is sent, so the bound holds as before.

--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
@@ -29,6 +29,8 @@
 from masticpost_gateway.upstreams import conns, leaving
 
 POLL_S = 0.03
+# Time until a begun stream that lacks retry budget looks for it again.
+BUDGET_POLL_S = 0.1
 # Share of the latency objective for which a request may wait for an upstream.
 WAIT_OBJECTIVE_SHARE = 0.5
 # Sent to callers with a refusal unless a better estimate is available.
@@ -90,15 +92,15 @@
     def may_retry(self, *, is_planned: bool = False) -> bool:
         """Return whether another attempt is allowed.
 
-        A request that may have run claims its retry at once. One that has not run does
-        so as it is sent, see `_require_budget`.
+        A request that may have run claims its retry at once. One that has not run, or
+        whose answer has begun, does so as it is sent, see `_has_budget`.
 
         Parameters
         ----------
         is_planned : bool
             Whether it is an escalation to a larger model, not a retry after a failure.
         """
-        if not self.has_executions_left or self.call.left_s() <= 0:
+        if not self.may_continue:
             return False
         if not self.dispatches.count:
             # Nothing has reached an upstream, so the next attempt is not a retry.
@@ -106,31 +108,43 @@
         now = clock.now()
         service = self.call.service.name
         is_allowed = self.shared.retries.may_retry(
-            service, now, is_planned=is_planned, may_borrow=not self.may_have_run
+            service, now, is_planned=is_planned, may_borrow=self._may_borrow
         )
         if is_allowed and self.may_have_run:
-            self.dispatches.claim()
+            self.dispatches.claim(may_borrow=self._may_borrow)
         return is_allowed
 
+    @property
+    def may_continue(self) -> bool:
+        """Whether the route and the deadline allow one more attempt."""
+        return self.has_executions_left and self.call.left_s() > 0
+
+    @property
+    def _may_borrow(self) -> bool:
+        """Whether a retry may be a borrowed one.
+
+        No upstream has run the request, or the caller has a part of the answer, which
+        is worth nothing without the rest.
+        """
+        return not self.may_have_run or self.call.first_event_s is not None
+
     async def fund(self) -> None:
-        """Borrow a retry for a request that has not run, if it lacks budget for one."""
+        """Borrow a retry if the request lacks budget for one and may borrow it."""
         left_s = self.call.left_s()
-        is_first = not self.dispatches.count
-        if is_first or self.may_have_run or left_s <= 0:
+        if not self.dispatches.count or not self._may_borrow or left_s <= 0:
             return
         await self.shared.retries.fund(self.call.service.name, clock.now(), left_s)
 
-    async def _require_budget(self) -> None:
-        """Raise if a request that has not run has no retry left as it is to be sent.
+    async def _has_budget(self) -> bool:
+        """Return whether there is budget for the request as it is to be sent.
 
         While it waited for an upstream, others may have used the budget, or what was
         borrowed for it may have become void.
         """
-        if self.may_have_run or not self.dispatches.count:
-            return
+        if not self.dispatches.count or self.dispatches.is_claimed:
+            return True
         await self.fund()
-        if not self.may_retry():
-            raise self.refusal("the retry budget is used up")
+        return self.may_retry()
 
     def usable(self) -> list[model.Upstream]:
         """Return the usable upstreams that are not ejected, all usable ones if none."""
@@ -180,8 +194,11 @@
             if upstream is not None:
                 if resume_by is None:
                     self._refuse_hopeless(upstream, level)
-                await self._require_budget()
-                return upstream
+                if await self._has_budget():
+                    return upstream
+                if resume_by is None:
+                    raise self.refusal("the retry budget is used up")
+                await asyncio.sleep(BUDGET_POLL_S)
             now = clock.now()
             if now >= until:
                 raise self.refusal("no upstream is ready")
@@ -263,7 +280,7 @@
         )
         self.tried.add(upstream.incarnation)
         dispatch = self.dispatches.begin(
-            upstream, level, prefill, may_borrow=not self.may_have_run
+            upstream, level, prefill, may_borrow=self._may_borrow
         )
         try:
             opened = await self._exchange(out, dispatch, rules)
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/dispatches.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/dispatches.py
@@ -70,11 +70,16 @@
         self.count = 0
         self._claim: retrybudget.Charge | None = None
 
-    def claim(self) -> None:
+    @property
+    def is_claimed(self) -> bool:
+        """Whether the next dispatch is counted as a retry already."""
+        return self._claim is not None
+
+    def claim(self, *, may_borrow: bool = False) -> None:
         """Count the next dispatch as a retry from now on, before it is sent."""
         if self._claim is None:
             self._claim = self.shared.retries.record_retry(
-                self.call.service.name, clock.now()
+                self.call.service.name, clock.now(), may_borrow=may_borrow
             )
 
     def release(self) -> None:
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/streaming.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/streaming.py
@@ -150,7 +150,9 @@
         """Raise unless another attempt is allowed after a failure."""
         did_not_run = verdict is retry.Verdict.NOT_PROCESSED
         may_repeat = did_not_run or self.call.route.kind.may_repeat
-        if may_repeat and self.attempts.may_retry():
+        # A begun stream can wait for budget as long as for an upstream.
+        is_begun = self.resp is not None and self.attempts.may_continue
+        if may_repeat and (is_begun or self.attempts.may_retry()):
             return
         if self.attempts.may_have_run and self.call.left_s() <= 0:
             self._give_up(
--- a/libs/masticpost-gateway/testing/serving/test_streaming.py
+++ b/libs/masticpost-gateway/testing/serving/test_streaming.py
@@ -9,7 +9,7 @@
 import pytest
 from masticpost_common import clock
 from masticpost_gateway.learning import exposure
-from masticpost_gateway.routing import placement
+from masticpost_gateway.routing import placement, retrybudget
 from masticpost_gateway.serving import attempts, headers
 from masticpost_gateway.state import model, source
 from support import gatewaykit as kit
@@ -90,6 +90,24 @@
         assert ((await reply).body, reply.result().is_complete) == (events(6), True)
 
 
+async def test_begun_stream_waits_for_retry_budget():
+    """Guards against a stream cut at once since its instance had no retry left (LOST).
+
+    Upstreams that stop when a roll-out is completed cut many streams together.
+    """
+    bounds = retrybudget.Bounds(ratio=0.0, slack=2.0, window_s=1.0)
+    async with kit.Deployment() as dep:
+        first = await dep.add_worker("w1", kit.streams(6, cut_after=4, pause_s=0.1))
+        await dep.configure()
+        node = await dep.add_node(retries=bounds)
+        call = dep.call("/chat/", method="POST", body=b"p", **PROMPT)
+        reply = asyncio.create_task(call)
+        await kit.until(lambda: first.requests)
+        await dep.add_worker("w2", kit.streams(6))
+        node.shared.retries.record_retry("desk", clock.now() + 0.3)
+        assert ((await reply).body, reply.result().is_complete) == (events(6), True)
+
+
 @pytest.mark.parametrize(
     "state", [model.RollOutState.RUNNING, model.RollOutState.COMPLETED]
 )
