Remove the unused total of expected times

Placement.expected computed a total that no caller used. Forecasts asked for the best of one upstream. Placement.first_event_s returns the one time in use. The docstrings of forecasts name the calibration, which is part of first_s and queued_s.

--- a/libs/masticpost-gateway/src/masticpost_gateway/routing/forecasts.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/routing/forecasts.py
@@ -1,4 +1,4 @@
-"""Expected time of a request at the upstream that would run it."""
+"""Expected times of a request at the upstream that would run it."""
 
 import attrs
 from masticpost_common import clock
@@ -19,7 +19,7 @@
     prefill_s : float
         Part of `first_s` for the prefill of the request's own prompt.
     queued_s : float
-        Prefill time that is queued before it.
+        Rest of `first_s`: what is queued before it, and the calibration.
     """
 
     first_s: float
@@ -28,7 +28,7 @@
     queued_s: float = 0.0
 
     def without_queue(self) -> "Forecast":
-        """Return the forecast for an upstream that begins with this prompt."""
+        """Return the forecast for an upstream that prefills this prompt at once."""
         return attrs.evolve(
             self,
             first_s=self.first_s - self.queued_s,
@@ -48,9 +48,9 @@
     Attributes
     ----------
     paces : streampaces.Paces
-        Decode times of whole streams.
+        Decode times of whole streams, by service.
     calibrations : calibration.Calibrations
-        How much longer first events take than the placement expects.
+        How much longer first events take than the placement expects, by model.
     """
 
     def __init__(self, *, placement: placement.Placement) -> None:
@@ -64,16 +64,21 @@
         prefill: placement.Prefill | None,
         decode_s: float,
     ) -> Forecast:
-        """Return the forecast for a prompt whose answer decodes for `decode_s`.
+        """Return the forecast for a prompt at the speed of an upstream.
 
-        That time is at the usual speed of the service, the forecast at the upstream's.
+        The time to its first event is calibrated.
+
+        Parameters
+        ----------
+        decode_s : float
+            Time to decode its answer at the usual speed of the service, in seconds.
         """
         factor = self.placement.loads.speed_factor(upstream.name, clock.now())
         decode_s *= factor
         if prefill is None:
             return Forecast(first_s=0.0, total_s=decode_s)
         ratio = self.calibrations.of(prefill.service, prefill.model).ratio
-        first_s = ratio * self._first_s(upstream, prefill)
+        first_s = ratio * self.placement.first_event_s(upstream, prefill)
         prefill_s = factor * self.placement.prefill_s(upstream.name, prefill)
         return Forecast(
             first_s=first_s,
@@ -99,11 +104,8 @@
     ) -> float:
         """Return the time in which most answers would be decoded, in seconds.
 
-        Streams were cut at their deadline since the mean of the last few events, often
-        of one fast upstream, was taken for the time at any upstream.
+        The mean of the latest events, often of one fast upstream, is too short for the
+        others, whose streams would be cut at their deadline.
         """
         bound_s = tokens * self.paces.of(service).bound_s
         return max(self.decode_s(service, models, tokens), bound_s)
-
-    def _first_s(self, upstream: model.Upstream, prefill: placement.Prefill) -> float:
-        return self.placement.first_token_s([upstream], prefill)
--- a/libs/masticpost-gateway/src/masticpost_gateway/routing/placement.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/routing/placement.py
@@ -70,14 +70,6 @@
         return found
 
 
-@attrs.frozen(kw_only=True)
-class Expected:
-    """Expected time to the first event of an answer and to the last, in seconds."""
-
-    first_s: float
-    total_s: float
-
-
 @attrs.frozen(kw_only=True)
 class Group:
     """Names of upstreams for a model; `extra_s` is added to their scores."""
@@ -263,17 +255,17 @@
 
     def first_token_s(self, ready: list[model.Upstream], prefill: Prefill) -> float:
         """Return the seconds until the best upstream would have prefilled a prompt."""
-        return self.expected(self.best(ready, prefill), prefill).first_s
+        return self.first_event_s(self.best(ready, prefill), prefill)
 
-    def expected(self, upstream: model.Upstream, prefill: Prefill) -> Expected:
-        """Return the times that an upstream would take, at its own speed."""
+    def first_event_s(self, upstream: model.Upstream, prefill: Prefill) -> float:
+        """Return the seconds to the first event of an answer of an upstream.
+
+        They are at its own speed, as if it did nothing but prefill what is queued.
+        """
         now = clock.now()
         factor = self.loads.speed_factor(upstream.name, now)
         reading_s = self.loads.total(upstream.name, now).reading_s
-        first_s = factor * (reading_s + self.prefill_s(upstream.name, prefill))
-        return Expected(
-            first_s=first_s, total_s=first_s + factor * self._decode_s(prefill)
-        )
+        return factor * (reading_s + self.prefill_s(upstream.name, prefill))
 
     def _decode_s(self, prefill: Prefill) -> float:
         """Return the time to decode the expected answer at the usual speed."""
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/dispatches.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/dispatches.py
@@ -122,7 +122,7 @@
             placer = self.shared.placement
             dispatch.uncached_tokens = placer.uncached_tokens(upstream.name, prefill)
             prefill_s = placer.prefill_s(upstream.name, prefill)
-            forecast_s = placer.expected(upstream, prefill).first_s
+            forecast_s = placer.first_event_s(upstream, prefill)
             dispatch.work = self.shared.loads.begin(
                 upstream.name,
                 prefill_s,
