Complete the docstrings of the estimates of speed

Units of evidence, of pooled sums and of the times of a request were not stated, and settled_plan did not name the share from which a roll-out takes all requests.

--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/calibration.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/calibration.py
@@ -9,8 +9,9 @@
 import attrs
 
 SAMPLE_WEIGHT = 0.1
+# Bound on a sample in both directions.
 MAX_LOG = math.log(6.0)
-# Below this forecast the network's delay would dominate the ratio.
+# Shorter forecasts count as this one: the network's delay would dominate the ratio.
 MIN_FORECAST_S = 0.05
 
 
@@ -22,17 +23,17 @@
 
     @property
     def ratio(self) -> float:
-        """Factor from a forecast to the expected time; at least 1."""
+        """Factor from a forecast to the expected time, at least 1."""
         return max(1.0, math.exp(self.log))
 
     def record(self, forecast_s: float, took_s: float) -> None:
-        """Record the time to the first event of an answer."""
+        """Record the forecast of a first event and the time taken, in seconds."""
         ratio = took_s / max(MIN_FORECAST_S, forecast_s)
         sample = min(MAX_LOG, max(-MAX_LOG, math.log(max(ratio, 1e-3))))
         self.log += SAMPLE_WEIGHT * (sample - self.log)
 
     def record_missing(self, forecast_s: float, waited_s: float) -> None:
-        """Record that the first event did not come within a time, if that is news."""
+        """Record that no first event came in `waited_s`, if more than is expected."""
         if waited_s > self.ratio * max(MIN_FORECAST_S, forecast_s):
             self.record(forecast_s, waited_s)
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/speeds.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/speeds.py
@@ -14,7 +14,7 @@
 INITIAL_PREFILL_TOKEN_S = 5e-5
 INITIAL_DECODE_TOKEN_S = 0.01
 MAX_SAMPLES = 16
-# Samples of a pool, which come from many instances.
+# Most samples of a pool, which come from many instances.
 MAX_POOLED_SAMPLES = 64
 # The estimate is the sample at one tenth of the sorted samples.
 LOW_QUANTILE_DIVISOR = 10
@@ -24,9 +24,9 @@
 DECODE_MEAN_WEIGHT = 0.1
 # Decoded tokens after which an earlier sample of a pool counts half.
 POOLED_DECODE_TOKENS = 2_000
-# Samples that wait to be pooled; the oldest are dropped.
+# Most prefill samples that wait to be sent to the pool; the oldest are dropped.
 MAX_PENDING = 32
-# Time for which the estimate of a pool is used, in seconds.
+# Time for which the estimate of a pool is used.
 POOLED_TTL_S = 10.0
 
 
@@ -71,7 +71,7 @@
     decode_token_s : float
         Mean time to decode a token while the upstream serves other requests as well.
     decode_samples : int
-        Number of samples in that mean.
+        Number of decode samples of this instance.
     pooled_until : float
         Monotonic time until which the estimates are those of a pool, in seconds.
     """
@@ -126,7 +126,7 @@
             self.decode_token_s = self._own_decode_token_s
 
     def take(self) -> Samples | None:
-        """Return the samples since the last call, None if there are none."""
+        """Remove and return the samples since the last call, None without any."""
         if not self._pending_prefills and not self._pending_tokens:
             return None
         found = Samples(
@@ -145,7 +145,7 @@
         self.decode_token_s = pooled.decode_token_s or self.decode_token_s
 
     def expire(self, now: float) -> None:
-        """Return to the own samples once the estimate of the pool is too old."""
+        """Use the own samples again once the estimate of the pool is too old."""
         if not self._is_pooled or now < self.pooled_until:
             return
         self.pooled_until = -math.inf
@@ -172,7 +172,7 @@
         return self._rows.setdefault((service, model), Speed())
 
     def take(self) -> dict[Key, Samples]:
-        """Return the new samples of each model that has any."""
+        """Remove and return the new samples of each model that has any."""
         taken = {key: speed.take() for key, speed in self._rows.items()}
         return {key: samples for key, samples in taken.items() if samples is not None}
 
@@ -189,7 +189,15 @@
 
 @attrs.define(kw_only=True)
 class PooledSpeed:
-    """Samples of one model from several instances."""
+    """Samples of one model from several instances.
+
+    Attributes
+    ----------
+    prefills : collections.deque
+        Seconds per prompt token, the latest `MAX_POOLED_SAMPLES`.
+    decoded_tokens, decoded_s : float
+        Weighted sums of the tokens decoded and of the seconds taken.
+    """
 
     prefills: collections.deque[float] = attrs.field(
         factory=lambda: collections.deque(maxlen=MAX_POOLED_SAMPLES)
--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/streampaces.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/streampaces.py
@@ -4,8 +4,8 @@
 
 MEAN_WEIGHT = 0.0625
 DEVIATION_WEIGHT = 0.125
-# Deviations above the mean of the pace that most streams keep. With 2, hardly any of
-# the answers were escalated that had 9 s left, of which 6 in 7 would be complete.
+# Number of deviations above the mean of the pace that most streams keep. With 2, few of
+# the answers with 9 s left are escalated, although 6 in 7 would be completed.
 BOUND_DEVIATIONS = 1.0
 # A sample counts as this many times the bound at most, so that one stream that stalls
 # does not hold back the escalations of many.
--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/trial.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/trial.py
@@ -156,7 +156,8 @@
     def settled_plan(self, service: str) -> VersionPlan | None:
         """Return the plan once all requests go to the new version, None before.
 
-        That is so after a completed roll-out, and before while the budget covers it.
+        That is so once the roll-out is completed, and before that if its share is
+        `WIDE_SHARE` or more and the budget covers it.
         """
         order = self.records.roll_out(service)
         if order is None:
--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/upstreamspeeds.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/upstreamspeeds.py
@@ -14,7 +14,7 @@
 
 MIN_FACTOR, MAX_FACTOR = 0.25, 4.0
 MIN_LOG, MAX_LOG = math.log(MIN_FACTOR), math.log(MAX_FACTOR)
-# Evidence consists of integers in this unit, for short messages and exact sums.
+# Evidence consists of integers in 1 / `UNITS`, for short messages and exact sums.
 UNITS = 10
 # Time after which a sample weighs half as much.
 HALF_LIFE_S = 3.0
@@ -35,8 +35,8 @@
 GROUP_EVENTS = 8
 # Share by which each other stream of an upstream slows down the decoding.
 STREAM_SHARE = 0.03
-# Queued prefill times in seconds between which decoding has the same usual time: the
-# engine reads prompts between its steps.
+# Bounds of queued prefill times within which decoding has one usual time: the engine
+# reads prompts between its steps.
 QUEUE_BOUNDS_S = (0.0, 0.3)
 # Time that a prompt takes beside its prefill and the queue.
 PREFILL_OVERHEAD_S = 0.02
@@ -49,19 +49,19 @@
 # which overdue ones are ignored: one stuck request says nothing about the others.
 PRIOR_REQUESTS = 2
 LATE_LOG = 0.3
-# Events are not measured if passing on the previous ones took longer: some have
-# arrived meanwhile.
+# Events are not measured if passing on the previous ones took longer than this, since
+# some have arrived meanwhile.
 SLOW_WRITE_S = 0.02
 
 
 @attrs.frozen(kw_only=True)
 class Evidence:
-    """Samples of one upstream's speed, added up.
+    """Samples of one upstream's speed, added up; in 1 / `UNITS`.
 
     Attributes
     ----------
     weight : int
-        Weight of the samples.
+        Sum of the weights of the samples.
     log : int
         Sum of the samples times their weights; positive for a slow upstream.
     late : int
@@ -118,8 +118,10 @@
 
     Attributes
     ----------
+    is_prefilled : bool
+        Whether it is the time of decoding, not of a prefill.
     queue : int
-        How many of `QUEUE_BOUNDS_S` the queued prefill time exceeds; for decoding.
+        How many of `QUEUE_BOUNDS_S` the queued prefill time exceeds; 0 for a prefill.
     """
 
     service: str
@@ -137,11 +139,13 @@
     wait_s : float
         Expected time until its prompt is read, at the usual speed, in seconds.
     waits_since : float
-        Time since when the upstream is waited for, in monotonic seconds.
+        Monotonic time since when the upstream is waited for, in seconds.
     is_alone : bool
         Whether no other prompt waited at the upstream when it was sent.
     is_waiting : bool
-        Whether it is; not while events are passed on to a slow caller.
+        Whether the upstream is waited for; not while events are passed on to a caller.
+    is_prefilled : bool
+        Whether its prompt is read, since the answer has begun.
     is_overdue : bool
         Whether it has waited for longer than expected since `waits_since`.
     event_tokens : int
@@ -174,13 +178,13 @@
         self.waits_since = now
 
     def add_gap(self, events: int, tokens: int, took_s: float) -> float | None:
-        """Add events that arrived together.
+        """Add events that arrived together, `took_s` after the previous ones.
 
         Returns
         -------
         float or None
-            Mean time per token once a group of events is complete. The longest gap
-            is left out, in which the upstream has probably read other prompts.
+            Mean time per token in seconds once a group of events is complete. The
+            longest gap is left out: the upstream has probably read other prompts in it.
         """
         self.event_tokens = max(1, tokens // events)
         self._gaps.append((took_s, tokens))
@@ -211,7 +215,15 @@
 
 @attrs.define(kw_only=True)
 class Recent:
-    """Samples of one upstream, which lose weight with time."""
+    """Samples of one upstream, which lose weight with time.
+
+    Attributes
+    ----------
+    at : float
+        Monotonic time in seconds to which the weights apply.
+    weight, log : float
+        Sum of the weights, and of the samples times their weights.
+    """
 
     at: float
     weight: float = 0.0
@@ -249,13 +261,14 @@
     ) -> None:
         """Record a completed prefill of `tokens` that were not cached.
 
-        Queues are known too badly to measure the speed of prompts that have waited.
+        Prompts that have waited are ignored: queues are not known well enough to tell
+        the time of the prefill from the wait.
 
         Parameters
         ----------
         factor : float
-            The upstream's factor so far, without which slow upstreams would change
-            what is usual.
+            The upstream's factor so far. The usual time is learnt without it, or slow
+            upstreams would raise it.
         """
         if tokens < speeds.MIN_SAMPLE_TOKENS or not timing.is_alone:
             return
@@ -277,8 +290,12 @@
 
         Parameters
         ----------
-        reading_s, streams : float, int
-            Queued prefill time in seconds and answers at the upstream.
+        reading_s : float
+            Queued prefill time at the upstream, in seconds.
+        streams : int
+            Answers that the upstream decodes.
+        factor : float
+            As in `record_prefill`.
         """
         token_s = timing.add_gap(events, tokens, now - timing.waits_since)
         if token_s is not None:
@@ -313,9 +330,11 @@
         Parameters
         ----------
         reading_s : float
-            Time to read all prompts that wait at the upstream, in seconds.
+            Queued prefill time at the upstream, in seconds.
+        streams : int
+            Answers that the upstream decodes.
         factor : float
-            The upstream's factor. A request stays overdue when it rises.
+            The upstream's factor. A request that is overdue stays so if it rises.
         """
         usual = self._usual.get(_usual_key(timing, reading_s))
         if not timing.is_waiting or usual is None or usual.samples < MIN_SAMPLES:
