State units, owners and reasons in the docstrings of sharing

Docstrings of health reports, retry loans, pools and load reports left out attributes, named open questions and messages in wording of their own, or told what had happened.

--- a/libs/masticpost-gateway/src/masticpost_gateway/routing/contention.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/routing/contention.py
@@ -40,7 +40,7 @@
         return self._shares.setdefault((service, priority), shares.Shares())
 
     def drain_of(self, service: str) -> draining.Drain:
-        """Return the rate at which the backlog of a service shrinks."""
+        """Return the estimate of how fast the backlog of a service shrinks."""
         return self._drains.setdefault(service, draining.Drain())
 
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/routing/retrybudget.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/routing/retrybudget.py
@@ -1,8 +1,8 @@
 """Retry budget of a service over a sliding window, split between the instances.
 
-An instance may lend a part of its share. It counts what it lends as used at once, for a
-window and the time in which the borrower may use it. What is lost on the way is thus
-lost to both.
+An instance may lend a part of its share. It counts what it lends as used from then on,
+for a window and the time in which the borrower may use it. A loan that is lost on the
+way stays counted, so that the bound over all instances holds.
 """
 
 import collections
@@ -190,10 +190,10 @@
     def add_borrowed(
         self, service: str, granted: int, *, asked_at: float, now: float
     ) -> None:
-        """Add borrowed retries, which are void `USE_WITHIN_S` after they were asked.
+        """Add borrowed retries, void `USE_WITHIN_S` after the request for them.
 
-        The lender counts them from a later time on, so a late reply is void and the
-        retries are never counted too short.
+        The lender counts them from a later time on, and for longer by as much, so that
+        it counts each in all windows that contain its use.
         """
         counts = self._counts_of(service, now)
         use_by = asked_at + USE_WITHIN_S
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
@@ -218,9 +218,8 @@
     def _follow_roll_out(self) -> None:
         """Plan anew once all requests go to a new version.
 
-        The other versions stop as soon as the roll-out is completed. The requests that
-        they cut were sent from one stopped upstream to the next, until this instance
-        had learnt of the completion.
+        The other versions stop as soon as the roll-out is completed. With the earlier
+        plan, requests that they cut are sent from one stopped upstream to the next.
         """
         settled = self.shared.trials.settled_plan(self.call.service.name)
         if settled is not None and self.plan.preferred != settled.preferred:
--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/healthreports.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/healthreports.py
@@ -1,8 +1,8 @@
 """Observations that upstreams are unreachable, sent to all instances at once.
 
-An instance sends its own observations to the watchers, twice again against loss, and
-each watcher forwards what is new to it to the instances that it updates. Each instance
-has two watchers. Messages are idempotent, and none are sent while nothing fails.
+An instance sends its own observations to the watchers, and repeats them twice against
+loss. Each watcher forwards what is new to it to the instances that it updates. Each
+instance has two watchers. Messages are idempotent. None is sent while nothing fails.
 """
 
 import asyncio
@@ -17,9 +17,10 @@
 from masticpost_gateway.sharing import mesh, outbox, pacing, relay
 from masticpost_gateway.upstreams import exits, health, reachability
 
-# Shortest time between two messages, and longest between two looks for repetitions.
+# Shortest time between two messages, and longest between two checks for repetitions.
 MIN_PERIOD_S = 0.1
 MAX_PERIOD_S = 0.5
+# Time between two checks for tests and recoveries, with an open run and without.
 TICK_S = 0.05
 IDLE_TICK_S = 1.0
 TEST_REASON = "test connection refused"
@@ -90,7 +91,7 @@
 
     @mode.Service.task
     async def verify(self) -> None:
-        """Test unreachable upstreams as it is due, and notice recoveries."""
+        """Test unreachable upstreams when due, and note recoveries."""
         while not self.should_stop:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(IDLE_TICK_S):
--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/loads.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/loads.py
@@ -33,10 +33,10 @@
 CACHED_PART_TTL_S = 90.0
 # A cached part is reported to the others again after this time at the earliest.
 PART_REPORT_PERIOD_S = 15.0
-# Time until the other instances of a large deployment see a request in their views.
+# Time until the load reports of a large deployment show a request to the others.
 VIEW_AGE_S = 0.4
-# Share of the other instances that is taken to have chosen an upstream at the same time
-# as this one did.
+# Share of the other instances that have probably chosen an upstream at the same time as
+# this one.
 CONCURRENT_SHARE = 0.25
 # Size of an upstream's cache if the configuration gives none.
 DEFAULT_CACHE_TOKENS = 200_000
@@ -93,7 +93,7 @@
     prefill_s : float
         Expected time to read its prompt, in seconds at the usual speed.
     timing : upstreamspeeds.RequestTiming
-        When the upstream was expected to go on with it.
+        Times from which the speed of the upstream is estimated.
     tokens : int
         Tokens of its prompt and its expected answer.
     begun_at : float
@@ -169,6 +169,8 @@
 
         Parameters
         ----------
+        service, model : str
+            Names by which the usual time is learnt.
         tokens : int
             Tokens of its prompt and its expected answer.
         """
@@ -303,9 +305,10 @@
     def concurrent_s(self, upstream: str, now: float) -> float:
         """Return the prefill time that others have probably sent to an upstream.
 
-        Views of a large deployment are old. When many requests come at once, as after
-        a crash, each instance sees the same idle upstream, and learns too late that
-        the others have chosen it too. What it has just sent there itself tells of it.
+        Load reports in a large deployment are old. When many requests come at once, as
+        after a crash, all instances see the same idle upstream, and learn too late that
+        others have chosen it too. The others are taken to send a share of what this
+        instance has just sent there.
         """
         if self.is_direct:
             return 0.0
--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/retrylending.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/retrylending.py
@@ -70,7 +70,7 @@
         self.peers = peers
         self.budget = budget
         self.metrics = metrics
-        # Requests that wait for a loan, and the question that is open, by service.
+        # Requests that wait for a loan, and the task that asks for one, by service.
         self._waiting: collections.Counter[str] = collections.Counter()
         self._asks: dict[str, asyncio.Task] = {}
         self._next_ask_at: dict[str, float] = {}
@@ -81,15 +81,15 @@
         peers.hub.handle(LoanRequest, self._on_request)
 
     async def on_stop(self) -> None:
-        """End the open questions."""
+        """Cancel the tasks that ask for loans."""
         for task in list(self._asks.values()):
             task.cancel()
 
     async def borrow(self, service: str, limit_s: float) -> None:
         """Borrow a retry of a service, and wait for it for `limit_s` at most.
 
-        Requests that come while a question is open wait for its answer; the next
-        question is for all those that are still without a retry.
+        Requests that come while this instance asks wait for the answer. It then asks
+        once more for those that are still without a retry.
         """
         ends_at = clock.now() + limit_s
         self._waiting[service] += 1
@@ -137,7 +137,7 @@
             self._next_ask_at[service] = clock.now() + REFUSED_S
 
     def _choose(self) -> list[probes.Member]:
-        """Return the instances to ask: a few at random of those that answer."""
+        """Return the instances to ask: `MAX_ASKED` at random of those that answer."""
         now = clock.now()
         silent = {name for name, until in self._silent_until.items() if now < until}
         self._silent_until = {name: self._silent_until[name] for name in silent}
@@ -153,7 +153,7 @@
         return LoanGrant(granted=granted)
 
     def _record(self, service: str, result: str, count: int) -> None:
-        """Count retries, and log their numbers once in a while."""
+        """Count retries, and log their numbers every `LOG_PERIOD_S` at most."""
         self.metrics.record_loan(service, result, count)
         self._unlogged[service, result] += count
         now = clock.now()
--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/speedpools.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/speedpools.py
@@ -19,12 +19,14 @@
 
 # Instances that share a pool, so that a holder answers a bounded number of them.
 GROUP_SIZE = 48
-# Time between two messages of an instance, and between the first ones, which find it
-# with initial estimates only.
+# Time between two messages of an instance. The first `FIRST_MESSAGES` follow each other
+# sooner, since the instance only has initial estimates until a reply arrives.
 PERIOD_S = 2.0
 FIRST_PERIOD_S = 0.5
 FIRST_MESSAGES = 4
+# Time to wait for the reply of the holder.
 TIMEOUT_S = 0.5
+US_PER_S = 1e6
 
 
 @attrs.frozen(kw_only=True)
@@ -64,9 +66,6 @@
     rows: list[EstimateRow]
 
 
-US_PER_S = 1e6
-
-
 class SpeedPooling(mode.Service):
     """Sends samples to the pool of this instance's group, and holds a pool if chosen.
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/speedsharing.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/speedsharing.py
@@ -8,8 +8,9 @@
 from masticpost_gateway.learning import upstreamspeeds
 from masticpost_gateway.sharing import loadreports
 
-# Evidence is sent this often, and at once if the logarithm of a factor has changed by
-# `CHANGED_LOG`, or the sum of overdue requests to less or more than these multiples.
+# Evidence is sent this often, and with the next report if the logarithm of a factor has
+# changed by `CHANGED_LOG`, or the sum for overdue requests to less or more than these
+# multiples of the sum sent.
 PERIOD_S = 1.0
 CHANGED_LOG = 0.25
 LESS_LATE, MORE_LATE = 0.7, 1.4
@@ -94,6 +95,8 @@
     ----------
     samples : upstreamspeeds.UpstreamSpeeds
         Samples of this instance's requests.
+    from_hubs, from_members, from_own_hub : ReportedSpeeds
+        Evidence from the other hubs, from a hub's members, and from the own hub.
     reports, sums : Outbox
         Evidence sent to hubs, and by a hub to its members.
     factors : dict of str to float
--- a/libs/masticpost-gateway/src/masticpost_gateway/upstreams/reachability.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/upstreams/reachability.py
@@ -1,8 +1,8 @@
 """Conclusions from all instances' observations that an upstream is unreachable.
 
 A refused connection and a response of 421 are facts about one run of an upstream, so
-that the observation of one instance serves all. The module decides without a clock and
-a network what an instance concludes from its own and from reported observations.
+that the observation of one instance serves all. This module decides, without network
+and clock, what an instance concludes from its own and from reported observations.
 
 Consecutive failures of a run are numbered in rounds. A failure while the run is ejected
 belongs to the current round, unless this instance has failed in it before; any other
@@ -39,13 +39,13 @@
 HOLD_S = 0.3
 # Longest ejection by reports that this instance has not verified.
 MAX_UNVERIFIED_S = 2.5
-# Time for which reports that contradict an own success are ignored.
+# Time for which reports are ignored after an own success that contradicts them.
 TRUST_S = 30.0
 MAX_REPORT_AGE_S = 3.0
 # Time over which the share of unreachable upstreams is computed.
 RECENT_S = 10.0
-# So many unreachable upstreams since the last response of any suggest a partition
-# before their share does.
+# This many unreachable upstreams since the last response of any suggest a partition
+# even while most of the upstreams count as reachable.
 MIN_IN_A_ROW = 3
 # Observations from this many failure domains, none older than `WITNESS_S`, are needed
 # for the longer ejection by reports.
@@ -59,7 +59,7 @@
 
 @attrs.frozen(kw_only=True)
 class Observation:
-    """That a run was unreachable in a round, or that it has recovered from it.
+    """Observation that a run was unreachable in a round, or has recovered from it.
 
     Attributes
     ----------
@@ -106,13 +106,18 @@
         infinity without one.
     trusted_until : float
         Time until which reports are ignored since an own test contradicts them.
+    is_moved : bool
+        As in the last observation, see `Observation`.
     is_unconfirmed : bool
         Whether a single domain's reports caused the last ejection.
     tested_until : float
         End of the ejection for which a connection was tried last.
-    position, is_verifier : int, bool
-        Rank of this instance for the run, and whether it is the first one of its
-        failure domain, among the instances in `ranked`.
+    position : int
+        Rank of this instance for the run among the instances in `ranked`, from 0.
+    is_verifier : bool
+        Whether it is the first one of its failure domain.
+    ranked : dict or None
+        Failure domain of each instance by name, None before the first ranking.
     """
 
     key: str
@@ -137,7 +142,7 @@
         return self.recovered_round < self.round
 
     def add_witness(self, domain: str, at: float) -> bool:
-        """Add who observed the current round; return whether that is news."""
+        """Add a domain that observed the current round; return whether that is news."""
         number, _ = self.witnesses.get(domain, (0, at))
         self.witnesses[domain] = (self.round, at)
         return number < self.round
@@ -208,12 +213,15 @@
     ) -> bool:
         """Conclude from an own failed attempt, and tell the others.
 
-        Returns False for a run that is not registered.
-
         Parameters
         ----------
         is_test : bool
             Whether it was a tried connection and not a request.
+
+        Returns
+        -------
+        bool
+            False for a run that is not registered.
         """
         state = self._state_of(row)
         if state is None:
@@ -335,7 +343,7 @@
         return state
 
     def _witness(self, observer: str, domain: str) -> str:
-        """Return the domain, the observer in a deployment of a single domain."""
+        """Return the domain, or the observer in a deployment of a single domain."""
         return domain if len(set(self.domains().values())) > 1 else observer
 
     def _avoid(self, state: RunState, report: Observation, now: float) -> None:
