Treat a tried connection without a free descriptor as unknown

make_socket raised OSError outside the try block of try_connect. The error ended the task of HealthSharing or ExitDetector, which stops the instance (mode crashes the service). test_connection_without_a_descriptor_says_nothing failed with OSError before and passes.

--- a/libs/masticpost-gateway/src/masticpost_gateway/upstreams/exits.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/upstreams/exits.py
@@ -184,7 +184,11 @@
         target = (host, int(port))
     except ValueError:
         return Listening.UNKNOWN
-    sock = conns.make_socket((socket.AF_INET, socket.SOCK_STREAM, 0, "", target))
+    try:
+        sock = conns.make_socket((socket.AF_INET, socket.SOCK_STREAM, 0, "", target))
+    except OSError:
+        # The process has no free descriptor.
+        return Listening.UNKNOWN
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             await asyncio.get_running_loop().sock_connect(sock, target)
--- a/libs/masticpost-gateway/testing/upstreams/test_exits.py
+++ b/libs/masticpost-gateway/testing/upstreams/test_exits.py
@@ -1,5 +1,7 @@
 """Detection of upstream exits, as opposed to connections that were only cut."""
 
+import errno
+
 import attrs
 import pytest
 from masticpost_common import clock
@@ -126,3 +128,13 @@
     await scenario.detector.wait_for_probe(record, PROBE_LIMIT_S)
     scenario.watch(record, "sent later")
     assert scenario.exits_reported == ["in flight"]
+
+
+async def test_connection_without_a_descriptor_says_nothing(monkeypatch):
+    """Guards against a stop of the instance, since errors of a test end its service."""
+
+    def fail(addr_info):
+        raise OSError(errno.EMFILE, "too many open files")
+
+    monkeypatch.setattr(exits.conns, "make_socket", fail)
+    assert await exits.try_connect("127.0.0.1:9") is exits.Listening.UNKNOWN
