Withdraw evidence that has ended from the other instances

Receivers take a report without evidence as unchanged. An instance whose only evidence was an overdue request sent nothing when it went on, so the others kept the factor for 3 s. It now sends NO_EVIDENCE once. test_evidence_that_has_ended_is_withdrawn failed before (late 14 instead of 0) and passes, as do the fleets of test_upstream_speeds.

--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/speedsharing.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/speedsharing.py
@@ -66,13 +66,18 @@
     sent_at: float = -math.inf
 
     def take(self, rows: Rows, now: float) -> Rows:
-        """Return the evidence if it is due, and count it as sent; else nothing."""
+        """Return the evidence if it is due, and count it as sent; else nothing.
+
+        Receivers take nothing as unchanged, so that evidence that has ended is returned
+        as `NO_EVIDENCE` once.
+        """
         if now - self.sent_at < PERIOD_S and not self._has_changed(rows):
             return {}
         if not rows and not self.sent:
             return {}
+        ended = dict.fromkeys(self.sent, upstreamspeeds.NO_EVIDENCE)
         self.sent, self.sent_at = rows, now
-        return rows
+        return rows or ended
 
     def _has_changed(self, rows: Rows) -> bool:
         none = upstreamspeeds.NO_EVIDENCE
--- a/libs/masticpost-gateway/testing/test_upstream_speeds.py
+++ b/libs/masticpost-gateway/testing/test_upstream_speeds.py
@@ -194,3 +194,16 @@
     assert outbox.take(rows, 1.0) == rows
     late = {"u1": speedsharing.upstreamspeeds.Evidence(weight=50, log=5, late=14)}
     assert outbox.take(late, 1.2) == late
+
+
+def test_evidence_that_has_ended_is_withdrawn():
+    """Guards against an upstream that stays slow after its requests went on."""
+    outbox, reports = speedsharing.Outbox(), speedsharing.ReportedSpeeds()
+    none = speedsharing.upstreamspeeds.NO_EVIDENCE
+    late = {"u1": speedsharing.upstreamspeeds.Evidence(late=14)}
+    sharing = speedsharing.SpeedSharing()
+    for rows, now in ((late, 0.0), ({}, 0.1)):
+        sent = speedsharing.to_wire(outbox.take(rows, now))
+        sharing.store(reports, "a", sent, now)
+    assert reports.sum("u1", 0.2) == none
+    assert outbox.take({}, 5.0) == {}
