Reject a body whose connection was closed at once

A connection that is closed abruptly sets no error on its body. If the end of the body had arrived, read_body raised None, a TypeError, and the handler failed. Both checks now use one method. test_body_of_a_connection_closed_at_once_is_rejected failed with TypeError before.

--- a/libs/masticpost-telemetry/src/masticpost_telemetry/callerconns.py
+++ b/libs/masticpost-telemetry/src/masticpost_telemetry/callerconns.py
@@ -255,16 +255,14 @@
         self._reader, self._read_at = payload, clock.now()
         try:
             async for part in payload.iter_any():
-                if self.is_rejected:
-                    raise payload.exception() or BodyRejectedError(callerguard.MEMORY)
+                self._require_accepted(payload)
                 self._body += part
                 if len(self._body) > limit:
                     raise BodyTooLargeError
                 self._hold_body(len(self._body))
             # The complete body is copied once.
             self._hold_body(2 * len(self._body))
-            if self.is_rejected:
-                raise payload.exception()
+            self._require_accepted(payload)
             body = bytes(self._body)
         finally:
             self._reader = None
@@ -274,6 +272,11 @@
         self._hold_body(len(body))
         return body
 
+    def _require_accepted(self, payload: aiohttp.StreamReader) -> None:
+        """Raise if the connection was rejected; one closed at once sets no error."""
+        if self.is_rejected:
+            raise payload.exception() or BodyRejectedError(callerguard.MEMORY)
+
     def _hold_body(self, size: int) -> None:
         self._body_held = size
         self.guard.update(self)
--- a/libs/masticpost-telemetry/testing/test_callerconns.py
+++ b/libs/masticpost-telemetry/testing/test_callerconns.py
@@ -379,3 +379,23 @@
             await made.until(lambda: made.ends() == {account.End.ANSWERED: 3})
 
     run(body())
+
+
+# Guards against a TypeError for a connection closed at once with its body complete.
+def test_body_of_a_connection_closed_at_once_is_rejected():
+    async def test():
+        async with scene() as made:
+            sock = connect(made.port)
+            sock.sendall(
+                b"POST /body HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+            )
+            await made.until(lambda: made.handled)
+            (conn,) = made.account.conns
+            payload = conn._reader
+            made.server.guard.reject(conn, callerguard.CONNECTIONS, is_abrupt=True)
+            payload.feed_eof()
+            with pytest.raises(callerconns.BodyRejectedError):
+                await conn.read_body(payload, 100)
+            sock.close()
+
+    run(test())
