--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/demands.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/demands.py
@@ -22,8 +22,8 @@
 ) -> int | None:
     """Return the urgency of a request that is sent to an upstream now.
 
-    It is None to rank the request by its priority only. The work counts for the
-    customer's share.
+    It is None to rank the request by its priority only. The request is recorded in its
+    customer's share, and its urgency in the call.
     """
     priorities = parts.contention.classes_of(call.service.name)
     if priorities is None or not call.route.kind.is_stream:
@@ -48,7 +48,8 @@
 ) -> decision.Decision:
     """Return whether to send a request to one of several upstreams, or to reject it.
 
-    Nothing of it was sent yet.
+    Nothing of it was sent yet. If it is to be rejected, the queue of the best upstream
+    is recorded.
     """
     priorities = parts.contention.classes_of(call.service.name)
     if priorities is None or prefill is None or not upstreams:
--- a/libs/masticpost-overload/src/masticpost_overload/decision.py
+++ b/libs/masticpost-overload/src/masticpost_overload/decision.py
@@ -24,22 +24,21 @@
 Decision = Send | Reject
 
 
-def decide(request: demand.Demand, freed_s: float, position: float) -> Decision:
+def decide(request: demand.Demand, drain_rate: float, position: float) -> Decision:
     """Return what to do with a request of which nothing was sent yet.
 
     Parameters
     ----------
     request : demand.Demand
         The request, with the work that it needs at the best upstream.
-    freed_s : float
-        Seconds of queued work that the upstreams get through per second, less what
-        arrives meanwhile.
+    drain_rate : float
+        Seconds of queued work done per second, less what arrives; see `draining.Drain`.
     position : float
         Random number from 0 to 1 that spreads the return of rejected callers.
     """
     if not is_hopeless(request):
         return Send()
-    retry_after_s = returns.retry_after_s(request, freed_s, position)
+    retry_after_s = returns.retry_after_s(request, drain_rate, position)
     return Reject(retry_after_s=retry_after_s)
 
 
--- a/libs/masticpost-overload/src/masticpost_overload/demand.py
+++ b/libs/masticpost-overload/src/masticpost_overload/demand.py
@@ -10,16 +10,16 @@
     Attributes
     ----------
     priority : int
-        Rank of the request, 0 for the most urgent.
+        Priority of the request; the lowest number is the most urgent.
     objective_s : float
         The latency objective from the arrival of the request on, in seconds.
     objective_left_s, deadline_left_s : float
         Time until the first event is late, and until the answer is of no use, in
         seconds.
     first_s, total_s : float
-        Expected time to the first event and to the last one at the best upstream, in
+        Expected time to the first event and to the last one at the upstream, in
         seconds. For the urgency, the queue there is left out: with it, requests that
-        arrive later overtake those that it makes late, which then starve.
+        arrive later overtake those that the queue makes late, which then starve.
     has_begun : bool
         Whether the caller has received events, so that it waits for the next one.
     """
--- a/libs/masticpost-overload/src/masticpost_overload/draining.py
+++ b/libs/masticpost-overload/src/masticpost_overload/draining.py
@@ -6,6 +6,7 @@
 MIN_INTERVAL_S = 0.5
 # An older sample says nothing about the present rate.
 MAX_INTERVAL_S = 5.0
+# Weight of a new sample of the rate.
 WEIGHT = 0.5
 # Rate of one upstream that gets no new work, in seconds of work per second.
 INITIAL_RATE = 1.0
--- a/libs/masticpost-overload/src/masticpost_overload/shares.py
+++ b/libs/masticpost-overload/src/masticpost_overload/shares.py
@@ -1,4 +1,4 @@
-"""Shares of customers in the work of a service, of late."""
+"""Shares of customers in the recent work of a service."""
 
 import attrs
 
--- a/libs/masticpost-overload/testing/test_decision.py
+++ b/libs/masticpost-overload/testing/test_decision.py
@@ -37,12 +37,12 @@
 @hypothesis.given(
     total_s=strategies.floats(0, 100),
     left_s=strategies.floats(0.1, 30),
-    freed_s=strategies.floats(-1, 5),
+    drain_rate=strategies.floats(-1, 5),
     position=positions,
     priority=strategies.integers(0, 5),
 )
 def test_callers_return_in_a_third_of_their_time_and_urgent_ones_first(
-    total_s, left_s, freed_s, position, priority
+    total_s, left_s, drain_rate, position, priority
 ):
     """Guards against a Retry-After that callers ignore as too long."""
     row = attrs.evolve(
@@ -50,7 +50,7 @@
     )
     later = attrs.evolve(row, priority=priority + 1)
     first_s, second_s = (
-        returns.retry_after_s(one, freed_s, position) for one in (row, later)
+        returns.retry_after_s(one, drain_rate, position) for one in (row, later)
     )
     assert 0 <= first_s <= second_s <= 1.0001 * left_s / 3
 
