--- a/libs/masticpost-telemetry/src/masticpost_telemetry/callerbytes.py
+++ b/libs/masticpost-telemetry/src/masticpost_telemetry/callerbytes.py
@@ -17,7 +17,8 @@
 PROGRESS_BYTES = 4_096
 # Keeps the weight of a caller that has just made progress above zero.
 MIN_STALL_S = 0.1
-# Descriptors left for upstreams, peers, the store and files, of those of a process.
+# Descriptors of a process that are not for callers and their requests: those for peers,
+# the store and files.
 RESERVED_DESCRIPTORS = 48
 MIN_CONNECTIONS = 8
 # Estimates of what Python objects take beside the bytes themselves.
@@ -43,7 +44,7 @@
     body_gap_s : float
         Time between two parts of a body.
     read_gap_s : float
-        Time in which a caller reads some of an answer that waits for it.
+        Time within which a caller reads some of an answer that waits for it.
     idle_s : float
         Time for which an idle connection stays open.
     """
@@ -106,7 +107,17 @@
 
 @attrs.define(kw_only=True)
 class Part:
-    """What one connection holds, and when it last made progress."""
+    """What one connection holds, and when it last made progress.
+
+    Attributes
+    ----------
+    held : int
+        Bytes that the process holds for it.
+    progressed_at : float
+        Time of its last progress.
+    moved : int
+        Bytes that have moved since then.
+    """
 
     held: int = 0
     progressed_at: float
--- a/libs/masticpost-telemetry/src/masticpost_telemetry/callerconns.py
+++ b/libs/masticpost-telemetry/src/masticpost_telemetry/callerconns.py
@@ -27,19 +27,17 @@
 LOOK_AGAIN_S = 0.5
 POLL_S = 0.02
 ACCEPT_POLL_S = 0.002
-
-
 # Bytes that aiohttp and the kernel hold of a connection before they stop reading.
 # Linux doubles the kernel's value.
 READ_BUFFER_BYTES = 32_768
 KERNEL_BUFFER_BYTES = 65_536
 # An answer counts as not read when this much of it waits.
 UNREAD_ANSWER_BYTES = 65_536
-# Time for which a rejected caller may read its answer; its bytes are read no more.
-# A connection that is closed at once with bytes unread loses the answer.
+# Time for which a rejected caller may read its answer, while nothing more is read from
+# it. A connection that is closed at once with bytes unread loses the answer.
 LINGER_S = 0.5
-# Time after which a rejected connection is aborted; one whose caller reads nothing
-# would otherwise wait for its buffer to be written.
+# Time after which a rejected connection is aborted: one whose caller reads nothing
+# would wait for its buffer to be written.
 ABORT_AFTER_S = 2.0
 HEAD_TOO_LARGE = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
@@ -75,7 +73,7 @@
     ----------
     guard : callerguard.Guard
         Account of the bytes that the process holds for its clients.
-    limits : callerbytes.CallerLimits
+    limits : callable
         Returns the limits of the listener.
     """
 
@@ -117,7 +115,7 @@
 
     @property
     def is_evictable(self) -> bool:
-        """Whether closing it breaks no request that may have run and makes progress."""
+        """Whether it may be closed: no request runs whose answer is being read."""
         if self.is_rejected or self.has_ended:
             return False
         if self._reader is not None or not self._is_serving:
@@ -251,7 +249,7 @@
         self._pause_transport_reading()
 
     async def read_body(self, payload: aiohttp.StreamReader, limit: int) -> bytes:
-        """Return a complete body; see `read_body`."""
+        """Return a complete body; see the function `read_body`."""
         self._reader, self._read_at = payload, clock.now()
         try:
             async for part in payload.iter_any():
@@ -386,7 +384,7 @@
 
 
 class CallerConn(GuardedConn):
-    """One connection of a caller, with its part of the account.
+    """One connection of a caller, which accounts for the end of each request.
 
     Parameters
     ----------
--- a/libs/masticpost-telemetry/src/masticpost_telemetry/callerguard.py
+++ b/libs/masticpost-telemetry/src/masticpost_telemetry/callerguard.py
@@ -33,7 +33,7 @@
         """Count what it holds, and reject it if it exceeds a time limit."""
 
     def reject(self, limit: str, *, is_abrupt: bool = False) -> None:
-        """Give up its request, or close it."""
+        """Fail its request, or close it; at once if `is_abrupt`."""
 
 
 class Guard:
@@ -71,7 +71,7 @@
             self._rejections.labels(name)
 
     def open(self, conn: Conn, others: collections.abc.Iterable[Conn]) -> None:
-        """Begin a connection's part; close the most stalled beyond the limit."""
+        """Begin a connection's part; close the most stalled one beyond the limit."""
         now = clock.now()
         self.account.open(conn, now)
         self.update(conn)
--- a/libs/masticpost-upstream/src/masticpost_upstream/connections.py
+++ b/libs/masticpost-upstream/src/masticpost_upstream/connections.py
@@ -72,7 +72,7 @@
     def eof_received(self) -> None:
         """Note that the upstream has ended the connection, unless it was reset.
 
-        A write that failed takes the error of a reset. What follows is read as an end.
+        A failed write takes the error of a reset, and the next read returns an end.
         """
         self.is_ended = not _is_reset(self.transport)
         super().eof_received()
--- a/libs/masticpost-upstream/src/masticpost_upstream/limits.py
+++ b/libs/masticpost-upstream/src/masticpost_upstream/limits.py
@@ -3,8 +3,8 @@
 A faulty upstream may send bytes without end that are no response. Each connection
 counts what it has received since the last head or event that made sense, and is reset
 beyond its limit. What all connections hold together is bounded as well; beyond that
-bound, the one that holds most is reset. A connection is also reset on a response whose
-status is none.
+bound, the one that holds most is reset. A connection is also reset on a response with
+an invalid status.
 """
 
 import asyncio
@@ -38,7 +38,7 @@
 
 
 class InvalidStatusError(aiohttp.ClientPayloadError):
-    """An upstream has sent a response whose status is none."""
+    """An upstream has sent a response with an invalid status."""
 
 
 def _log(reason: str, held: int, exc: Exception) -> None:
