--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/demands.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/demands.py
@@ -75,7 +75,8 @@
 ) -> forecasts.Forecast:
     models = (prefill.model,) if prefill is not None else ("",)
     prompt = call.head.prompt
-    # Without a hint only the maximum is known, and most answers are far shorter.
+    # Without a hint (0) only the maximum is known, and most answers are far shorter: no
+    # time is expected for decoding.
     tokens = min(prompt.tokens_hint, prompt.tokens_out)
     decode_s = parts.forecasts.decode_s(call.service.name, models, tokens)
     return parts.forecasts.of(upstream, prefill, decode_s)
--- a/libs/masticpost-gateway/testing/serving/test_faulty_answers.py
+++ b/libs/masticpost-gateway/testing/serving/test_faulty_answers.py
@@ -210,7 +210,7 @@
 @pytest.mark.parametrize("status", INVALID_STATUSES)
 @pytest.mark.parametrize("extra", [{}, {"Not_Run": "1"}], ids=["plain", "not run"])
 async def test_response_without_a_valid_status_is_no_answer(path, status, extra):
-    """Guards against a status that is none at the caller, and a second execution."""
+    """Guards against an invalid status at the caller, and a second execution."""
 
     async def script(req, writer):
         content_type = EVENT_STREAM if "/chat/" in req.target else "text/plain"
@@ -230,7 +230,7 @@
 @all_routes
 @pytest.mark.parametrize("interim", ["000", "099", "600"])
 async def test_interim_response_without_a_valid_status_ends_the_attempt(path, interim):
-    """Guards against an answer that follows bytes which are no response."""
+    """Guards against an answer read after bytes that are no response."""
 
     async def faulty(req, writer):
         writer.write(f"HTTP/1.1 {interim} X\r\n\r\n".encode())
--- a/libs/masticpost-overload/testing/test_decision.py
+++ b/libs/masticpost-overload/testing/test_decision.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies
 from masticpost_overload import decision, demand, draining, returns, shares
 
-# catalogue-quote of Ragione.
+# A request of the kind catalogue-quote, see docs/hard-load.md.
 QUOTE = demand.Demand(
     priority=2,
     objective_s=6.0,
--- a/libs/masticpost-upstream/testing/test_faulty_answers.py
+++ b/libs/masticpost-upstream/testing/test_faulty_answers.py
@@ -231,7 +231,7 @@
 @pytest.mark.parametrize("status", ["000", "099", "101", "600", "999", "1000", "20"])
 @pytest.mark.parametrize("is_interim", [False, True])
 async def test_response_without_a_valid_status_is_no_answer(kind, status, is_interim):
-    """Guards against a status that is none at the caller, and an answer after it."""
+    """Guards against an invalid status at the caller, and an answer after it."""
 
     async def script(attempt_id, number, writer):
         body = CALLS[kind][2](attempt_id)
