--- a/libs/masticpost-gateway/src/masticpost_gateway/routing/contention.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/routing/contention.py
@@ -48,7 +48,7 @@
         return copied
 
     def drain_of(self, service: str) -> draining.Drain:
-        """Return the rate at which the backlog of a service shrinks."""
+        """Return the estimate of how fast the backlog of a service shrinks."""
         return self._drains.setdefault(service, draining.Drain())
 
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/demands.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/demands.py
@@ -22,8 +22,8 @@
 ) -> int | None:
     """Return the urgency of a request that is sent to an upstream now.
 
-    It is None to rank the request by its priority only. The work counts for the
-    customer's share.
+    It is None to rank the request by its priority only. The request is recorded in its
+    customer's share, and its urgency in the call.
     """
     priorities = parts.contention.classes_of(call.service.name)
     if priorities is None or not call.route.kind.is_stream:
@@ -48,7 +48,8 @@
 ) -> decision.Decision:
     """Return whether to send a request to one of several upstreams, or to reject it.
 
-    Nothing of it was sent yet.
+    Nothing of it was sent yet. If it is to be rejected, the queue of the best upstream
+    is recorded.
     """
     priorities = parts.contention.classes_of(call.service.name)
     if priorities is None or prefill is None or not upstreams:
@@ -74,7 +75,8 @@
 ) -> forecasts.Forecast:
     models = (prefill.model,) if prefill is not None else ("",)
     prompt = call.head.prompt
-    # Without a hint only the maximum is known, and most answers are far shorter.
+    # Without a hint (0) only the maximum is known, and most answers are far shorter: no
+    # time is expected for decoding.
     tokens = min(prompt.tokens_hint, prompt.tokens_out)
     decode_s = parts.forecasts.decode_s(call.service.name, models, tokens)
     return parts.forecasts.of(upstream, prefill, decode_s)
--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/speedsharing.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/speedsharing.py
@@ -8,8 +8,9 @@
 from masticpost_gateway.learning import upstreamspeeds
 from masticpost_gateway.sharing import loadreports
 
-# Evidence is sent this often, and at once if the logarithm of a factor has changed by
-# `CHANGED_LOG`, or the sum of overdue requests to less or more than these multiples.
+# Evidence is sent this often, and with the next report if the logarithm of a factor has
+# changed by `CHANGED_LOG`, or the sum for overdue requests to less or more than these
+# multiples of the sum sent.
 PERIOD_S = 1.0
 CHANGED_LOG = 0.25
 LESS_LATE, MORE_LATE = 0.7, 1.4
@@ -65,13 +66,18 @@
     sent_at: float = -math.inf
 
     def take(self, rows: Rows, now: float) -> Rows:
-        """Return the evidence if it is due, and count it as sent; else nothing."""
+        """Return the evidence if it is due, and count it as sent; else nothing.
+
+        Receivers take nothing as unchanged, so that evidence that has ended is returned
+        as `NO_EVIDENCE` once.
+        """
         if now - self.sent_at < PERIOD_S and not self._has_changed(rows):
             return {}
         if not rows and not self.sent:
             return {}
+        ended = dict.fromkeys(self.sent, upstreamspeeds.NO_EVIDENCE)
         self.sent, self.sent_at = rows, now
-        return rows
+        return rows or ended
 
     def _has_changed(self, rows: Rows) -> bool:
         none = upstreamspeeds.NO_EVIDENCE
@@ -94,6 +100,8 @@
     ----------
     samples : upstreamspeeds.UpstreamSpeeds
         Samples of this instance's requests.
+    from_hubs, from_members, from_own_hub : ReportedSpeeds
+        Evidence from the other hubs, from a hub's members, and from the own hub.
     reports, sums : Outbox
         Evidence sent to hubs, and by a hub to its members.
     factors : dict of str to float
