--- a/libs/masticpost-gateway/src/masticpost_gateway/reporting/candidatelist.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/reporting/candidatelist.py
@@ -6,7 +6,7 @@
 import attrs
 
 from masticpost_gateway import shared
-from masticpost_gateway.routing import choice, placement
+from masticpost_gateway.routing import choice, forecasts, placement
 from masticpost_gateway.state import model
 
 # Decimal places of times in seconds and of scores.
@@ -110,7 +110,7 @@
     has_slot = loads.has_room(upstream, load=load)
     tokens = prefill.tokens if prefill is not None else 0
     has_room = loads.has_room(upstream, tokens, load)
-    first_s, total_s = _expected(parts.placement, upstream, prefill)
+    first_s, total_s = _expected(parts.forecasts, upstream, prefill)
     return Candidate(
         name=upstream.name,
         domain=upstream.domain,
@@ -142,13 +142,15 @@
 
 
 def _expected(
-    places: placement.Placement,
+    expecting: forecasts.Forecasts,
     upstream: model.Upstream,
     prefill: placement.Prefill | None,
 ) -> tuple[float | None, float | None]:
     if prefill is None:
         return None, None
-    expected = places.expected(upstream, prefill)
+    tokens = prefill.prompt.tokens_expected
+    decode_s = expecting.decode_s(prefill.service, (prefill.model,), tokens)
+    expected = expecting.of(upstream, prefill, decode_s)
     return round(expected.first_s, DECIMALS), round(expected.total_s, DECIMALS)
 
 
