Use a speed factor only beyond a third of a difference

Cause: where upstreams are nearly alike (1.3 times), factors left 1 by chance under load and sent requests away from cached prompts. Change: LIKE_LOG 0.3 for 0.15.

--- a/libs/masticpost-gateway/src/masticpost_gateway/learning/upstreamspeeds.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/learning/upstreamspeeds.py
@@ -25,7 +25,7 @@
 PRIOR_WEIGHT = 0.5
 # A factor counts as 1 if its logarithm is at most this, plus the error of one sample
 # divided by the root of their weight; up to `RAMP_LOG` more it counts in part.
-LIKE_LOG = 0.15
+LIKE_LOG = 0.3
 SAMPLE_ERROR_LOG = 0.35
 RAMP_LOG = 0.2
 # The usual time is known after this number of samples; later ones weigh this much.
