Calibrate forecasts for escalations only, and release claims of callers that left

Cause: found by review. The calibrated first event entered the queued work, so that a customer would yield on idle upstreams, and long prompts of the least urgent priority could be rejected on a ratio that only falls when requests are sent. A retry that was claimed for a request whose caller left stayed counted for a window. Change: StreamRelay applies the calibration to its options; streams and plain requests release an unsent claim at their end.

--- a/libs/masticpost-gateway/src/masticpost_gateway/routing/forecasts.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/routing/forecasts.py
@@ -73,8 +73,6 @@
     ) -> Forecast:
         """Return the forecast for a prompt at the speed of an upstream.
 
-        The time to its first event is calibrated.
-
         Parameters
         ----------
         decode_s : float
@@ -84,8 +82,7 @@
         decode_s *= factor
         if prefill is None:
             return Forecast(first_s=0.0, total_s=decode_s)
-        ratio = self.calibrations.of(prefill.service, prefill.model).ratio
-        first_s = ratio * self.placement.first_event_s(upstream, prefill)
+        first_s = self.placement.first_event_s(upstream, prefill)
         prefill_s = factor * self.placement.prefill_s(upstream.name, prefill)
         return Forecast(
             first_s=first_s,
@@ -94,6 +91,24 @@
             queued_s=max(0.0, first_s - prefill_s),
         )
 
+    def calibrated(
+        self, expected: Forecast, prefill: placement.Prefill | None
+    ) -> Forecast:
+        """Return a forecast whose first event follows what first events took lately.
+
+        It is for escalations only: a rejection, or a customer that yields, needs work
+        that is queued for certain.
+        """
+        if prefill is None:
+            return expected
+        ratio = self.calibrations.of(prefill.service, prefill.model).ratio
+        later_s = (ratio - 1.0) * expected.first_s
+        return attrs.evolve(
+            expected,
+            first_s=expected.first_s + later_s,
+            total_s=expected.total_s + later_s,
+        )
+
     def decode_s(self, service: str, models: tuple[str, ...], tokens: int) -> float:
         """Return the mean time to decode an answer, in seconds.
 
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/dispatches.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/dispatches.py
@@ -83,7 +83,7 @@
             )
 
     def release(self) -> None:
-        """Uncount a claimed retry, since the request is given up."""
+        """Uncount a claimed retry that was not sent, as the request has ended."""
         if self._claim is not None:
             self.shared.retries.undo_retry(
                 self.call.service.name, self._claim, clock.now()
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/plain.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/plain.py
@@ -66,6 +66,16 @@
         The answer was cut after a part of it had been passed on.
     """
     req_attempts = attempts.Attempts(parts=parts, call=call)
+    try:
+        return await _serve(req_attempts, req)
+    finally:
+        req_attempts.dispatches.release()
+
+
+async def _serve(
+    req_attempts: attempts.Attempts, req: web.BaseRequest
+) -> web.StreamResponse:
+    call = req_attempts.call
     failed: CompleteAnswer | None = None
     reason = ""
     while True:
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/streaming.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/streaming.py
@@ -95,6 +95,8 @@
             if self.failure_answer is None:
                 raise
             return self.failure_answer
+        finally:
+            self.attempts.dispatches.release()
 
     async def _serve(self) -> web.StreamResponse:
         while True:
@@ -290,6 +292,7 @@
         )
         prefill = self.attempts.prefill(levels[level])
         expected = forecasts.of(upstream, prefill, decode_s)
+        expected = forecasts.calibrated(expected, prefill)
         speed = self.shared.placement.speeds.of(service, levels[level])
         return cascade.Option(
             level=level,
--- a/libs/masticpost-gateway/testing/routing/test_forecasts.py
+++ b/libs/masticpost-gateway/testing/routing/test_forecasts.py
@@ -6,7 +6,7 @@
 from masticpost_gateway.learning import speeds, streampaces
 from masticpost_gateway.routing import cascade, forecasts, placement
 
-# Median durations of attempts ranged over a factor of 12 by upstream (Ragione).
+# Median durations of attempts ranged over a factor of 12 by upstream.
 TOKEN_S = [0.006 * 12 ** (n / 29) for n in range(30)]
 STREAMS_OF_SMALLEST = 8
 TOKENS, TOKENS_PER_EVENT = 172, 4
@@ -51,7 +51,7 @@
 
 
 def test_streams_are_not_cut_since_the_larger_model_had_no_samples():
-    """Guards against streams cut at their deadline after an escalation (Ragione, 25).
+    """Guards against streams cut at their deadline after an escalation.
 
     An instance with little traffic had no samples of the larger model, and the mean of
     the last events of one stream does not hold for slower upstreams.
@@ -88,3 +88,16 @@
 
 def test_without_streams_the_forecast_is_that_of_the_model():
     assert make_forecasts().safe_decode_s("s", LEVELS, 100) == 1.0
+
+
+def test_calibration_leaves_the_queued_work_as_it_is():
+    """Guards against rejections of long prompts since first events are late."""
+    found = make_forecasts()
+    prefill = placement.Prefill(service="s", model="large", prompt=None)
+    for _ in range(30):
+        found.calibrations.of("s", "large").record(1.0, 3.0)
+    expected = forecasts.Forecast(first_s=1.0, total_s=2.0, prefill_s=1.0)
+    calibrated = found.calibrated(expected, prefill)
+    assert calibrated.first_s > 2.0
+    assert calibrated.total_s == calibrated.first_s + 1.0
+    assert calibrated.queued_s == expected.queued_s
