--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/attempts.py
@@ -212,13 +212,24 @@
                 )
             await asyncio.sleep(picker.pause_s(POLL_S))
 
-    def peek(self, level: str) -> model.Upstream | None:
-        """Return the upstream that would now run another model, None if none is ready.
+    def peek(self, level: str, version: str) -> model.Upstream | None:
+        """Return the upstream that would now run another model, None if none may.
 
-        Those tried with the current model count as untried.
+        Those tried with the current model count as untried. An upstream of another
+        version than the one that runs the request counts only if all requests go to
+        that version: without budget for a version on trial, an escalation would take
+        a session from it.
+
+        Parameters
+        ----------
+        version : str
+            The version that runs the request.
         """
         required = attrs.evolve(self.requirements(level), tried=frozenset())
-        return self.shared.chooser.pick(required)
+        found = self.shared.chooser.pick(required)
+        if found is None or found.version in (version, self.plan.preferred):
+            return found
+        return None
 
     def restart_at(self, upstream: model.Upstream) -> None:
         """Forget which upstreams were tried; the next attempt prefers `upstream`."""
@@ -234,14 +245,13 @@
         self._is_planned = True
 
     def _follow_roll_out(self) -> None:
-        """Plan anew once all requests go to a new version.
+        """Plan anew after a completed roll-out, since the other versions stop at once.
 
-        The other versions stop as soon as the roll-out is completed. With the earlier
-        plan, requests that they cut are sent from one stopped upstream to the next.
+        The requests that they cut were sent from one stopped upstream to the next.
         """
-        settled = self.shared.trials.settled_plan(self.call.service.name)
-        if settled is not None and self.plan.preferred != settled.preferred:
-            self.plan = settled
+        completed = self.shared.trials.completed_plan(self.call.service.name)
+        if completed is not None and self.plan.preferred != completed.preferred:
+            self.plan = completed
 
     async def open(
         self,
--- a/libs/masticpost-gateway/src/masticpost_gateway/serving/streaming.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/serving/streaming.py
@@ -243,7 +243,7 @@
         opened.health.outstanding -= 1
         try:
             found = {
-                level: self.attempts.peek(levels[level])
+                level: self.attempts.peek(levels[level], opened.upstream.version)
                 for level in range(self.level + 1, len(levels))
             }
         finally:
