Test the bound of lent retries that grows with the requests

The property test had a bound from the slack alone. This one has requests that leave the window, at 2, 8 and 75 instances, with lost, late and repeated messages.

--- a/libs/masticpost-gateway/testing/routing/test_retryloans.py
+++ b/libs/masticpost-gateway/testing/routing/test_retryloans.py
@@ -126,6 +126,18 @@
     assert most_in_a_window(mesh.retries) <= bound
 
 
+@pytest.mark.parametrize("count", [2, 8, 75])
+def test_lending_stays_within_the_bound_that_grows_with_the_requests(count):
+    """Guards against loans from requests that have left the window."""
+    mesh = Mesh(count, seed=count, ratio=0.3, fault_rate=0.3)
+    load(mesh, rate=2.0)
+    assert mesh.loans
+    for end in mesh.retries:
+        requests = sum(end - WINDOW_S < at <= end for at in mesh.requests)
+        retries = sum(end - WINDOW_S < at <= end for at in mesh.retries)
+        assert retries <= mesh.bounds.ratio * requests + mesh.bounds.slack
+
+
 @pytest.mark.parametrize("count", [2, 8, 75])
 def test_request_that_has_not_run_is_kept_while_others_have_budget(count):
     """Guards against rejections by one instance while the others have budget left."""
