--- a/libs/masticpost-gateway/src/masticpost_gateway/node.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/node.py
@@ -59,6 +59,7 @@
     model,
     recordcache,
     source,
+    timing,
     watching,
 )
 from masticpost_gateway.upstreams import conns, exits, reachability
@@ -124,6 +125,8 @@
         Whether instances share which upstreams are unreachable.
     descriptors : int
         File descriptors that the process may open; 0 for the limit of the process.
+    limits : timing.Timing
+        Time limits on the way of a change from the store to its use.
     """
 
     name: str
@@ -141,6 +144,7 @@
     is_contended: bool = False
     shares_health: bool = True
     descriptors: int = 0
+    limits: timing.Timing = attrs.field(factory=timing.Timing)
 
 
 class Node(mode.Service):
@@ -186,9 +190,13 @@
             members=self.mesh.members,
             seeds=len({*cfg.mesh.seeds, cfg.mesh.address}),
         )
-        self.watching = watching.StoreWatch(store=store, records=self.records)
+        self.watching = watching.StoreWatch(
+            store=store, records=self.records, limits=cfg.limits
+        )
         self.isolation = isolation.Isolation(
-            has_others=lambda: bool(self.mesh.others()), watch=self.watching
+            has_others=lambda: bool(self.mesh.others()),
+            watch=self.watching,
+            limits=cfg.limits,
         )
         self.shared = self._make_shared(names)
         self.relay = relay.Relay(
@@ -197,6 +205,7 @@
             watch=self.watching,
             trials=self.shared.trials,
             isolation=self.isolation,
+            limits=cfg.limits,
         )
         self.sharing_services = self._make_sharing_services(store)
         if cfg.shares_health:
--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/relay.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/relay.py
@@ -6,9 +6,11 @@
 Each watcher forwards changes to the other watchers, so that one watcher with a
 connection to the store is enough.
 
-When no watcher reaches the store, all other instances fall back to their own watch at
-the same time. Those that still get heartbeats from the watchers spread their calls, so
-that all of them together call no more often than the watchers do.
+Watchers tell whether they follow the store. When none of those that update an instance
+does, the standbys, as many instances as there are watchers, watch at once and update
+the others in their place. The others wait for them briefly, and then watch by
+themselves; while standbys or watchers are heard whose calls fail, they spread their
+calls, so that all of them together call no more often than the watchers do.
 """
 
 import asyncio
@@ -21,15 +23,15 @@
 from masticpost_peers import hub, messages, probes
 
 from masticpost_gateway.learning import trial
-from masticpost_gateway.sharing import mesh, replication
-from masticpost_gateway.state import isolation, recordcache, source, watching
+from masticpost_gateway.sharing import beats, mesh, replication, storecontact
+from masticpost_gateway.state import isolation, recordcache, source, timing, watching
 
 WATCHERS = 3
 WATCHERS_IF_LARGE = 5
 # A deployment with more instances than this counts as large.
 LARGE_DEPLOYMENT = 24
 WATCHERS_PER_INSTANCE = 2
-HEARTBEAT_PERIOD_S = 1.0
+HEARTBEAT_PERIOD_S = beats.HEARTBEAT_PERIOD_S
 # Age from which the cached records of a kind count as stale.
 STALE_AFTER_S = 5.0
 # Minimum duration of a fallback watch.
@@ -38,8 +40,9 @@
 BOOT_WAIT_S = 0.6
 # Time after which a chosen instance starts to watch.
 SETTLE_S = 1.0
-FETCH_TIMEOUT_S = 1.0
-CHOOSE_PERIOD_S = 0.1
+CHOOSE_PERIOD_S = 0.05
+# A round that comes so late finds messages that are not read yet; the next one judges.
+LATE_ROUND_S = 0.2
 FIRST_FETCH_PERIOD_S = 0.05
 # Upper limit of ages in messages and log lines, in place of infinity.
 MAX_REPORTED_AGE_S = 1e6
@@ -60,11 +63,15 @@
         Verdicts on versions on trial, sent and received with the heartbeats.
     isolation : isolation.Isolation
         Notified of contact with watchers.
+    limits : timing.Timing, optional
+        Time limits.
 
     Attributes
     ----------
     watchers : list of probes.Member
         The instances that watch the store for all.
+    standbys : list of probes.Member
+        The instances that replace the watchers when these lose the store.
     """
 
     def __init__(
@@ -75,15 +82,23 @@
         watch: watching.StoreWatch,
         trials: trial.Trials,
         isolation: isolation.Isolation,
+        limits: timing.Timing = watching.DEFAULT_LIMITS,
     ) -> None:
         super().__init__()
+        self.limits = limits
         self.peers = peers
         self.records = records
         self.watch = watch
         self.trials = trials
         self.isolation = isolation
         self.watchers: list[probes.Member] = []
+        self.standbys: list[probes.Member] = []
         self._started_at = clock.now()
+        self.contact = storecontact.StoreContact(
+            limits=limits, started_at=self._started_at
+        )
+        self._beats = beats.BeatSchedule(beat_s=limits.beat_s)
+        self._round_at = self._started_at
         self._chosen_at: float | None = None
         self._fallback_until = -math.inf
         self._fetching: set[source.Kind] = set()
@@ -97,31 +112,51 @@
         peers.hub.handle(replication.ReplicatedChanges, self._on_changes)
         peers.hub.handle(replication.StateRequest, self._on_request)
         peers.hub.handle(replication.Heartbeat, self._on_heartbeat)
+        peers.hub.handle(replication.Pulse, self._on_pulse)
 
     @property
     def is_watcher(self) -> bool:
         """Whether this instance is one of those that watch the store for all."""
-        return any(row.name == self.peers.me.name for row in self.watchers)
+        return self._is_in(self.watchers, self.peers.me.name)
+
+    @property
+    def is_standby(self) -> bool:
+        """Whether this instance is one of those that replace the watchers."""
+        return self._is_in(self.standbys, self.peers.me.name)
+
+    def _is_in(self, rows: list[probes.Member], name: str) -> bool:
+        return any(row.name == name for row in rows)
 
     def recipients(self) -> list[str]:
         """Return the addresses of the instances to which this one sends updates."""
-        if not self.is_watcher:
-            is_fallback = self.watch.is_active
-            return [row.address for row in self.watchers] if is_fallback else []
-        names = [row.name for row in self.watchers]
-        addresses = []
-        for member in self.peers.others():
-            if member.name in names or self.peers.me.name in self._watchers_of(member):
-                addresses.append(member.address)
-        return addresses
-
-    def _watchers_of(self, member: probes.Member) -> list[str]:
-        """Return the watchers that update an instance, one of its own domain first.
+        if self.is_watcher:
+            return self._recipients_among(self.watchers)
+        if not self.watch.is_active:
+            return []
+        addresses = [row.address for row in self.watchers]
+        if self.is_standby:
+            addresses += self._recipients_among(self.standbys)
+        return list(dict.fromkeys(addresses))
+
+    def _recipients_among(self, senders: list[probes.Member]) -> list[str]:
+        """Return the other senders, and the instances that have this one as sender."""
+        me = self.peers.me
+        return [
+            member.address
+            for member in self.peers.others()
+            if self._is_in(senders, member.name)
+            or me.name in self._senders_of(member, senders)
+        ]
+
+    def _senders_of(
+        self, member: probes.Member, senders: list[probes.Member]
+    ) -> list[str]:
+        """Return the senders that update an instance, one of its own domain first.
 
         That one still reaches the instance when their failure domain is cut off from
         the others, and does so without a long-distance link.
         """
-        domains = {row.name: row.domain for row in self.watchers}
+        domains = {row.name: row.domain for row in senders}
         ranked = rendezvous.ranked(domains, member.name)
         local = [name for name in ranked if domains[name] == member.domain][:1]
         return (local + [name for name in ranked if name not in local])[
@@ -131,53 +166,96 @@
     @mode.Service.task
     async def choose_watchers(self) -> None:
         """Choose the watchers periodically, and switch the own watch on or off."""
+        was_late = False
         while not self.should_stop:
-            members = len(self.peers.members.alive())
-            is_large = members > LARGE_DEPLOYMENT
-            count = WATCHERS_IF_LARGE if is_large else WATCHERS
-            self.watchers = self.peers.chosen("watch", count)
-            self._update_watch(clock.now())
+            self._choose_watchers()
+            now = clock.now()
+            is_late = now - self._round_at > LATE_ROUND_S
+            self._round_at = now
+            if was_late or not is_late:
+                self._update_watch(now)
+            was_late = is_late and not was_late
             await asyncio.sleep(CHOOSE_PERIOD_S)
 
+    def _choose_watchers(self) -> None:
+        """Choose the watchers, and the next ones of the same order as standbys."""
+        is_large = len(self.peers.members.alive()) > LARGE_DEPLOYMENT
+        count = WATCHERS_IF_LARGE if is_large else WATCHERS
+        self.watchers = self.peers.chosen("watch", count)
+        names = {row.name for row in self.watchers}
+        ranked = self.peers.chosen("watch", 2 * count)
+        self.standbys = [row for row in ranked if row.name not in names][:count]
+
     def _update_watch(self, now: float) -> None:
         """Switch the own watch on or off.
 
         It is on while this instance is a watcher, and for at least `FALLBACK_WATCH_S`
-        when the records are stale or contact with the watchers is lost.
+        when the records are stale or the watchers have lost the store.
         """
         is_booting = now - self._started_at < BOOT_WAIT_S
         if is_booting and not self.peers.others():
             return
         oldest_s = max(view.age_s(now) for view in self.records.views.values())
-        is_stale = oldest_s > STALE_AFTER_S or self.isolation.has_lost_contact(now)
-        needs_fallback = is_stale and now - self._started_at > 2 * BOOT_WAIT_S
+        needs_fallback = self._needs_fallback(now, oldest_s)
         if needs_fallback and not self.watch.is_active:
             self._fallback_until = now + FALLBACK_WATCH_S
+        if not needs_fallback and not self.is_standby and not self.watch.is_following:
+            # Others were faster; the calls of this instance would add nothing.
+            self._fallback_until = -math.inf
         is_active = (
             self._is_settled_watcher(now)
             or needs_fallback
             or now < self._fallback_until
         )
         self.watch.competing_instances = self._competing_instances(now)
+        self.watch.start_spread_s = self._start_spread_s(now)
         self.watch.is_urgent = self.isolation.is_isolated(now)
         if is_active != self.watch.is_active:
             logger.bind(
                 event="watch",
                 active=is_active,
                 watcher=self.is_watcher,
+                standby=self.is_standby,
                 oldest_s=round(min(oldest_s, MAX_REPORTED_AGE_S), 3),
             ).info("watch of the store switched on or off")
         self.watch.is_active = is_active
 
+    def _needs_fallback(self, now: float, oldest_s: float) -> bool:
+        """Tell whether this instance has to watch the store without being a watcher."""
+        if now - self._started_at <= 2 * BOOT_WAIT_S:
+            return False
+        lost_since = self.contact.lost_since(now)
+        if lost_since is None:
+            return oldest_s > STALE_AFTER_S
+        if self.is_watcher or self.is_standby:
+            return True
+        return now - lost_since >= self.limits.standby_s
+
     def _competing_instances(self, now: float) -> float:
         """Return the number of instances that call the store for each watcher.
 
-        It is 1 for a watcher, and for an instance without contact to one.
+        It is 1 for a watcher, 2 for a standby, which shares the calls with a watcher,
+        and 1 for an instance without contact to one of them.
         """
         if self.is_watcher or not self.isolation.has_recent_contact(now):
             return 1.0
+        if self.is_standby:
+            return 2.0
         return max(1.0, len(self.peers.members.alive()) / max(1, len(self.watchers)))
 
+    def _start_spread_s(self, now: float) -> float:
+        """Return the time over which the first calls after a loss are spread.
+
+        An instance that hears others call the store in vain, or whose records are only
+        old, takes its turn among all; the store itself may be slow or away.
+        """
+        if self.is_watcher or self.is_standby:
+            return 0.0
+        is_lost = self.contact.lost_since(now) is not None
+        if is_lost and not self.contact.others_try(now):
+            return self.limits.spread_s
+        return (self._competing_instances(now) - 1.0) * watching.MAX_BACKOFF_S
+
     def _is_settled_watcher(self, now: float) -> bool:
         """Tell whether this instance has been a watcher for `SETTLE_S`.
 
@@ -191,13 +269,26 @@
         return now - self._chosen_at >= SETTLE_S
 
     @mode.Service.task
-    async def send_heartbeats(self) -> None:
-        """Send the freshness of the views to the recipients periodically."""
+    async def send_beats(self) -> None:
+        """Tell the recipients periodically how fresh the views are, and of changes."""
         while not self.should_stop:
-            await asyncio.sleep(HEARTBEAT_PERIOD_S)
-            addresses = self.recipients()
-            if addresses:
-                await self.peers.hub.broadcast(addresses, self._heartbeat())
+            await asyncio.sleep(CHOOSE_PERIOD_S)
+            now = clock.now()
+            standing = self._standing(now)
+            due = self._beats.due(standing, now)
+            addresses = self.recipients() if due is not None else []
+            if not addresses:
+                continue
+            is_pulse = due is beats.Beat.PULSE
+            body = replication.Pulse(standing=standing) if is_pulse else None
+            await self.peers.hub.broadcast(addresses, body or self._heartbeat())
+
+    def _standing(self, now: float) -> replication.Standing:
+        return replication.Standing(
+            watches=self.watch.is_active,
+            follows=self.watch.follows(now),
+            hears=self.contact.hears(now),
+        )
 
     def _heartbeat(self) -> replication.Heartbeat:
         now = clock.now()
@@ -232,9 +323,9 @@
         return replication.Heartbeat(
             views=views,
             bad=bad,
-            watches=self.watch.is_active,
             doubted=doubted,
             trials=ages,
+            standing=self._standing(now),
         )
 
     def _on_advance(self, advance: recordcache.Advance) -> None:
@@ -319,9 +410,7 @@
         self, envelope: messages.Envelope, body: replication.Heartbeat
     ) -> None:
         now = clock.now()
-        is_watcher = any(row.name == envelope.sender for row in self.watchers)
-        if is_watcher and body.watches:
-            self.isolation.note_contact(now)
+        self._note_standing(envelope.sender, body.standing, now)
         for row in body.views:
             view = self.records.views[row.kind]
             if view.at < row.changed_at:
@@ -339,6 +428,18 @@
             if (row.service, row.target) not in doubted:
                 self.trials.withdraw_doubt(row.service, row.target, envelope.sender)
 
+    async def _on_pulse(
+        self, envelope: messages.Envelope, body: replication.Pulse
+    ) -> None:
+        self._note_standing(envelope.sender, body.standing, clock.now())
+
+    def _note_standing(
+        self, sender: str, standing: replication.Standing, now: float
+    ) -> None:
+        if standing.watches and self._is_in(self.watchers + self.standbys, sender):
+            self.isolation.note_contact(now)
+        self.contact.note(sender, standing, now)
+
     async def _fetch(self, sender: str, kind: source.Kind) -> None:
         member = self.peers.members.get(sender)
         if member is None or kind in self._fetching:
@@ -346,7 +447,9 @@
         self._fetching.add(kind)
         try:
             state = await self.peers.hub.call(
-                member.address, replication.StateRequest(kind=kind), FETCH_TIMEOUT_S
+                member.address,
+                replication.StateRequest(kind=kind),
+                self.limits.fetch_s,
             )
         except hub.PeerUnreachableError as exc:
             logger.bind(event="relay", kind=kind.value).warning(
--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/replication.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/replication.py
@@ -122,6 +122,34 @@
     age_s: float
 
 
+@attrs.frozen(kw_only=True)
+class Standing:
+    """How an instance learns of changes.
+
+    Attributes
+    ----------
+    watches : bool
+        Whether its watch of the store is switched on. An instance that has just been
+        chosen as watcher knows no more than its recipients.
+    follows : bool
+        Whether its watch is switched on and its calls succeed.
+    hears : bool
+        Whether another instance that follows the store reports to it.
+    """
+
+    watches: bool = False
+    follows: bool = False
+    hears: bool = False
+
+
+@messages.message("gateway-pulse")
+@attrs.frozen(kw_only=True)
+class Pulse:
+    """How the sender learns of changes, told between two heartbeats."""
+
+    standing: Standing
+
+
 @messages.message("gateway-beat")
 @attrs.frozen(kw_only=True)
 class Heartbeat:
@@ -133,20 +161,19 @@
         Revision and age of the sender's views.
     bad : list of BadVersion
         Versions on trial that were found bad.
-    watches : bool
-        Whether the sender's watch of the store is switched on. An instance that has
-        just been chosen as watcher knows no more than its recipients.
     doubted : list of BadVersion
         Versions on trial that may be bad.
     trials : list of TrialAge
         For how long the orders of the open trials are known.
+    standing : Standing
+        How the sender learns of changes.
     """
 
     views: list[Freshness]
     bad: list[BadVersion]
-    watches: bool = True
     doubted: list[BadVersion] = attrs.field(factory=list)
     trials: list[TrialAge] = attrs.field(factory=list)
+    standing: Standing = attrs.field(factory=Standing)
 
 
 @messages.message("gateway-verdict")
--- a/libs/masticpost-gateway/src/masticpost_gateway/state/isolation.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/state/isolation.py
@@ -13,9 +13,8 @@
 from loguru import logger
 from masticpost_common import clock
 
-from masticpost_gateway.state import watching
+from masticpost_gateway.state import timing, watching
 
-CONTACT_TIMEOUT_S = 2.2
 # Instances that start together learn only after some seconds which ones are watchers.
 START_GRACE_S = 5.0
 # Maximum time for which a new request is held.
@@ -36,6 +35,8 @@
         Returns whether other instances are considered alive.
     watch : watching.StoreWatch
         This instance's own watch of the store.
+    limits : timing.Timing, optional
+        Time limits.
     """
 
     def __init__(
@@ -43,9 +44,11 @@
         *,
         has_others: collections.abc.Callable[[], bool],
         watch: watching.StoreWatch,
+        limits: timing.Timing = watching.DEFAULT_LIMITS,
     ) -> None:
         self.has_others = has_others
         self.watch = watch
+        self.limits = limits
         self._started_at = clock.now()
         self._last_contact_at = -math.inf
         self._others_seen_at = -math.inf
@@ -55,8 +58,8 @@
         self._last_contact_at = now
 
     def has_recent_contact(self, now: float) -> bool:
-        """Tell whether a watcher has reported within `CONTACT_TIMEOUT_S`."""
-        return now - self._last_contact_at <= CONTACT_TIMEOUT_S
+        """Tell whether a watcher has reported within `limits.hold_after_s`."""
+        return now - self._last_contact_at <= self.limits.hold_after_s
 
     def has_lost_contact(self, now: float) -> bool:
         """Tell whether no watcher reports; False during the first `START_GRACE_S`."""
--- a/libs/masticpost-gateway/src/masticpost_gateway/state/recordcache.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/state/recordcache.py
@@ -23,7 +23,7 @@
 
 @attrs.frozen(kw_only=True)
 class Advance:
-    """Changes that moved a view from revision `since` to revision `at`."""
+    """The only changes of a view after revision `since`, up to revision `at`."""
 
     kind: source.Kind
     since: int
@@ -180,8 +180,9 @@
         changed: list[source.Entry],
         removed: list[str],
     ) -> None:
-        since, view.at = view.at, at
+        view.at = at
         self.confirm(view.kind, confirmed_at)
+        since = view.changed_at
         if not (changed or removed or since < 0):
             return
         view.changed_at = at
--- a/libs/masticpost-gateway/src/masticpost_gateway/state/watching.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/state/watching.py
@@ -5,18 +5,25 @@
 import random
 
 import mode
+import result
 from loguru import logger
 from masticpost_common import clock
 
-from masticpost_gateway.state import recordcache, source
+from masticpost_gateway.state import phases, recordcache, source, timing
 
-# Time after which a watch without changes returns, in seconds.
-WATCH_TIMEOUTS_S = {
-    source.Kind.CONFIGURATION: 3.0,
-    source.Kind.UPSTREAMS: 3.0,
-    source.Kind.ROLL_OUTS: 4.0,
-    source.Kind.DOMAINS_OUT: 4.0,
+# Moments at which the answers to the watches are due, as parts of their period. All are
+# spread, so that the first missing answer soon tells of a store that falls silent;
+# those of the two kinds that have the longest to take effect are close to each other.
+TURNS = {
+    source.Kind.CONFIGURATION: 0.0,
+    source.Kind.UPSTREAMS: 0.295,
+    source.Kind.ROLL_OUTS: 0.59,
+    source.Kind.DOMAINS_OUT: 0.705,
 }
+# Time after which a watch returns that only asks whether the store answers.
+CHECK_WAIT_S = 0.05
+# Longest time by which a slow store extends the margin of its answers.
+MAX_ANSWER_S = 1.0
 MIN_BACKOFF_S = 0.15
 MAX_BACKOFF_S = 1.0
 MAX_URGENT_BACKOFF_S = 0.25
@@ -25,6 +32,11 @@
 POLL_PERIOD_S = 0.05
 BATCH_WINDOW_S = 0.25
 FIRST_ANSWER_TIMEOUT_S = 0.5
+UNANSWERED = source.Fault(
+    kind=source.FaultKind.NOT_KNOWN,
+    message="no answer in time to this watch, or to that of another kind",
+)
+DEFAULT_LIMITS = timing.Timing()
 
 
 class StoreWatch(mode.Service):
@@ -36,6 +48,8 @@
         The platform's store.
     records : recordcache.RecordCache
         Filled from the store.
+    limits : timing.Timing, optional
+        Time limits.
 
     Attributes
     ----------
@@ -43,7 +57,9 @@
         Whether the watch is switched on.
     competing_instances : float
         Number of instances that call the store for the same reason. The back-off after
-        a failed call, and the delay before the first call, grow with it.
+        a failed call grows with it.
+    start_spread_s : float
+        Time over which instances that are switched on together spread their first call.
     is_urgent : bool
         Whether new requests are held until the store answers; shortens the back-off.
     held_requests : int
@@ -57,25 +73,62 @@
     """
 
     def __init__(
-        self, *, store: source.Source, records: recordcache.RecordCache
+        self,
+        *,
+        store: source.Source,
+        records: recordcache.RecordCache,
+        limits: timing.Timing = DEFAULT_LIMITS,
     ) -> None:
         super().__init__()
         self.store = store
         self.records = records
-        self.is_active = False
+        self.limits = limits
         self.competing_instances = 1.0
+        self.start_spread_s = 0.0
         self.is_urgent = False
         self.held_requests = 0
         self.first_call_at = -math.inf
         self.failing_since: dict[source.Kind, float] = {}
         self._first_listed_at: dict[source.Kind, float] = {}
         self._following: set[source.Kind] = set()
+        # Kinds that were listed since the watch was switched on.
+        self._answered: set[source.Kind] = set()
+        self._active = asyncio.Event()
+        self.phases = phases.Phases(
+            turns=TURNS, period_s=limits.watch_period_s, origin=clock.now()
+        )
+        self._pending: dict[source.Kind, asyncio.Future] = {}
+        self._due_at: dict[source.Kind, float] = {}
+        self._answer_s = 0.0
+
+    @property
+    def is_active(self) -> bool:
+        """Whether the watch is switched on."""
+        return self._active.is_set()
+
+    @is_active.setter
+    def is_active(self, is_active: bool) -> None:
+        if is_active:
+            self._active.set()
+        else:
+            self._active.clear()
 
     @property
     def is_following(self) -> bool:
         """Whether the watch follows all kinds: the last call for each succeeded."""
         return len(self._following) == len(source.Kind)
 
+    def follows(self, now: float) -> bool:
+        """Tell whether the watch is on and no calls have failed for `limits.retry_s`.
+
+        A watch that the store cuts off in calm is asked again at once, and is no reason
+        for others to call the store.
+        """
+        if not self.is_active or len(self._answered) < len(source.Kind):
+            return False
+        since = min(self.failing_since.values(), default=now)
+        return now - since < self.limits.retry_s
+
     async def on_start(self) -> None:
         """Start a task for each kind."""
         for kind in source.Kind:
@@ -89,27 +142,36 @@
                 await asyncio.sleep(POLL_PERIOD_S)
                 continue
             if not self._is_needed(kind):
-                self._following.discard(kind)
-                self.failing_since.pop(kind, None)
+                self._forget(kind)
                 needs_list = True
                 await self._wait_until_active(kind)
                 continue
             fault = await (self._list(kind) if needs_list else self._watch(kind))
             if fault is None:
                 self._following.add(kind)
+                self._answered.add(kind)
                 backoff_s = MIN_BACKOFF_S
                 needs_list = False
                 continue
-            self._following.discard(kind)
             if fault.kind is source.FaultKind.HISTORY_GONE:
                 needs_list = True
                 continue
-            self._note_failure(kind, fault)
+            self._following.discard(kind)
+            if fault is UNANSWERED and kind not in self.failing_since:
+                self._note_failure(kind, fault, self._due_at[kind])
+                continue
+            self._note_failure(kind, fault, clock.now())
             scaled_s = backoff_s * self.competing_instances
             await self._back_off(kind, scaled_s * random.uniform(0.5, 1.0))
             max_s = MAX_URGENT_BACKOFF_S if self.is_urgent else MAX_BACKOFF_S
             backoff_s = min(max_s, backoff_s * 2)
 
+    def _forget(self, kind: source.Kind) -> None:
+        """Forget how the calls for a kind went that is not watched any more."""
+        self._following.discard(kind)
+        self._answered.discard(kind)
+        self.failing_since.pop(kind, None)
+
     def may_answer_soon(self, kind: source.Kind, now: float) -> bool:
         """Tell whether the store may soon answer the first listing of a kind."""
         if kind in self.failing_since:
@@ -120,10 +182,8 @@
         return self.is_active or self.records.views[kind].at < 0
 
     async def _wait_until_active(self, kind: source.Kind) -> None:
-        while not self.is_active and not self.should_stop:
-            await asyncio.sleep(POLL_PERIOD_S)
-        spread_s = (self.competing_instances - 1.0) * MAX_BACKOFF_S
-        await self._back_off(kind, spread_s * random.random())
+        await self._active.wait()
+        await self._back_off(kind, self.start_spread_s * random.random())
 
     async def _back_off(self, kind: source.Kind, pause_s: float) -> None:
         """Sleep for `pause_s`; end early if no more calls for a kind are needed."""
@@ -148,21 +208,58 @@
     async def _watch(self, kind: source.Kind) -> source.Fault | None:
         view = self.records.views[kind]
         sent_at = clock.now()
-        outcome = await self.store.watch(kind, view.at, WATCH_TIMEOUTS_S[kind])
+        is_check = kind in self.failing_since
+        wait_s = CHECK_WAIT_S if is_check else self.phases.left_s(kind, sent_at)
+        late_s = MAX_ANSWER_S if is_check else self._margin_s()
+        self._due_at[kind] = sent_at + wait_s
+        call = asyncio.ensure_future(self.store.watch(kind, view.at, wait_s))
+        outcome = await self._answer(kind, call, wait_s + late_s)
         if outcome.is_err():
             return outcome.unwrap_err()
         self._note_success(kind, sent_at)
         changes = outcome.unwrap()
+        if not changes.events:
+            self._answer_s = max(0.0, clock.now() - sent_at - wait_s)
         self.records.apply(kind, changes, clock.now())
         if kind is source.Kind.UPSTREAMS and changes.events:
             # Upstreams come and go in bursts; the next watch returns a batch.
             await asyncio.sleep(BATCH_WINDOW_S)
         return None
 
-    def _note_failure(self, kind: source.Kind, fault: source.Fault) -> None:
+    def _margin_s(self) -> float:
+        """Return by how much an answer may be late; a slow store gets more time."""
+        slow_s = min(MAX_ANSWER_S, 2.0 * self._answer_s)
+        return self.limits.answer_margin_s + slow_s
+
+    async def _answer(
+        self, kind: source.Kind, call: asyncio.Future, limit_s: float
+    ) -> result.Result[source.Changes, source.Fault]:
+        """Return the answer to a watch, or a fault if it is missing after `limit_s`.
+
+        A missing answer puts all connections in doubt, so the watches of the other
+        kinds are asked again, too.
+        """
+        self._pending[kind] = call
+        try:
+            await asyncio.wait((call,), timeout=limit_s)
+        finally:
+            del self._pending[kind]
+            is_missing = not call.done()
+            call.cancel()
+        if is_missing and kind not in self.failing_since:
+            for other, pending in self._pending.items():
+                if other not in self.failing_since:
+                    pending.cancel()
+        if is_missing or call.cancelled():
+            return result.Err(UNANSWERED)
+        return call.result()
+
+    def _note_failure(
+        self, kind: source.Kind, fault: source.Fault, since: float
+    ) -> None:
         if kind in self.failing_since:
             return
-        self.failing_since[kind] = clock.now()
+        self.failing_since[kind] = min(since, clock.now())
         row = logger.bind(event="store", kind=kind.value, fault=fault.kind.value)
         row.warning("call to the store failed: {}", fault.message)
 
--- a/libs/masticpost-gateway/testing/sharing/test_relay.py
+++ b/libs/masticpost-gateway/testing/sharing/test_relay.py
@@ -10,6 +10,9 @@
 from masticpost_gateway.state import isolation, model, recordcache, source
 from support import gatewaykit as kit
 
+WATCHES = replication.Standing(watches=True)
+FOLLOWS = replication.Standing(watches=True, follows=True)
+
 
 async def add_nodes(dep, count, stores=None):
     first = None
@@ -154,7 +157,10 @@
         is_seed=True,
     )
     watch = types.SimpleNamespace(
-        is_active=False, is_following=False, competing_instances=1.0
+        is_active=False,
+        is_following=False,
+        competing_instances=1.0,
+        follows=lambda now: False,
     )
     records = recordcache.RecordCache()
     detector = isolation.Isolation(has_others=lambda: count > 1, watch=watch)
@@ -178,7 +184,8 @@
     assert node_relay.watch.competing_instances == 1.0
     sender = node_relay.watchers[0].name
     envelope = types.SimpleNamespace(sender=sender, incarnation=1)
-    await node_relay._on_heartbeat(envelope, replication.Heartbeat(views=[], bad=[]))
+    body = replication.Heartbeat(views=[], bad=[], standing=WATCHES)
+    await node_relay._on_heartbeat(envelope, body)
     node_relay._update_watch(clock.now())
     assert node_relay.watch.competing_instances == 80 / relay.WATCHERS_IF_LARGE
 
@@ -194,7 +201,10 @@
     assert node_relay.watch.is_active
     for kind in source.Kind:
         node_relay.records.confirm(kind, now + relay.FALLBACK_WATCH_S)
-    node_relay.isolation.note_contact(now + relay.FALLBACK_WATCH_S)
+    node_relay.contact.note("watcher", FOLLOWS, now + relay.FALLBACK_WATCH_S)
+    node_relay.watch.is_following = True
+    node_relay._update_watch(now + 0.95 * relay.FALLBACK_WATCH_S)
+    assert node_relay.watch.is_active
     node_relay._update_watch(now + 1.1 * relay.FALLBACK_WATCH_S)
     assert not node_relay.watch.is_active
 
@@ -331,6 +341,7 @@
         envelope = types.SimpleNamespace(sender=node.relay.watchers[0].name)
         for watches in (False, True):
             contacts.clear()
-            body = replication.Heartbeat(views=[], bad=[], watches=watches)
+            standing = replication.Standing(watches=watches)
+            body = replication.Heartbeat(views=[], bad=[], standing=standing)
             await relay.Relay._on_heartbeat(node.relay, envelope, body)
             assert bool(contacts) == watches
--- a/libs/masticpost-gateway/testing/state/test_isolation.py
+++ b/libs/masticpost-gateway/testing/state/test_isolation.py
@@ -6,7 +6,7 @@
 import attrs
 import result
 from masticpost_common import clock
-from masticpost_gateway.state import isolation, source
+from masticpost_gateway.state import isolation, source, timing
 from support import gatewaykit as kit
 
 SINCE_START_S = 6.0
@@ -47,7 +47,8 @@
     """
     # The delays of the stand-in alone add up to more than the default limit.
     monkeypatch.setattr(isolation, "MAX_HOLD_S", 4.0)
-    monkeypatch.setattr(isolation, "START_GRACE_S", isolation.CONTACT_TIMEOUT_S)
+    hold_after_s = timing.Timing().hold_after_s
+    monkeypatch.setattr(isolation, "START_GRACE_S", hold_after_s)
     async with kit.Deployment() as dep:
         await dep.configure()
         leaving = await dep.add_worker("w1", kit.answers())
--- a/testing/support/virtualfleet.py
+++ b/testing/support/virtualfleet.py
@@ -68,6 +68,20 @@
                 loop.call_later(delay_s, self.fleet.deliver, self.name, address, sent)
 
 
+def make_members(size, domains):
+    """Return the members of a fleet, spread over the failure domains."""
+    return [
+        types.SimpleNamespace(
+            name=f"node-{k:03d}",
+            address=f"node-{k:03d}",
+            domain=f"zone-{k % domains}",
+            serves_others=True,
+            started=1,
+        )
+        for k in range(size)
+    ]
+
+
 @attrs.define(kw_only=True)
 class Instance:
     """One instance with the services under test."""
@@ -101,16 +115,7 @@
         )
         self.received = {}
         self.bad_at, self.sent_at, self.verdict_at = [], [], {}
-        self.members = [
-            types.SimpleNamespace(
-                name=f"node-{k:03d}",
-                address=f"node-{k:03d}",
-                domain=f"zone-{k % DOMAINS}",
-                serves_others=True,
-                started=1,
-            )
-            for k in range(size)
-        ]
+        self.members = make_members(size, DOMAINS)
         self.domains = {row.name: row.domain for row in self.members}
         self.instances = [self._make(member) for member in self.members]
         self.by_name = {row.name: row for row in self.instances}
@@ -147,7 +152,9 @@
         shared = relay.Relay(
             peers=peers,
             records=records,
-            watch=types.SimpleNamespace(first_call_at=0.0, is_active=True),
+            watch=types.SimpleNamespace(
+                first_call_at=0.0, is_active=True, follows=lambda now: True
+            ),
             trials=trials,
             isolation=types.SimpleNamespace(note_contact=lambda now: None),
         )
