--- a/libs/masticpost-gateway/src/masticpost_gateway/state/timing.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/state/timing.py
@@ -2,7 +2,7 @@
 
 A change is acknowledged by the store, read by a watcher, forwarded and used. Whoever
 may lose it on this way must be noticed, and replaced, within the same bound. All parts
-below are shares of the bound.
+below are shares of the bound; `docs/design/propagation.md` has their sums.
 """
 
 import attrs
@@ -12,8 +12,8 @@
 MIN_APPLY_S = 1.5
 # The heartbeats and the ages of stale views are made for this bound.
 MAX_APPLY_S = 4.0
-BEAT_S = 1.0
-CONTACT_S = 2.2
+BEAT_PART = 0.25
+CONTACT_PART = 0.6
 WATCH_PERIOD_PART = 1.75
 # Keeps the time between two answers of a kind below the age of a stale view.
 MAX_WATCH_PERIOD_S = 3.5
@@ -21,7 +21,8 @@
 RETRY_PART = 0.1
 STANDBY_PART = 0.125
 SPREAD_PART = 0.025
-FETCH_S = 1.0
+FETCH_PART = 0.3
+HOLD_PART = 0.9
 
 
 def _clip(apply_s: float) -> float:
@@ -44,12 +45,12 @@
     @property
     def beat_s(self) -> float:
         """Period in which watchers tell whether they follow the store."""
-        return BEAT_S
+        return self.apply_s * BEAT_PART
 
     @property
     def contact_s(self) -> float:
         """Time without a beat after which a watcher counts as lost."""
-        return CONTACT_S
+        return self.apply_s * CONTACT_PART
 
     @property
     def watch_period_s(self) -> float:
@@ -79,9 +80,9 @@
     @property
     def fetch_s(self) -> float:
         """Time limit of a request for the records of another instance."""
-        return FETCH_S
+        return self.apply_s * FETCH_PART
 
     @property
     def hold_after_s(self) -> float:
         """Time without a beat after which new requests are held."""
-        return CONTACT_S
+        return self.apply_s * HOLD_PART
--- a/libs/masticpost-gateway/testing/sharing/test_propagation.py
+++ b/libs/masticpost-gateway/testing/sharing/test_propagation.py
@@ -12,6 +12,7 @@
     watchfleet.REFUSED,
     watchfleet.RESET,
     watchfleet.SILENT,
+    watchfleet.GONE,
 ]
 # Rounds of tasks, a call to the store and a message, beside the time limits.
 ROUND_S, CALL_S, MESSAGE_S = 0.05, 0.1, 0.1
@@ -69,6 +70,12 @@
     assert play(size, scene, 0.9) <= watchfleet.APPLY_S[size]
 
 
+@pytest.mark.parametrize("size", SIZES[:2])
+def test_change_is_used_in_time_when_watchers_and_standbys_are_gone(play, size):
+    scene = losing(lambda fleet: fleet.watchers() + fleet.watchers(1), watchfleet.GONE)
+    assert play(size, scene, 0.9) <= watchfleet.APPLY_S[size]
+
+
 @pytest.mark.parametrize("how", [watchfleet.REFUSED, watchfleet.SILENT, "slow"])
 @pytest.mark.parametrize("size", SIZES)
 def test_instances_do_not_all_call_a_store_that_is_away_or_slow(play, size, how):
@@ -108,10 +115,12 @@
     silence_s = gap_s.phases.longest_gap_s + limits.retry_s + ROUND_S
     assert limits.answer_margin_s < limits.retry_s
     read_s = 2 * ROUND_S + CALL_S
-    for lost_s in (silence_s, limits.retry_s + ROUND_S):
+    for lost_s in (limits.contact_s, silence_s, limits.retry_s + ROUND_S):
         assert lost_s + read_s + MESSAGE_S <= apply_s
         last_s = limits.standby_s + ROUND_S + limits.spread_s
         assert lost_s + last_s + read_s <= apply_s
+    assert 1.0 + limits.fetch_s + MESSAGE_S <= apply_s
+    assert limits.hold_after_s < apply_s
 
 
 def test_bounds_out_of_range_are_clipped():
