--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/relay.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/relay.py
@@ -15,25 +15,29 @@
 
 import asyncio
 import math
-import random
 
 import mode
 from loguru import logger
-from masticpost_common import clock, rendezvous
-from masticpost_peers import hub, messages, probes
+from masticpost_common import clock
+from masticpost_peers import messages, probes
 
 from masticpost_gateway.learning import trial
-from masticpost_gateway.sharing import beats, mesh, replication, storecontact
+from masticpost_gateway.sharing import (
+    beats,
+    mesh,
+    replication,
+    senders,
+    statefetch,
+    storecontact,
+    trialbeats,
+)
 from masticpost_gateway.state import isolation, recordcache, source, timing, watching
 
 WATCHERS = 3
 WATCHERS_IF_LARGE = 5
 # A deployment with more instances than this counts as large.
 LARGE_DEPLOYMENT = 24
-WATCHERS_PER_INSTANCE = 2
 HEARTBEAT_PERIOD_S = beats.HEARTBEAT_PERIOD_S
-# Age from which the cached records of a kind count as stale.
-STALE_AFTER_S = 5.0
 # Minimum duration of a fallback watch.
 FALLBACK_WATCH_S = 10.0
 # Time that a starting instance gives others to send their records.
@@ -43,9 +47,6 @@
 CHOOSE_PERIOD_S = 0.05
 # A round that comes so late finds messages that are not read yet; the next one judges.
 LATE_ROUND_S = 0.2
-FIRST_FETCH_PERIOD_S = 0.05
-# Upper limit of ages in messages and log lines, in place of infinity.
-MAX_REPORTED_AGE_S = 1e6
 
 
 class Relay(mode.Service):
@@ -101,68 +102,51 @@
         self._round_at = self._started_at
         self._chosen_at: float | None = None
         self._fallback_until = -math.inf
-        self._fetching: set[source.Kind] = set()
         self._previous_configurations: dict[str, source.Entry] = {}
-        self._encoded: dict[
-            source.Kind, tuple[int, list[replication.ReplicatedEntry]]
-        ] = {}
+        self.fetcher = statefetch.StateFetch(
+            peers=peers,
+            records=records,
+            watch=watch,
+            isolation=isolation,
+            limits=limits,
+        )
         if not peers.is_seed:
             watch.first_call_at = self._started_at + BOOT_WAIT_S
         records.on_advance(self._on_advance)
         peers.hub.handle(replication.ReplicatedChanges, self._on_changes)
-        peers.hub.handle(replication.StateRequest, self._on_request)
         peers.hub.handle(replication.Heartbeat, self._on_heartbeat)
         peers.hub.handle(replication.Pulse, self._on_pulse)
 
+    async def on_start(self) -> None:
+        """Start to fetch the records."""
+        await self.fetcher.start()
+
+    async def on_stop(self) -> None:
+        """Stop fetching."""
+        await self.fetcher.stop()
+
     @property
     def is_watcher(self) -> bool:
         """Whether this instance is one of those that watch the store for all."""
-        return self._is_in(self.watchers, self.peers.me.name)
+        return senders.is_in(self.watchers, self.peers.me.name)
 
     @property
     def is_standby(self) -> bool:
         """Whether this instance is one of those that replace the watchers."""
-        return self._is_in(self.standbys, self.peers.me.name)
-
-    def _is_in(self, rows: list[probes.Member], name: str) -> bool:
-        return any(row.name == name for row in rows)
+        return senders.is_in(self.standbys, self.peers.me.name)
 
     def recipients(self) -> list[str]:
         """Return the addresses of the instances to which this one sends updates."""
+        me, others = self.peers.me.name, self.peers.others()
         if self.is_watcher:
-            return self._recipients_among(self.watchers)
+            return senders.recipients(me, self.watchers, others)
         if not self.watch.is_active:
             return []
         addresses = [row.address for row in self.watchers]
         if self.is_standby:
-            addresses += self._recipients_among(self.standbys)
+            addresses += senders.recipients(me, self.standbys, others)
         return list(dict.fromkeys(addresses))
 
-    def _recipients_among(self, senders: list[probes.Member]) -> list[str]:
-        """Return the other senders, and the instances that have this one as sender."""
-        me = self.peers.me
-        return [
-            member.address
-            for member in self.peers.others()
-            if self._is_in(senders, member.name)
-            or me.name in self._senders_of(member, senders)
-        ]
-
-    def _senders_of(
-        self, member: probes.Member, senders: list[probes.Member]
-    ) -> list[str]:
-        """Return the senders that update an instance, one of its own domain first.
-
-        That one still reaches the instance when their failure domain is cut off from
-        the others, and does so without a long-distance link.
-        """
-        domains = {row.name: row.domain for row in senders}
-        ranked = rendezvous.ranked(domains, member.name)
-        local = [name for name in ranked if domains[name] == member.domain][:1]
-        return (local + [name for name in ranked if name not in local])[
-            :WATCHERS_PER_INSTANCE
-        ]
-
     @mode.Service.task
     async def choose_watchers(self) -> None:
         """Choose the watchers periodically, and switch the own watch on or off."""
@@ -216,7 +200,7 @@
                 active=is_active,
                 watcher=self.is_watcher,
                 standby=self.is_standby,
-                oldest_s=round(min(oldest_s, MAX_REPORTED_AGE_S), 3),
+                oldest_s=round(min(oldest_s, statefetch.MAX_REPORTED_AGE_S), 3),
             ).info("watch of the store switched on or off")
         self.watch.is_active = is_active
 
@@ -226,7 +210,7 @@
             return False
         lost_since = self.contact.lost_since(now)
         if lost_since is None:
-            return oldest_s > STALE_AFTER_S
+            return oldest_s > statefetch.STALE_AFTER_S
         if self.is_watcher or self.is_standby:
             return True
         return now - lost_since >= self.limits.standby_s
@@ -302,30 +286,10 @@
             for view in self.records.views.values()
             if view.at >= 0
         ]
-        bad = [
-            replication.BadVersion(
-                service=service, target=row.order.target, reason=row.verdict
-            )
-            for service, row in self.trials.open.items()
-            if row.verdict
-        ]
-        doubted = [
-            replication.BadVersion(service=service, target=row.order.target, reason="")
-            for service, row in self.trials.open.items()
-            if self.is_watcher and row.doubt(now)
-        ]
-        ages = [
-            replication.TrialAge(
-                service=service, target=row.order.target, age_s=now - row.since
-            )
-            for service, row in self.trials.open.items()
-        ]
         return replication.Heartbeat(
             views=views,
-            bad=bad,
-            doubted=doubted,
-            trials=ages,
             standing=self._standing(now),
+            **trialbeats.told(self.trials, now, has_doubts=self.is_watcher),
         )
 
     def _on_advance(self, advance: recordcache.Advance) -> None:
@@ -342,7 +306,9 @@
             since=advance.since,
             at=advance.at,
             age_s=age_s,
-            regained_s=min(clock.now() - self.records.recovered_at, MAX_REPORTED_AGE_S),
+            regained_s=min(
+                clock.now() - self.records.recovered_at, statefetch.MAX_REPORTED_AGE_S
+            ),
             changed=[
                 replication.encode_entry(row, bases.get(row.name))
                 for row in advance.changed
@@ -360,7 +326,7 @@
         if body.regained_s < recordcache.LAPSE_GRACE_S:
             self.records.note_store_recovery(clock.now() - body.regained_s)
         if view.at < 0 or body.since > view.at:
-            await self._fetch(envelope.sender, body.kind)
+            await self.fetcher.fetch(envelope.sender, body.kind)
             return
         try:
             rows = [
@@ -368,7 +334,7 @@
                 for row in body.changed
             ]
         except replication.OtherBaseError:
-            await self._fetch(envelope.sender, body.kind)
+            await self.fetcher.fetch(envelope.sender, body.kind)
             return
         events = [source.Event(entry=row, is_removed=False) for row in rows]
         events += [
@@ -381,28 +347,6 @@
         changes = source.Changes(events=tuple(events), at=body.at)
         self.records.apply(body.kind, changes, clock.now() - body.age_s)
 
-    async def _on_request(
-        self, envelope: messages.Envelope, body: replication.StateRequest
-    ) -> replication.ReplicatedState:
-        view = self.records.views[body.kind]
-        return replication.ReplicatedState(
-            kind=body.kind,
-            at=view.at,
-            age_s=min(view.age_s(clock.now()), MAX_REPORTED_AGE_S),
-            entries=self._encode_view(view),
-        )
-
-    def _encode_view(self, view: recordcache.View) -> list[replication.ReplicatedEntry]:
-        """Return a view's entries, encoded; the result is cached.
-
-        Many instances request the same view when they start together.
-        """
-        at, rows = self._encoded.get(view.kind, (-1, []))
-        if at != view.changed_at:
-            rows = [replication.encode_entry(entry) for entry in view.entries.values()]
-            self._encoded[view.kind] = (view.changed_at, rows)
-        return rows
-
     def _configurations(self) -> dict[str, source.Entry]:
         return dict(self.records.views[source.Kind.CONFIGURATION].entries)
 
@@ -414,19 +358,11 @@
         for row in body.views:
             view = self.records.views[row.kind]
             if view.at < row.changed_at:
-                await self._fetch(envelope.sender, row.kind)
+                await self.fetcher.fetch(envelope.sender, row.kind)
                 continue
             view.at = max(view.at, row.at)
             self.records.confirm(row.kind, now - row.age_s)
-        for row in body.bad:
-            self.trials.mark_bad(row.service, row.target, row.reason)
-        doubted = {(row.service, row.target) for row in body.doubted}
-        for key in doubted:
-            self.trials.mark_doubtful(*key, envelope.sender)
-        for row in body.trials:
-            self.trials.note_age(row.service, row.target, row.age_s)
-            if (row.service, row.target) not in doubted:
-                self.trials.withdraw_doubt(row.service, row.target, envelope.sender)
+        trialbeats.note(self.trials, body, envelope.sender)
 
     async def _on_pulse(
         self, envelope: messages.Envelope, body: replication.Pulse
@@ -436,53 +372,6 @@
     def _note_standing(
         self, sender: str, standing: replication.Standing, now: float
     ) -> None:
-        if standing.watches and self._is_in(self.watchers + self.standbys, sender):
+        if standing.watches and senders.is_in(self.watchers + self.standbys, sender):
             self.isolation.note_contact(now)
         self.contact.note(sender, standing, now)
-
-    async def _fetch(self, sender: str, kind: source.Kind) -> None:
-        member = self.peers.members.get(sender)
-        if member is None or kind in self._fetching:
-            return
-        self._fetching.add(kind)
-        try:
-            state = await self.peers.hub.call(
-                member.address,
-                replication.StateRequest(kind=kind),
-                self.limits.fetch_s,
-            )
-        except hub.PeerUnreachableError as exc:
-            logger.bind(event="relay", kind=kind.value).warning(
-                "cannot fetch records from another instance: {}", exc
-            )
-            return
-        finally:
-            self._fetching.discard(kind)
-        is_first = self.records.views[kind].at < 0
-        may_wait = is_first and self.watch.may_answer_soon(kind, clock.now())
-        if state.at < 0 or (may_wait and state.age_s > STALE_AFTER_S):
-            # The store or another instance may have a newer state.
-            return
-        entries = tuple(replication.decode_entry(kind, row) for row in state.entries)
-        listing = source.Listing(entries=entries, at=state.at)
-        self.records.replace(kind, listing, clock.now() - state.age_s)
-        if state.age_s <= STALE_AFTER_S:
-            self.isolation.note_contact(clock.now())
-
-    @mode.Service.task
-    async def fetch_first(self) -> None:
-        """Fetch from other instances all kinds of which no state is cached yet.
-
-        A seed is contacted in about half of the rounds, since seeds query the store at
-        once; any other instance may have received the records in the meantime.
-        """
-        while not self.should_stop:
-            missing = [k for k, view in self.records.views.items() if view.at < 0]
-            if not missing:
-                return
-            candidates = random.choice((self.peers.seeds(), self.peers.others()))
-            candidates = candidates or self.peers.others()
-            if candidates:
-                name = random.choice(candidates).name
-                await asyncio.gather(*(self._fetch(name, kind) for kind in missing))
-            await asyncio.sleep(FIRST_FETCH_PERIOD_S)
--- a/libs/masticpost-gateway/testing/sharing/test_relay.py
+++ b/libs/masticpost-gateway/testing/sharing/test_relay.py
@@ -6,7 +6,7 @@
 import pytest
 import result
 from masticpost_common import clock
-from masticpost_gateway.sharing import relay, replication
+from masticpost_gateway.sharing import relay, replication, senders, statefetch
 from masticpost_gateway.state import isolation, model, recordcache, source
 from support import gatewaykit as kit
 
@@ -78,7 +78,7 @@
 
 async def test_change_seen_by_one_fallback_watch_reaches_all_instances(monkeypatch):
     """The store serves none of the watchers, and only one of the other instances."""
-    monkeypatch.setattr(relay, "STALE_AFTER_S", 0.5)
+    monkeypatch.setattr(statefetch, "STALE_AFTER_S", 0.5)
     async with kit.Deployment() as dep:
         await dep.configure()
         stores = [FailingStore(dep.store) for _ in range(5)]
@@ -94,7 +94,7 @@
 
 
 async def test_instance_without_updates_falls_back_to_its_own_watch(monkeypatch):
-    monkeypatch.setattr(relay, "STALE_AFTER_S", 0.5)
+    monkeypatch.setattr(statefetch, "STALE_AFTER_S", 0.5)
     async with kit.Deployment() as dep:
         await dep.configure()
         await add_nodes(dep, 5)
@@ -322,9 +322,9 @@
             if node in watchers:
                 continue
             address = node.cfg.mesh.address
-            senders = [n for n in watchers if address in n.relay.recipients()]
-            assert len(senders) == relay.WATCHERS_PER_INSTANCE
-            assert node.cfg.domain in {n.cfg.domain for n in senders}
+            updating = [n for n in watchers if address in n.relay.recipients()]
+            assert len(updating) == senders.SENDERS_PER_INSTANCE
+            assert node.cfg.domain in {n.cfg.domain for n in updating}
 
 
 async def test_heartbeat_of_a_watcher_that_does_not_watch_yet_is_no_contact():
--- a/testing/support/watchfleet.py
+++ b/testing/support/watchfleet.py
@@ -51,8 +51,11 @@
             fut = asyncio.ensure_future(call)
             self._pending[name].add(fut)
             await asyncio.sleep(self.slow_s)
-            await asyncio.wait((fut,))
-            self._pending[name].discard(fut)
+            try:
+                await asyncio.wait((fut,))
+            finally:
+                fut.cancel()
+                self._pending[name].discard(fut)
             if name not in self.how:
                 await asyncio.sleep(STORE_S)
                 return fut.result()
@@ -191,3 +194,4 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await row.relay.stop()
                 await row.watch.stop()
+        await asyncio.sleep(1.0)
