--- a/libs/masticpost-gateway/src/masticpost_gateway/reporting/countedstore.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/reporting/countedstore.py
@@ -1,5 +1,6 @@
 """A store wrapper that counts calls by operation and result."""
 
+import asyncio
 import collections.abc
 import typing
 
@@ -10,6 +11,8 @@
 
 T = typing.TypeVar("T")
 GOOD = "good"
+# The caller did not wait for the answer any longer.
+ABANDONED = "abandoned"
 
 
 class CountedStore:
@@ -93,7 +96,11 @@
         name: str,
         call: collections.abc.Awaitable[result.Result[T, source.Fault]],
     ) -> result.Result[T, source.Fault]:
-        outcome = await call
+        try:
+            outcome = await call
+        except asyncio.CancelledError:
+            self._calls.labels(name, ABANDONED).inc()
+            raise
         label = GOOD if outcome.is_ok() else outcome.unwrap_err().kind.value
         self._calls.labels(name, label).inc()
         return outcome
--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/relay.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/relay.py
@@ -45,6 +45,8 @@
 # Time after which a chosen instance starts to watch.
 SETTLE_S = 1.0
 CHOOSE_PERIOD_S = 0.05
+# Time between the first calls of instances that take turns.
+FIRST_CALL_PERIOD_S = 0.2
 # A round that comes so late finds messages that are not read yet; the next one judges.
 LATE_ROUND_S = 0.2
 
@@ -238,7 +240,9 @@
         is_lost = self.contact.lost_since(now) is not None
         if is_lost and not self.contact.others_try(now):
             return self.limits.spread_s
-        return (self._competing_instances(now) - 1.0) * watching.MAX_BACKOFF_S
+        calling = len(self.watchers) + len(self.standbys)
+        waiting = max(0, len(self.peers.members.alive()) - calling)
+        return waiting * FIRST_CALL_PERIOD_S
 
     def _is_settled_watcher(self, now: float) -> bool:
         """Tell whether this instance has been a watcher for `SETTLE_S`.
--- a/libs/masticpost-gateway/testing/sharing/test_propagation.py
+++ b/libs/masticpost-gateway/testing/sharing/test_propagation.py
@@ -70,9 +70,17 @@
     assert play(size, scene, 0.9) <= watchfleet.APPLY_S[size]
 
 
-@pytest.mark.parametrize("size", SIZES[:2])
-def test_change_is_used_in_time_when_watchers_and_standbys_are_gone(play, size):
-    scene = losing(lambda fleet: fleet.watchers() + fleet.watchers(1), watchfleet.GONE)
+@pytest.mark.parametrize(
+    ("size", "how"),
+    [
+        (8, watchfleet.REFUSED),
+        (8, watchfleet.RESET),
+        (8, watchfleet.GONE),
+        (70, watchfleet.GONE),
+    ],
+)
+def test_change_is_used_in_time_when_standbys_are_lost_too(play, size, how):
+    scene = losing(lambda fleet: fleet.watchers() + fleet.watchers(1), how)
     assert play(size, scene, 0.9) <= watchfleet.APPLY_S[size]
 
 
