--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/relay.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/relay.py
@@ -195,6 +195,7 @@
         )
         self.watch.competing_instances = self._competing_instances(now)
         self.watch.start_spread_s = self._start_spread_s(now)
+        self._note_informed(now)
         self.watch.is_urgent = self.isolation.is_isolated(now)
         if is_active != self.watch.is_active:
             logger.bind(
@@ -206,6 +207,13 @@
             ).info("watch of the store switched on or off")
         self.watch.is_active = is_active
 
+    def _note_informed(self, now: float) -> None:
+        """Note since when changes reach this instance, by any way."""
+        if not self.watch.follows(now) and not self.contact.is_informed(now):
+            self.watch.informed_since = math.inf
+        elif self.watch.informed_since == math.inf:
+            self.watch.informed_since = now
+
     def _needs_fallback(self, now: float, oldest_s: float) -> bool:
         """Tell whether this instance has to watch the store without being a watcher."""
         if now - self._started_at <= 2 * BOOT_WAIT_S:
@@ -327,8 +335,10 @@
         view = self.records.views[body.kind]
         if body.at <= view.at:
             return
-        if body.regained_s < recordcache.LAPSE_GRACE_S:
-            self.records.note_store_recovery(clock.now() - body.regained_s)
+        recovered_at = clock.now() - body.regained_s
+        is_recent = body.regained_s < recordcache.LAPSE_GRACE_S
+        if is_recent and not self.watch.was_informed(recovered_at):
+            self.records.note_store_recovery(recovered_at)
         if view.at < 0 or body.since > view.at:
             await self.fetcher.fetch(envelope.sender, body.kind)
             return
--- a/libs/masticpost-gateway/src/masticpost_gateway/sharing/storecontact.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/sharing/storecontact.py
@@ -45,13 +45,17 @@
         """Tell whether an instance that itself follows the store reports here."""
         return self._is_recent(self._followed_at, now)
 
+    def is_informed(self, now: float) -> bool:
+        """Tell whether some instance that is informed itself reports to this one."""
+        return self._is_recent(self._informed_at, now)
+
     def lost_since(self, now: float) -> float | None:
         """Return since when no informed instance reports, None if one does.
 
         An instance that has just started has lost nothing, see
         `isolation.START_GRACE_S`.
         """
-        if self._is_recent(self._informed_at, now):
+        if self.is_informed(now):
             return None
         if self._informed_at:
             self._lost_at = max(self._informed_at.values()) + self.limits.contact_s
--- a/libs/masticpost-gateway/src/masticpost_gateway/state/watching.py
+++ b/libs/masticpost-gateway/src/masticpost_gateway/state/watching.py
@@ -67,6 +67,9 @@
     first_call_at : float
         Monotonic time in seconds before which the store is not called unless the watch
         is switched on, so that another instance can send its records first.
+    informed_since : float
+        Monotonic time in seconds since when changes reach this instance, by its own
+        watch or from others; infinity while they do not.
     failing_since : dict of source.Kind to float
         Monotonic time in seconds of the first failed call, for each kind whose calls
         fail.
@@ -88,6 +91,7 @@
         self.is_urgent = False
         self.held_requests = 0
         self.first_call_at = -math.inf
+        self.informed_since = math.inf
         self.failing_since: dict[source.Kind, float] = {}
         self._first_listed_at: dict[source.Kind, float] = {}
         self._following: set[source.Kind] = set()
@@ -131,6 +135,13 @@
         since = min(self.failing_since.values(), default=now)
         return now - since < self.limits.retry_s
 
+    def was_informed(self, recovered_at: float) -> bool:
+        """Tell whether changes came all the while before the store was said to be back.
+
+        It was then lost for one instance only, and no registration has expired.
+        """
+        return self.informed_since < recovered_at - recordcache.MIN_OUTAGE_S
+
     async def on_start(self) -> None:
         """Start a task for each kind."""
         for kind in source.Kind:
@@ -278,5 +289,6 @@
         logger.bind(event="store", kind=kind.value, lost_s=lost_s).info(
             "store answers again"
         )
-        if kind is source.Kind.UPSTREAMS and lost_s > recordcache.MIN_OUTAGE_S:
+        is_outage = lost_s > recordcache.MIN_OUTAGE_S and not self.was_informed(sent_at)
+        if kind is source.Kind.UPSTREAMS and is_outage:
             self.records.note_store_recovery(sent_at)
--- a/libs/masticpost-gateway/testing/sharing/test_relay.py
+++ b/libs/masticpost-gateway/testing/sharing/test_relay.py
@@ -1,13 +1,14 @@
 """Tests that changes of the store reach all instances, whichever of them watches it."""
 
 import asyncio
+import math
 import types
 
 import pytest
 import result
 from masticpost_common import clock
 from masticpost_gateway.sharing import relay, replication, senders, statefetch
-from masticpost_gateway.state import isolation, model, recordcache, source
+from masticpost_gateway.state import isolation, model, recordcache, source, watching
 from support import gatewaykit as kit
 
 WATCHES = replication.Standing(watches=True)
@@ -161,7 +162,9 @@
         is_following=False,
         competing_instances=1.0,
         follows=lambda now: False,
+        informed_since=math.inf,
     )
+    watch.was_informed = types.MethodType(watching.StoreWatch.was_informed, watch)
     records = recordcache.RecordCache()
     detector = isolation.Isolation(has_others=lambda: count > 1, watch=watch)
     node_relay = relay.Relay(
@@ -190,6 +193,40 @@
     assert node_relay.watch.competing_instances == 80 / relay.WATCHERS_IF_LARGE
 
 
+@pytest.mark.parametrize("is_informed", [True, False])
+async def test_return_of_one_instance_is_no_outage_of_the_store(is_informed):
+    """Guards against requests to an upstream that is gone (DRAIN, review/9).
+
+    An instance came back after nine seconds without a link, and told the others that
+    the store was back. They used an upstream that was removed just then for 2.2 s.
+    """
+    node_relay = make_relay(8)
+    now = clock.now()
+    record = model.Upstream(
+        name="u", service="s", address="x:1", domain="a", version="v", slots=1
+    )
+    entry = source.Entry(name="u", revision=1, record=record)
+    listing = source.Listing(entries=(entry,), at=1)
+    node_relay.records.replace(source.Kind.UPSTREAMS, listing, now)
+    for age_s in (4.0, 3.0, 2.0, 1.0, 0.0):
+        if is_informed:
+            node_relay.contact.note("watcher", FOLLOWS, now - age_s)
+        node_relay._update_watch(now - age_s)
+    body = replication.ReplicatedChanges(
+        kind=source.Kind.UPSTREAMS,
+        since=1,
+        at=2,
+        age_s=0.0,
+        regained_s=0.3,
+        changed=[],
+        removed=["u"],
+    )
+    await node_relay._on_changes(types.SimpleNamespace(sender="back"), body)
+    assert [row.name for row in node_relay.records.upstreams(now)] == (
+        [] if is_informed else ["u"]
+    )
+
+
 def test_fallback_watch_lasts_for_its_minimum_duration():
     """Otherwise it would list all kinds again whenever its view is five seconds old."""
     node_relay = make_relay(80)
